--- a/src/api.rs
+++ b/src/api.rs
@@ -251,7 +251,7 @@
 }
 
 /// How an attempt or a probe ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Outcome {
     /// Served.
     Done,
@@ -382,3 +382,35 @@
     /// Probe a server.
     Probe(ServerId),
 }
+
+/// What the module holds at a moment, for the node's log.
+#[derive(Clone, Debug)]
+pub struct Status {
+    /// Requests held at the node.
+    pub held: usize,
+    /// Requests that have no final answer yet.
+    pub open: usize,
+    /// Factor to all limits where it is below 1.
+    pub fleet: f64,
+    /// Attempts that the retry budget still allows.
+    pub retry_budget: f64,
+    /// The servers that are up.
+    pub servers: Vec<ServerStatus>,
+}
+
+/// What the module holds of one server.
+#[derive(Clone, Debug)]
+pub struct ServerStatus {
+    /// The server.
+    pub server: ServerId,
+    /// Own attempts that are out.
+    pub out: usize,
+    /// How many may be.
+    pub limit: f64,
+    /// Learned factor to its size.
+    pub share: f64,
+    /// The part of its capacity that it is taken to have.
+    pub warmth: f64,
+    /// Ejected.
+    pub ejected: bool,
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -387,6 +387,21 @@
         (STAY_AWAY * aim).min(self.set.limits.max_retry_after)
     }
 
+    /// What the module holds now.
+    pub fn status(&self) -> Status {
+        let server = |s: &Server| ServerStatus {
+            server: s.entry.server,
+            out: s.out.len(),
+            limit: s.allowed(self.fleet, self.least_limit()),
+            share: s.share,
+            warmth: s.warmth(self.now, &self.set.rules),
+            ejected: s.ejected.is_some(),
+        };
+        let (held, open) = (self.waiting.len(), self.requests.len());
+        let (fleet, retry_budget) = (self.fleet, self.retry_budget);
+        Status { held, open, fleet, retry_budget, servers: self.up().map(server).collect() }
+    }
+
     /// When time alone next calls for something.
     fn next_due(&self) -> Millis {
         let call = match self.call {
--- a/src/main.rs
+++ b/src/main.rs
@@ -31,6 +31,8 @@
 const BACKLOG: u32 = 1024;
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(200);
+/// How often the log says how the node fares.
+const STATUS: Duration = Duration::from_secs(1);
 
 fn main() -> ExitCode {
     let config = match config::load() {
@@ -80,6 +82,7 @@
     let clients = Clients::new(node.clone());
     spawn_local(node.clone().run_timer());
     spawn_local(sweep(node.clone(), clients.clone()));
+    spawn_local(log_status(node.clone()));
     spawn_local(reload(node.clone(), hangup));
     tokio::select! {
         () = clients.accept(&listener) => {}
@@ -104,6 +107,13 @@
     }
 }
 
+async fn log_status(node: Rc<Node>) {
+    loop {
+        node.log_status();
+        tokio::time::sleep(STATUS).await;
+    }
+}
+
 async fn sweep(node: Rc<Node>, clients: Rc<Clients>) {
     loop {
         tokio::time::sleep(SWEEP).await;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,7 +1,7 @@
 //! The owner of the decision module: events in, actions out, the table of requests, the clock and the timer.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -69,6 +69,7 @@
 /// A request that is open, or has attempts out.
 struct Open {
     asked: Rc<Asked>,
+    came: Instant,
     /// Where the final answer goes; taken when there is one, or when none is owed any more.
     answer: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Try>,
@@ -79,6 +80,18 @@
     sent: Instant,
     /// `None` once it has ended.
     task: Option<AbortHandle>,
+    /// How it ended, after which time, and for how long its connection had been idle before; for the log.
+    ended: Option<(Outcome, Duration, Option<Duration>)>,
+}
+
+/// How many answers, attempts and events there have been since the last line of the log told of them.
+#[derive(Default)]
+struct Counts {
+    served: u32,
+    refused: u32,
+    failed: u32,
+    gone: u32,
+    attempts: BTreeMap<Outcome, u32>,
 }
 
 /// One life of a server: a connection to another one is of no use.
@@ -112,6 +125,7 @@
     version: Option<u64>,
     /// The call to discovery that is out.
     call: Option<AbortHandle>,
+    counts: Counts,
 }
 
 /// One node.
@@ -126,6 +140,7 @@
     pub stopping: Cell<Option<Instant>>,
     /// Set shortly before the node ends: answers then close their connections.
     pub closing: Cell<bool>,
+    sample: log::Sample,
     clock: Clock,
     informed: Cell<bool>,
     state: RefCell<State>,
@@ -160,6 +175,7 @@
             hosts: HashMap::new(),
             version: None,
             call: None,
+            counts: Counts::default(),
         };
         let node = Rc::new(Self {
             pool: Rc::new(Pool::new(&config)),
@@ -167,6 +183,7 @@
             config,
             stopping: Cell::new(None),
             closing: Cell::new(false),
+            sample: log::Sample::default(),
             clock: Clock::new(),
             informed: Cell::new(false),
             state: RefCell::new(state),
@@ -203,6 +220,37 @@
         self.informed.get() || (late && !self.state.borrow().hosts.is_empty())
     }
 
+    /// Logs what was counted since the last time, and what the module holds: one line, where anything happened.
+    pub fn log_status(&self) {
+        let dropped = self.sample.renew();
+        let state = &mut *self.state.borrow_mut();
+        let Counts { served, refused, failed, gone, attempts } = std::mem::take(&mut state.counts);
+        let status = state.balancer.status();
+        if served + refused + failed + gone == 0 && status.open == 0 {
+            return;
+        }
+        let mut line = format!(
+            "status: served {served} refused {refused} failed {failed} gone {gone}; attempts {attempts:?}; held {} open \
+             {} fleet {:.2} budget {:.1}; connections {}; {dropped} lines dropped",
+            status.held,
+            status.open,
+            status.fleet,
+            status.retry_budget,
+            self.pool.held(),
+        );
+        for s in &status.servers {
+            let name = state.hosts.get(&s.server).map_or("?", |h| h.name.as_str());
+            line += &format!("; {name} out {} limit {:.2} share {:.2}", s.out, s.limit, s.share);
+            if s.warmth < 1.0 {
+                line += &format!(" warmth {:.2}", s.warmth);
+            }
+            if s.ejected {
+                line += " ejected";
+            }
+        }
+        log::line(line);
+    }
+
     // ---- Events ----
 
     /// Hands an event to the module and does what it says. Events that come of that wait their turn.
@@ -248,7 +296,8 @@
             }
             state.last_id += 1;
             let id = RequestId(state.last_id);
-            let open = Open { asked: Rc::new(asked), answer: Some(answer), attempts: Vec::new() };
+            let (asked, came) = (Rc::new(asked), Instant::now());
+            let open = Open { asked, came, answer: Some(answer), attempts: Vec::new() };
             state.requests.insert(id, open);
             id
         };
@@ -284,10 +333,12 @@
     pub fn client_gone(self: &Rc<Self>, id: RequestId) {
         {
             let mut state = self.state.borrow_mut();
-            let State { requests, ids, .. } = &mut *state;
+            let State { requests, ids, hosts, counts, .. } = &mut *state;
             let Some(open) = requests.get_mut(&id) else { return };
             if open.answer.take().is_some() {
                 ids.remove(&open.asked.txn);
+                counts.gone += 1;
+                self.sample.line(|| story(&self.config, hosts, open, "client gone"));
             }
         }
         self.feed(Event::ClientGone(id));
@@ -301,23 +352,27 @@
         attempt: usize,
         outcome: Outcome,
         reply: Option<Reply>,
+        kept: Option<Duration>,
     ) {
         let event = {
             let mut state = self.state.borrow_mut();
-            let State { requests, ids, .. } = &mut *state;
+            let State { requests, counts, .. } = &mut *state;
             let Some(open) = requests.get_mut(&id) else { return };
             let Some(ended) = open.attempts.get_mut(attempt) else { return };
             // Cancelled before: that was its one outcome.
             if ended.task.take().is_none() {
                 return;
             }
-            let (server, took) = (ended.server, ended.sent.elapsed().as_secs_f64() * 1000.0);
+            let (server, span) = (ended.server, ended.sent.elapsed());
+            let took = span.as_secs_f64() * 1000.0;
+            ended.ended = Some((outcome, span, kept));
+            *counts.attempts.entry(outcome).or_default() += 1;
             if let Some(reply) = reply {
-                give(open, ids, Answer::Served(reply));
+                self.give(&mut state, id, Answer::Served(reply));
             } else if outcome == Outcome::Rejected {
-                give(open, ids, Answer::Rejected);
+                self.give(&mut state, id, Answer::Rejected);
             }
-            let finished = open.answer.is_none();
+            let finished = state.requests.get(&id).is_none_or(|open| open.answer.is_none());
             Event::Ended { id, attempt, server, outcome, took, finished }
         };
         self.feed(event);
@@ -362,19 +417,23 @@
         let task =
             servers::attempt(self.clone(), servers::To { id, attempt, server, end }, open.asked.clone());
         let task = tokio::task::spawn_local(task).abort_handle();
-        open.attempts.push(Try { server, sent: now, task: Some(task) });
+        open.attempts.push(Try { server, sent: now, task: Some(task), ended: None });
     }
 
     /// Ending the task closes its connection.
     fn cancel(self: &Rc<Self>, id: RequestId, attempt: usize) {
         let ended = {
             let mut state = self.state.borrow_mut();
-            let Some(open) = state.requests.get_mut(&id) else { return };
+            let State { requests, counts, .. } = &mut *state;
+            let Some(open) = requests.get_mut(&id) else { return };
             let finished = open.answer.is_none();
             let Some(ended) = open.attempts.get_mut(attempt) else { return };
             let Some(task) = ended.task.take() else { return };
             task.abort();
-            let took = ended.sent.elapsed().as_secs_f64() * 1000.0;
+            let span = ended.sent.elapsed();
+            let took = span.as_secs_f64() * 1000.0;
+            ended.ended = Some((Outcome::Cancelled, span, None));
+            *counts.attempts.entry(Outcome::Cancelled).or_default() += 1;
             Event::Ended { id, attempt, server: ended.server, outcome: Outcome::Cancelled, took, finished }
         };
         self.feed(ended);
@@ -382,16 +441,30 @@
     }
 
     fn answer(&self, id: RequestId, answer: Answer) {
-        {
-            let mut state = self.state.borrow_mut();
-            let State { requests, ids, .. } = &mut *state;
-            if let Some(open) = requests.get_mut(&id) {
-                give(open, ids, answer);
-            }
-        }
+        self.give(&mut self.state.borrow_mut(), id, answer);
         self.drop_if_over(id);
     }
 
+    fn give(&self, state: &mut State, id: RequestId, answer: Answer) {
+        let State { requests, ids, hosts, counts, .. } = state;
+        let Some(open) = requests.get_mut(&id) else { return };
+        let Some(to) = open.answer.take() else { return };
+        ids.remove(&open.asked.txn);
+        let (count, words) = match answer {
+            Answer::Served(_) => (&mut counts.served, "served"),
+            Answer::Refused(_) => (&mut counts.refused, "refused"),
+            Answer::Failed => (&mut counts.failed, "failed"),
+            Answer::Rejected => (&mut counts.failed, "rejected"),
+        };
+        *count += 1;
+        // What was served at the first attempt has no story.
+        if !matches!(answer, Answer::Served(_)) || open.attempts.len() > 1 {
+            self.sample.line(|| story(&self.config, hosts, open, words));
+        }
+        // A client that has just left needs no answer.
+        let _ = to.send(answer);
+    }
+
     fn set_timer(&self, after: Millis) {
         let at = Instant::now() + span(after);
         let mut state = self.state.borrow_mut();
@@ -510,12 +583,24 @@
     }
 }
 
-fn give(open: &mut Open, ids: &mut HashSet<String>, answer: Answer) {
-    if let Some(to) = open.answer.take() {
-        ids.remove(&open.asked.txn);
-        // A client that has just left needs no answer.
-        let _ = to.send(answer);
+/// One line on the way of a request from its coming to its answer.
+fn story(config: &Config, hosts: &HashMap<ServerId, Host>, open: &Open, end: &str) -> String {
+    let asked = &open.asked;
+    let ms = |span: Duration| span.as_secs_f64() * 1000.0;
+    let class = config.told.classes.get(asked.class).map_or("?", String::as_str);
+    let mut line = format!("request {} {class}: {end} after {:.1} ms", asked.txn, ms(open.came.elapsed()));
+    for a in &open.attempts {
+        let name = hosts.get(&a.server).map_or("gone", |h| h.name.as_str());
+        let at = ms(a.sent.saturating_duration_since(open.came));
+        line += &match a.ended {
+            Some((outcome, took, kept)) => {
+                let kept = kept.map_or("new".to_string(), |idle| format!("idle {:.0} ms", ms(idle)));
+                format!("; at {at:.1} to {name} ({kept}): {outcome:?} after {:.1} ms", ms(took))
+            }
+            None => format!("; at {at:.1} to {name}: out"),
+        };
     }
+    line
 }
 
 /// A span of the module's as one of the runtime's, within what clocks can hold.
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
-use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
+use hyper::{HeaderMap, Request, StatusCode};
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at};
 use tulipmount::{Outcome, RequestId, ServerId};
@@ -111,6 +111,11 @@
         }
     }
 
+    /// How many connections there are.
+    pub fn held(&self) -> usize {
+        self.held.get()
+    }
+
     /// Closes the idle connections to a server.
     pub fn forget(&self, server: ServerId) {
         self.answered.borrow_mut().remove(&server);
@@ -233,8 +238,9 @@
 
 /// Makes one attempt and tells the node how it ended.
 pub async fn attempt(node: Rc<Node>, to: To, asked: Rc<Asked>) {
-    let (outcome, reply) = exchange(&node, to.server, to.end, &asked.method, &asked.uri, &asked).await;
-    node.attempt_ended(to.id, to.attempt, outcome, reply);
+    let kept = Cell::new(None);
+    let (outcome, reply) = exchange(&node, to.server, to.end, &asked, &kept).await;
+    node.attempt_ended(to.id, to.attempt, outcome, reply, kept.get());
 }
 
 /// Probes a server and tells the node how it ended.
@@ -243,18 +249,18 @@
     // As long as a connection may take, and as long again for the answer.
     let end = sent + 2 * node.pool.connect;
     let asked = Asked::probe();
-    let (outcome, _) = exchange(&node, server, end, &asked.method, &asked.uri, &asked).await;
+    let (outcome, _) = exchange(&node, server, end, &asked, &Cell::new(None)).await;
     node.probed(server, outcome, sent.elapsed());
 }
 
-/// One request to a server, and how it ended.
+/// One request to a server, and how it ended. `kept` is left with how long the connection had been idle, where it
+/// was a kept one.
 async fn exchange(
     node: &Rc<Node>,
     server: ServerId,
     end: Instant,
-    method: &Method,
-    uri: &Uri,
     asked: &Asked,
+    kept: &Cell<Option<Duration>>,
 ) -> (Outcome, Option<Reply>) {
     // A probe is to tell whether the process takes connections: a kept one could not.
     let mut pooled = if asked.is_probe() { None } else { node.pool.take(server) };
@@ -263,6 +269,7 @@
         let Some(place) = node.place(server) else { return (Outcome::NotSent, None) };
         pooled = pooled.filter(|link| link.place == place);
         let reused = pooled.is_some();
+        kept.set(pooled.as_ref().map(|link| link.since.elapsed()));
         let link = match pooled.take() {
             Some(link) => Ok(link),
             None => timeout_at(end.into(), node.pool.connect(place)).await.unwrap_or(Err(Outcome::NotSent)),
@@ -277,7 +284,7 @@
         let sent = Instant::now();
         let expected = node.pool.expect(server);
         link.sock.begin(asked.body.len());
-        let request = request(method, uri, asked, end);
+        let request = request(asked, end);
         let ended = timeout_at(end.into(), converse(&mut link, request)).await;
         drop(expected);
         let (any, whole) = (link.sock.any(), link.sock.whole());
@@ -316,11 +323,11 @@
     }
 }
 
-fn request(method: &Method, uri: &Uri, asked: &Asked, end: Instant) -> Request<Full<Bytes>> {
+fn request(asked: &Asked, end: Instant) -> Request<Full<Bytes>> {
     let left = end.saturating_duration_since(Instant::now()).as_millis() as u64;
     let mut request = Request::new(Full::new(asked.body.clone()));
-    *request.method_mut() = method.clone();
-    *request.uri_mut() = uri.clone();
+    *request.method_mut() = asked.method.clone();
+    *request.uri_mut() = asked.uri.clone();
     *request.headers_mut() = asked.headers.clone();
     request.headers_mut().insert(REMAINING, HeaderValue::from(left));
     request
