Do not take connections that break for a dead process where nothing may be probed

A connect that was taken and reset (errno 104, seen in the log), or that broke before the request was out, counted as a refused one: the server was ejected, and without probes held for cold for the 7.7 s of its warm-up. Two resets within the connect time ejected it too, beyond any cap. By 4.3 s 6 of 10 servers were ejected, and the others on cold budgets: all else was refused, and each break began it anew.

Such a connection now ends as Unwritten: it never ran, and says no more of its server than a reset. Only a refusal (errno 111, seen from 9.2 s on at the five servers that really went down) tells of a process that is down, and resets together eject only where a probe can settle it.

Ruled out: full limits (1 to 6 allowed, 0 to 1 out), the fleet's factor (2.0 throughout), lack of connections (20 of 184 in use), and CPU (0.11 of a core).

--- a/src/api.rs
+++ b/src/api.rs
@@ -265,6 +265,8 @@
     Unheard,
     /// No connection; it never ran.
     ConnectFailed,
+    /// The connection stood and broke before the request's last byte was written; it never ran.
+    Unwritten,
     /// The connection broke; it may have run.
     Reset,
     /// Called off; it may have run.
@@ -278,7 +280,7 @@
 impl Outcome {
     /// Does this outcome prove that the request never ran?
     pub fn never_ran(self) -> bool {
-        matches!(self, Self::Full | Self::ConnectFailed | Self::NotSent)
+        matches!(self, Self::Full | Self::ConnectFailed | Self::Unwritten | Self::NotSent)
     }
 }
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -796,10 +796,13 @@
             Outcome::Cancelled | Outcome::NotSent | Outcome::Full | Outcome::Rejected | Outcome::Unheard => {}
             Outcome::ConnectFailed => self.suspect(id, outcome, took),
             // Servers close on what they can't read, and break off single answers. To take each for a crash
-            // would put the whole fleet on cold budgets. Several that break together are another matter.
-            Outcome::TimedOut | Outcome::Error | Outcome::Reset => {
-                let broke = outcome == Outcome::Reset;
-                let together = broke && self.now - server.last_reset <= self.set.limits.connect_timeout;
+            // would put the whole fleet on cold budgets. Several that break together are another matter where
+            // a probe can tell; where none may, the next connection is refused if the process is down.
+            Outcome::TimedOut | Outcome::Error | Outcome::Reset | Outcome::Unwritten => {
+                let (broke, limits) =
+                    (matches!(outcome, Outcome::Reset | Outcome::Unwritten), &self.set.limits);
+                let together =
+                    broke && limits.probes && self.now - server.last_reset <= limits.connect_timeout;
                 if broke {
                     server.last_reset = self.now;
                 }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -222,7 +222,7 @@
 
     /// Logs what was counted since the last time, and what the module holds: one line, where anything happened.
     pub fn log_status(&self) {
-        let dropped = self.sample.renew();
+        let dropped = self.sample.renew() + self.pool.sample.renew();
         let state = &mut *self.state.borrow_mut();
         let Counts { served, refused, failed, gone, attempts } = std::mem::take(&mut state.counts);
         let status = state.balancer.status();
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -20,6 +20,7 @@
 
 use super::clients::{end_to_end, Asked};
 use super::config::Config;
+use super::log::Sample;
 use super::node::{Node, Place, Reply};
 use super::sock::{Io, Sock};
 
@@ -93,6 +94,8 @@
     most: usize,
     idle_most: Duration,
     connect: Duration,
+    /// Bounds the log's lines on connects that failed.
+    pub sample: Sample,
 }
 
 impl Pool {
@@ -108,6 +111,7 @@
             most: config.servers_most(),
             idle_most: ms(config.told.keepalive * IDLE_SHARE),
             connect: ms(config.told.settings.limits.connect_timeout),
+            sample: Sample::default(),
         }
     }
 
@@ -213,7 +217,11 @@
                 self.evict();
                 return Err(Outcome::NotSent);
             }
-            Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
+            Ok(Err(error)) => {
+                self.sample.line(|| format!("connect {}: {error}", place.dial));
+                return Err(unconnected(&error));
+            }
+            Err(_) => return Err(Outcome::ConnectFailed),
         };
         let failed = Outcome::ConnectFailed;
         let sock = Sock::new(stream).map_err(|_| failed)?;
@@ -223,6 +231,15 @@
     }
 }
 
+/// How an attempt ends whose connect failed. One that was taken and broken at once says that something listens: a
+/// process that is down refuses.
+fn unconnected(error: &std::io::Error) -> Outcome {
+    match error.kind() {
+        ErrorKind::ConnectionReset => Outcome::Unwritten,
+        _ => Outcome::ConnectFailed,
+    }
+}
+
 /// Which attempt, where to, and until when.
 #[derive(Clone, Copy)]
 pub struct To {
@@ -311,7 +328,7 @@
             }
             Ok(Err(Broken::Link)) if whole => return (Outcome::Reset, None),
             Ok(Err(Broken::Garbled)) if whole => return (Outcome::Error, None),
-            Ok(Err(_)) => return (Outcome::ConnectFailed, None),
+            Ok(Err(_)) => return (Outcome::Unwritten, None),
             // A kept connection that is dead must not pass for a slow server: that would eject it, and lower its limit,
             // for each connection that was kept. One that is slow with all it has is not overtaken.
             Err(_) if whole && reused && !link.sock.heard_any() && node.pool.overtaken(server, sent) => {
@@ -430,3 +447,17 @@
     // The connection is over; what it had to say has been handed on.
     talk.await
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// As the kernel names them: refused by a machine without a listener, and broken by whatever took it.
+    #[test]
+    fn a_connect_that_was_taken_and_broken_is_no_refusal() {
+        let of = |kind| unconnected(&std::io::Error::from(kind));
+        assert_eq!(of(ErrorKind::ConnectionReset), Outcome::Unwritten);
+        assert_eq!(of(ErrorKind::ConnectionRefused), Outcome::ConnectFailed);
+        assert!(Outcome::Unwritten.never_ran());
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -186,6 +186,41 @@
     assert!(sent >= 9, "{sent} of 40");
 }
 
+/// Guards page4688: connections that a network breaks at random, new ones too, put all servers on cold budgets and
+/// left them out of turn one after the other. Without probes the next connection tells whether a process is down.
+#[test]
+fn connections_that_break_are_no_restart_where_nothing_may_be_probed() {
+    let mut settings = settings();
+    settings.limits.probes = false;
+    let mut node = Node::fleet(settings, 4);
+    for _ in 0..40 {
+        node.serve(SAFE, 5.0);
+    }
+    for outcome in [Outcome::Unwritten, Outcome::Reset] {
+        // Two together at each server.
+        let asked: Vec<_> = (0..8).map(|_| node.ask(SAFE).0).collect();
+        node.now += 0.2;
+        for id in asked {
+            node.end(id, outcome);
+            node.end(id, Outcome::Done);
+        }
+        for server in node.balancer.status().servers {
+            assert!(!server.ejected && server.warmth >= 1.0, "{outcome:?}: {server:?}");
+        }
+    }
+    // One that is down refuses: it is left out at once, and cold when it is back.
+    let (mut id, mut actions) = node.ask(SAFE);
+    while sent_to(&actions) != Some(ServerId(2)) {
+        node.end(id, Outcome::Done);
+        (id, actions) = node.ask(SAFE);
+    }
+    node.end(id, Outcome::ConnectFailed);
+    node.end(id, Outcome::Done);
+    node.wait(1000.0);
+    let server = node.balancer.status().servers[2].clone();
+    assert!(server.server == ServerId(2) && server.warmth < 1.0, "{server:?}");
+}
+
 /// Guards incident i0ddaf6: a zone cut off is more than half of the fleet, and all of it refuses.
 #[test]
 fn refused_connections_eject_without_a_cap() {
