Eject a class from a server that turns it away, not the server with all classes

What is turned away now says nothing of a server's pace. A class that a server turns away or fails by error three times in a row is sent to others for a while that doubles while that lasts; where no other server takes it, it is tried all the same.

Ruled out: full queues (0 to 4 attempts out, and signups and payments served by the same servers meanwhile), and drains (the servers were listed as up).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -143,6 +143,8 @@
     ejections: u32,
     /// Ejected; looked at again from then on.
     ejected: Option<Millis>,
+    /// By class: how often in a row it was turned away or failed by error, and until when it is not sent.
+    class_failures: Vec<(u32, Millis)>,
     /// Ejected for refused or broken connections: a process that will come back cold.
     down: bool,
     probing: bool,
@@ -248,6 +250,29 @@
         self.entry.state == Listed::Up
     }
 
+    /// Is it sent requests of this class?
+    fn takes(&self, class: usize, now: Millis) -> bool {
+        self.class_failures.get(class).is_none_or(|(_, until)| now >= *until)
+    }
+
+    /// Notes how an attempt of a class ended: a server may serve all classes but one, as when its release is
+    /// bad. Turned away there, a class is sent elsewhere for a while that grows from `base` to `most`.
+    fn note_class(&mut self, class: usize, outcome: Outcome, now: Millis, (base, most): (Millis, Millis)) {
+        let Some((failures, until)) = self.class_failures.get_mut(class) else { return };
+        match outcome {
+            Outcome::Done => *failures = 0,
+            // Those that were out together count once.
+            Outcome::Full | Outcome::Error if now >= *until => {
+                *failures += 1;
+                if *failures >= OUTLIER_FAILURES {
+                    let doubled = f64::from(1u32 << (*failures - OUTLIER_FAILURES).min(10));
+                    *until = now + (base * doubled).min(most);
+                }
+            }
+            _ => {}
+        }
+    }
+
     /// How many own attempts may be out, with the fleet's factor and the least limit.
     fn allowed(&self, fleet: f64, least: f64) -> f64 {
         (self.limit * fleet.min(1.0)).max(least)
@@ -450,6 +475,7 @@
                 server.entry.state = Listed::Gone;
             }
         }
+        let classes = self.set.classes.len();
         for mut entry in entries {
             if !entry.weight.is_finite() || entry.weight <= 0.0 {
                 entry.weight = 1.0;
@@ -476,6 +502,7 @@
                 last_reset: f64::NEG_INFINITY,
                 ejections: 0,
                 ejected: None,
+                class_failures: vec![(0, f64::NEG_INFINITY); classes],
                 down: false,
                 probing: false,
                 returned: None,
@@ -486,6 +513,7 @@
                 (server.consecutive_failures, server.ejections, server.ejected, server.returned) =
                     (0, 0, None, None);
                 server.down = false;
+                server.class_failures.fill((0, f64::NEG_INFINITY));
             }
             if !server.listed_up() || entry.started != server.entry.started {
                 server.turn = f64::NAN;
@@ -722,12 +750,16 @@
         self.now - server.last_sent >= space * server.stagger
     }
 
+    /// How long an ejection lasts, at first and at the most.
+    fn ejection_spans(&self) -> (Millis, Millis) {
+        (4.0 * self.set.limits.connect_timeout, self.set.rules.ask_within / 4.0)
+    }
+
     fn eject(&mut self, id: ServerId, sure: bool) {
         let up = self.rotated();
         let ejected = up.clone().filter(|s| s.ejected.is_some()).count() + 1;
         let too_many = ejected as f64 > EJECT_AT_MOST * up.count() as f64;
-        let (now, base, most) =
-            (self.now, 4.0 * self.set.limits.connect_timeout, self.set.rules.ask_within / 4.0);
+        let (now, (base, most)) = (self.now, self.ejection_spans());
         if let Some(server) = self.servers.get_mut(&id) {
             if server.ejected.is_none() && too_many && !sure {
                 return;
@@ -911,7 +943,10 @@
         let may = |s: &Server| request.may_repeat(class, &self.set.limits, self.now, Some(&s.entry));
         let last = request.attempts.last().map(|a| a.server);
         let again = last == Some(to.entry.server);
-        may(to) && !(again && self.rotated().any(|s| Some(s.entry.server) != last && may(s)))
+        let rather = |s: &Server| s.takes(request.class, self.now) && may(s);
+        may(to)
+            && !(again && self.rotated().any(|s| Some(s.entry.server) != last && may(s)))
+            && (to.takes(request.class, self.now) || !self.rotated().any(rather))
     }
 
     fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
@@ -982,6 +1017,10 @@
         ended.outcome = Some(outcome);
         let (class, at_limit, alone) = (request.class, ended.at_limit, ended.alone);
         let open = request.pending() || request.streaming;
+        let spans = self.ejection_spans();
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.note_class(class, outcome, now, spans);
+        }
         self.learn(server, class, outcome, took, at_limit, alone);
         if finished {
             if let Some(request) = self.requests.remove(&id) {
@@ -1015,7 +1054,8 @@
             Outcome::TimedOut if self.set.classes[class].late_worth == 0.0 => {
                 CUT * (took / self.set.classes[class].aim).min(1.0)
             }
-            Outcome::TimedOut | Outcome::Full => LATE,
+            Outcome::TimedOut => LATE,
+            // What was turned away unseen says nothing of the pace of the rest, which shares the limit.
             _ => return,
         };
         let warm = |s: &Server| s.warmth(now, rules) >= 1.0;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -23,6 +23,9 @@
 /// How long the node waits for discovery before it serves by the saved list.
 const READY_WITHIN: Duration = Duration::from_millis(2500);
 
+/// One in so many requests that are served at once has a line in the log.
+const SERVED_TOLD: u32 = 16;
+
 /// The final answer of a request.
 pub enum Answer {
     /// A server's answer.
@@ -457,8 +460,9 @@
             Answer::Rejected => (&mut counts.failed, "rejected"),
         };
         *count += 1;
-        // What was served at the first attempt has no story.
-        if !matches!(answer, Answer::Served(_)) || open.attempts.len() > 1 {
+        // Of what was served at the first attempt some are told, to compare the others with.
+        let plain = matches!(answer, Answer::Served(_)) && open.attempts.len() == 1;
+        if !plain || counts.served % SERVED_TOLD == 1 {
             self.sample.line(|| story(&self.config, hosts, open, words));
         }
         // A client that has just left needs no answer.
@@ -588,7 +592,17 @@
     let asked = &open.asked;
     let ms = |span: Duration| span.as_secs_f64() * 1000.0;
     let class = config.told.classes.get(asked.class).map_or("?", String::as_str);
-    let mut line = format!("request {} {class}: {end} after {:.1} ms", asked.txn, ms(open.came.elapsed()));
+    let tenant = asked.tenant.and_then(|t| config.told.tenants.get(t)).map_or("?", String::as_str);
+    // Users are told apart, not named.
+    let text = |name: &str| asked.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default();
+    let mut line = format!(
+        "request {} {class} of {tenant}, key {:04x}, work {}, {} bytes: {end} after {:.1} ms",
+        asked.txn,
+        number_of(text("cookie")) & 0xFFFF,
+        text("x-estimate"),
+        asked.body.len(),
+        ms(open.came.elapsed())
+    );
     for a in &open.attempts {
         let name = hosts.get(&a.server).map_or("gone", |h| h.name.as_str());
         let at = ms(a.sent.saturating_duration_since(open.came));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -221,6 +221,56 @@
     assert!(server.server == ServerId(2) && server.warmth < 1.0, "{server:?}");
 }
 
+/// Guards page5425: servers of a new release turned one class away, and lost the turns of all others with it.
+#[test]
+fn a_server_that_turns_one_class_away_keeps_the_others() {
+    let mut node = Node::fleet(settings(), 4);
+    let mut turn = |class: usize, away: bool| {
+        let (id, actions) = node.ask(class);
+        node.now += 5.0;
+        let to_2 = sent_to(&actions) == Some(ServerId(2));
+        if to_2 && away {
+            assert_ne!(sent_to(&node.end(id, Outcome::Full)), Some(ServerId(2)), "resent elsewhere");
+        }
+        node.end(id, Outcome::Done);
+        (to_2, node.balancer.status().servers[2].limit)
+    };
+    for _ in 0..20 {
+        turn(SAFE, true);
+        turn(UNSAFE, false);
+    }
+    let mut sent = [0, 0];
+    for _ in 0..100 {
+        sent[0] += usize::from(turn(SAFE, true).0);
+        let (to_2, limit) = turn(UNSAFE, false);
+        assert!(limit >= 1.0, "{limit}");
+        sent[1] += usize::from(to_2);
+    }
+    assert!(sent[0] <= 5 && sent[1] >= 24, "{sent:?} of 100 each");
+    // It takes the class again: the next look finds out.
+    for _ in 0..600 {
+        turn(SAFE, false);
+    }
+    let sent = (0..100).filter(|_| turn(SAFE, false).0).count();
+    assert!(sent >= 24, "{sent} of 100");
+}
+
+/// Where all servers turn a class away there is none to spare for: it is tried, and answered in time.
+#[test]
+fn a_class_that_all_servers_turn_away_is_still_tried() {
+    let mut node = Node::fleet(settings(), 2);
+    for _ in 0..12 {
+        let (id, actions) = node.ask(SAFE);
+        assert!(sent_to(&actions).is_some());
+        let mut actions = node.end(id, Outcome::Full);
+        while sent_to(&actions).is_some() {
+            actions = node.end(id, Outcome::Full);
+        }
+        assert!(refused(&actions, id) || refused(&node.wait(500.0), id));
+    }
+    assert!(node.serve(SAFE, 5.0).is_some());
+}
+
 /// Guards incident i0ddaf6: a zone cut off is more than half of the fleet, and all of it refuses.
 #[test]
 fn refused_connections_eject_without_a_cap() {
