Send a second copy where answers get lost, and call no server slow for a lost one

An attempt without a byte is Unheard on a new connection too where its server answered something that was sent later. Where more than 8% of attempts go unanswered and no request is held, one that may run again has a second copy at the next server in turn once its answer is missed.

Ruled out: a hanging server and a cut zone (each server answered others), dead kept connections (new ones fared no better), and the requests themselves (users, tenants and work spread as in those served).

--- a/src/api.rs
+++ b/src/api.rs
@@ -261,7 +261,7 @@
     Full,
     /// No answer in time; it may have run, or may still.
     TimedOut,
-    /// No byte in time on a kept connection, while the server answered what was sent later; it may have run.
+    /// No byte in time, while the server answered what was sent later; it may have run.
     Unheard,
     /// No connection; it never ran.
     ConnectFailed,
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -62,6 +62,11 @@
 /// Part of its aim that a request may be held at the node: in a burst, and in a lasting overload.
 const HOLD: (f64, f64) = (0.25, 0.1);
 
+/// Unanswered part of all attempts beyond which answers get lost, and how strongly one attempt moves it.
+const LOST: (f64, f64) = (0.08, 0.02);
+/// From how many times the usual time of its class on an answer is missed.
+const MISSED_AFTER: f64 = 2.5;
+
 /// Part of its aim that the client of a refused request should stay away.
 const STAY_AWAY: f64 = 0.25;
 
@@ -110,6 +115,8 @@
     /// For each kind of machine, the usual time of each class on a server that has nothing else of ours.
     times: BTreeMap<u64, Vec<Millis>>,
     retry_budget: f64,
+    /// Part of the attempts that went unanswered, lately.
+    lost: f64,
     /// When the timer comes that was asked for last.
     timer_due: Millis,
     /// When what time brings was last looked at.
@@ -366,6 +373,7 @@
             arrivals: Rate::new(),
             times: BTreeMap::new(),
             retry_budget: RETRY_BUDGET_MAX,
+            lost: 0.0,
             timer_due: f64::INFINITY,
             swept: f64::NEG_INFINITY,
             call,
@@ -436,6 +444,8 @@
         };
         let held = if self.waiting.is_empty() { f64::INFINITY } else { self.swept + self.period() };
         let mut due = call.min(held);
+        let hedge = self.hedges().map(|(_, at)| at.max(self.swept + self.period()));
+        due = hedge.fold(due, f64::min);
         for server in self.rotated() {
             if let (Some(at), false) = (server.ejected, server.probing) {
                 due = due.min(at);
@@ -1017,6 +1027,9 @@
         ended.outcome = Some(outcome);
         let (class, at_limit, alone) = (request.class, ended.at_limit, ended.alone);
         let open = request.pending() || request.streaming;
+        if let Outcome::Done | Outcome::TimedOut | Outcome::Unheard = outcome {
+            self.lost += (if outcome == Outcome::Done { 0.0 } else { 1.0 } - self.lost) * LOST.1;
+        }
         let spans = self.ejection_spans();
         if let Some(s) = self.servers.get_mut(&server) {
             s.note_class(class, outcome, now, spans);
@@ -1106,6 +1119,19 @@
         }
     }
 
+    /// The requests that a second copy could still serve, and when their answer is missed. Only where answers
+    /// get lost: what is merely heavy would else run twice. A queue at the node tells that it is load.
+    fn hedges(&self) -> impl Iterator<Item = (RequestId, Millis)> + '_ {
+        let may = self.set.limits.second_copies && self.lost > LOST.0 && self.waiting.is_empty();
+        self.requests.iter().filter(move |_| may).filter_map(|(id, r)| {
+            let [Attempt { outcome: None, sent, .. }] = r.attempts.as_slice() else { return None };
+            let (class, mean) = (&self.set.classes[r.class], self.classes[r.class].mean);
+            let at = sent + MISSED_AFTER * mean;
+            let of_use = at.max(self.now) + mean < self.useful_until(r);
+            (of_use && !r.streaming && class.effect != Effect::Unsafe).then_some((*id, at))
+        })
+    }
+
     /// What becomes of a request whose attempts have all failed.
     fn further(&mut self, id: RequestId, outcome: Outcome, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
@@ -1141,8 +1167,10 @@
     /// Drops a request that is over; attempts that are still out are of no use any more.
     fn forget(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         if let Some(request) = self.requests.remove(&id) {
-            for (attempt, a) in request.attempts.iter().enumerate() {
-                if a.outcome.is_none() && self.set.limits.cancel && !request.streaming {
+            let missed = MISSED_AFTER * self.classes[request.class].mean;
+            for (attempt, a) in request.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none()) {
+                self.lost += if self.now - a.sent >= missed { (1.0 - self.lost) * LOST.1 } else { 0.0 };
+                if self.set.limits.cancel && !request.streaming {
                     actions.push(Action::Cancel { id, attempt });
                 }
             }
@@ -1238,6 +1266,12 @@
                 self.on_probed(id, Outcome::Done, 0.0);
             }
         }
+        let missed: Vec<RequestId> = self.hedges().filter(|(_, at)| now >= *at).map(|(id, _)| id).collect();
+        for id in missed {
+            if let Some(server) = self.next_turn(|b, s| b.ready(s) && b.may_go(id, s)) {
+                self.send(id, server, actions);
+            }
+        }
         if now >= self.chosen + self.warmth_step() && self.rotated().any(|s| s.turn_warmth < 1.0) {
             self.choose_subset();
         }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -329,9 +329,9 @@
             Ok(Err(Broken::Link)) if whole => return (Outcome::Reset, None),
             Ok(Err(Broken::Garbled)) if whole => return (Outcome::Error, None),
             Ok(Err(_)) => return (Outcome::Unwritten, None),
-            // A kept connection that is dead must not pass for a slow server: that would eject it, and lower its limit,
-            // for each connection that was kept. One that is slow with all it has is not overtaken.
-            Err(_) if whole && reused && !link.sock.heard_any() && node.pool.overtaken(server, sent) => {
+            // A connection that is dead, or an answer that was lost, must not pass for a slow server: that would eject it,
+            // and lower its limit, for each. One that is slow with all it has is not overtaken.
+            Err(_) if whole && !link.sock.heard_any() && node.pool.overtaken(server, sent) => {
                 return (Outcome::Unheard, None)
             }
             Err(_) if whole => return (Outcome::TimedOut, None),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -255,6 +255,34 @@
     assert!(sent >= 24, "{sent} of 100");
 }
 
+/// Guards page5425: a network lost answers of all servers. A missed one has a second copy elsewhere, where the class
+/// may run again; in calm, what is merely heavy has none.
+#[test]
+fn a_missed_answer_has_a_second_copy_only_where_answers_get_lost() {
+    for (class, lose, copied) in [(SAFE, true, true), (SAFE, false, false), (UNSAFE, true, false)] {
+        let mut node = Node::fleet(settings(), 6);
+        for _ in 0..60 {
+            node.serve(class, 5.0);
+        }
+        for _ in 0..if lose { 8 } else { 0 } {
+            let (id, _) = node.ask(class);
+            node.now += 90.0;
+            let mut actions = node.end(id, Outcome::Unheard);
+            while sent_to(&actions).is_some() {
+                actions = node.end(id, Outcome::Done);
+            }
+        }
+        let (id, first) = node.ask(class);
+        let later = node.wait(60.0);
+        assert_eq!(sends(&later), if copied { vec![id] } else { vec![] }, "class {class}, lost {lose}");
+        if copied {
+            assert_ne!(sent_to(&later), sent_to(&first));
+            let served = node.end(id, Outcome::Done);
+            assert!(served.contains(&Action::Cancel { id, attempt: 0 }), "{served:?}");
+        }
+    }
+}
+
 /// Where all servers turn a class away there is none to spare for: it is tried, and answered in time.
 #[test]
 fn a_class_that_all_servers_turn_away_is_still_tried() {
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -262,6 +262,24 @@
     assert_eq!(served, 5, "only the first is lost");
 }
 
+/// An answer that never comes on a new connection says nothing of a server that answers what was sent to it later.
+#[test]
+fn an_answer_lost_on_a_new_connection_is_no_slow_server() {
+    let server = Peer::new(|m| match m.header("x-txn") {
+        Some("lost") => Say::Nothing,
+        _ => Say::This(answer(200, "", "served")),
+    });
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let node = Node::ready(&config(registry.address));
+    let mut lost = Client::to(&node);
+    lost.send(&request("slip", "lost", 2_000));
+    until("it is out", || server.seen().len() == 1);
+    assert_eq!(Client::to(&node).ask(&request("slip", "later", 15_000)).status(), 200);
+    assert_eq!(lost.hear().expect("an answer").status(), 502);
+    until("the log tells", || node.logged("(new): "));
+    assert!(node.logged("(new): Unheard"), "taken for a slow server");
+}
+
 /// Attempts on connections that went dead keep a server neither full until their deadlines nor, once they have timed out,
 /// under suspicion: it answers whatever comes on new ones.
 #[test]
