Take requests with little time for what they are, and eject no server for their time-outs

A signup with less time than the most ever seen passed for a repeat, first asked when its aim was already over, and was sent with a time-out of 0.001 ms: it might have run, so it failed. Three such time-outs in a row ejected a server, 3 to 6 of 10 at any time.

A request is taken for a repeat only where a refusal of its class has left one due; one that can't be in time is answered without an attempt; a time-out that had less than half the aim tells nothing of its server. The test on repeats now refuses one first: without that, it held the misreading to be right.

Ruled out: lost answers (the time-outs came after 1 ms, not after the aim), broken connections (as many before and after), load (nothing was held).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -188,6 +188,7 @@
 }
 
 /// What is usual for a class.
+#[derive(Default)]
 struct ClassStats {
     /// Mean time to an answer.
     mean: Millis,
@@ -196,9 +197,12 @@
     excess: f64,
     /// The most time that a request had left when it came.
     most_left: Millis,
+    /// Refusals whose clients may yet come back.
+    refused: Rate,
 }
 
 /// A rate that forgets.
+#[derive(Default)]
 struct Rate {
     per_s: f64,
     at: Millis,
@@ -238,10 +242,6 @@
 }
 
 impl Rate {
-    fn new() -> Self {
-        Self { per_s: 0.0, at: 0.0 }
-    }
-
     fn add(&mut self, now: Millis, span: Millis, amount: f64) {
         self.per_s = self.at(now, span) + amount * 1000.0 / span.max(1.0);
         self.at = now;
@@ -257,23 +257,17 @@
         self.entry.state == Listed::Up
     }
 
-    /// Is it sent requests of this class?
-    fn takes(&self, class: usize, now: Millis) -> bool {
-        self.class_failures.get(class).is_none_or(|(_, until)| now >= *until)
-    }
-
-    /// Notes how an attempt of a class ended: a server may serve all classes but one, as when its release is
-    /// bad. Turned away there, a class is sent elsewhere for a while that grows from `base` to `most`.
+    /// A server may turn one class away and serve the rest, as a bad release does: that class goes elsewhere
+    /// for a while that grows from `base` to `most`.
     fn note_class(&mut self, class: usize, outcome: Outcome, now: Millis, (base, most): (Millis, Millis)) {
-        let Some((failures, until)) = self.class_failures.get_mut(class) else { return };
+        let (failures, until) = &mut self.class_failures[class];
         match outcome {
             Outcome::Done => *failures = 0,
             // Those that were out together count once.
             Outcome::Full | Outcome::Error if now >= *until => {
                 *failures += 1;
-                if *failures >= OUTLIER_FAILURES {
-                    let doubled = f64::from(1u32 << (*failures - OUTLIER_FAILURES).min(10));
-                    *until = now + (base * doubled).min(most);
+                if let Some(more) = failures.checked_sub(OUTLIER_FAILURES) {
+                    *until = now + (base * f64::from(1u32 << more.min(10))).min(most);
                 }
             }
             _ => {}
@@ -343,9 +337,9 @@
         let classes = settings
             .classes
             .iter()
-            .map(|c| ClassStats { mean: c.aim / 4.0, seen: 0, excess: 0.0, most_left: f64::NEG_INFINITY })
+            .map(|c| ClassStats { mean: c.aim / 4.0, most_left: f64::NEG_INFINITY, ..Default::default() })
             .collect();
-        let care = || Served { asked: Rate::new(), served: Rate::new() };
+        let care = || Served { asked: Rate::default(), served: Rate::default() };
         let class_served = settings.classes.iter().map(|_| care()).collect();
         let tenant_served = settings.tenants.iter().map(|_| care()).collect();
         let quotas = settings.tenants.iter().map(|_| (0.0, f64::NEG_INFINITY)).collect();
@@ -369,8 +363,8 @@
             class_served,
             tenant_served,
             quotas,
-            pace: Rate::new(),
-            arrivals: Rate::new(),
+            pace: Rate::default(),
+            arrivals: Rate::default(),
             times: BTreeMap::new(),
             retry_budget: RETRY_BUDGET_MAX,
             lost: 0.0,
@@ -760,16 +754,12 @@
         self.now - server.last_sent >= space * server.stagger
     }
 
-    /// How long an ejection lasts, at first and at the most.
-    fn ejection_spans(&self) -> (Millis, Millis) {
-        (4.0 * self.set.limits.connect_timeout, self.set.rules.ask_within / 4.0)
-    }
-
     fn eject(&mut self, id: ServerId, sure: bool) {
         let up = self.rotated();
         let ejected = up.clone().filter(|s| s.ejected.is_some()).count() + 1;
         let too_many = ejected as f64 > EJECT_AT_MOST * up.count() as f64;
-        let (now, (base, most)) = (self.now, self.ejection_spans());
+        let (now, base, most) =
+            (self.now, 4.0 * self.set.limits.connect_timeout, self.set.rules.ask_within / 4.0);
         if let Some(server) = self.servers.get_mut(&id) {
             if server.ejected.is_none() && too_many && !sure {
                 return;
@@ -838,8 +828,8 @@
             Outcome::Cancelled | Outcome::NotSent | Outcome::Full | Outcome::Rejected | Outcome::Unheard => {}
             Outcome::ConnectFailed => self.suspect(id, outcome, took),
             // Servers close on what they can't read, and break off single answers. To take each for a crash
-            // would put the whole fleet on cold budgets. Several that break together are another matter where
-            // a probe can tell; where none may, the next connection is refused if the process is down.
+            // would put all on cold budgets. Several together are another matter where a probe can tell; else
+            // the next connection will.
             Outcome::TimedOut | Outcome::Error | Outcome::Reset | Outcome::Unwritten => {
                 let (broke, limits) =
                     (matches!(outcome, Outcome::Reset | Outcome::Unwritten), &self.set.limits);
@@ -893,19 +883,23 @@
         self.serve_waiting(actions);
     }
 
-    /// How long ago the client first asked. A client that comes back after a refusal still gives up when the
-    /// time of its first asking ends: to take its request for a new one would spend work on what can no
-    /// longer be in time. The most time that a class's requests ever had left is that of new ones. Where
-    /// clients may repeat what they have given up, the deadline is that of the try and tells nothing.
+    /// How long ago the client first asked. One that comes back after a refusal still gives up when the time of
+    /// its first asking ends: work on what can no longer be in time is lost. The most time that any of a class
+    /// ever had left is that of new ones; one with less is a repeat if one is due, else in a hurry. Where
+    /// clients may repeat what they gave up, the deadline is that of the try.
     fn age(&mut self, class: usize, deadline: Millis) -> Millis {
-        let left = deadline - self.now;
-        let most = &mut self.classes[class].most_left;
+        let (now, left) = (self.now, deadline - self.now);
+        let ClassStats { most_left: most, refused, .. } = &mut self.classes[class];
         if left.is_finite() {
             *most = most.max(left);
         }
         match self.set.classes[class].effect {
             Effect::Safe | Effect::Keyed { group: Group::All, .. } => 0.0,
-            _ => (*most - left).max(0.0),
+            _ if *most - left < self.set.tick || refused.at(now, *most) * *most < 500.0 => 0.0,
+            _ => {
+                refused.add(now, *most, -1.0);
+                *most - left
+            }
         }
     }
 
@@ -953,10 +947,10 @@
         let may = |s: &Server| request.may_repeat(class, &self.set.limits, self.now, Some(&s.entry));
         let last = request.attempts.last().map(|a| a.server);
         let again = last == Some(to.entry.server);
-        let rather = |s: &Server| s.takes(request.class, self.now) && may(s);
+        let takes = |s: &Server| self.now >= s.class_failures[request.class].1;
         may(to)
             && !(again && self.rotated().any(|s| Some(s.entry.server) != last && may(s)))
-            && (to.takes(request.class, self.now) || !self.rotated().any(rather))
+            && (takes(to) || !self.rotated().any(|s| takes(s) && may(s)))
     }
 
     fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
@@ -1020,17 +1014,22 @@
         if let Some(s) = self.servers.get_mut(&server) {
             s.out.retain(|o| (o.0, o.1) != (id, attempt));
         }
-        self.detect_outlier(server, outcome, took);
+        // One that its client gave less than half its aim says little of its server.
+        let half = |r: &Request| 0.5 * self.set.classes[r.class].aim;
+        let hurried = outcome == Outcome::TimedOut && self.requests.get(&id).is_some_and(|r| took < half(r));
+        if !hurried {
+            self.detect_outlier(server, outcome, took);
+        }
         self.servers.retain(|_, s| s.entry.state != Listed::Gone || !s.out.is_empty());
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(ended) = request.attempts.get_mut(attempt).filter(|a| a.outcome.is_none()) else { return };
         ended.outcome = Some(outcome);
         let (class, at_limit, alone) = (request.class, ended.at_limit, ended.alone);
         let open = request.pending() || request.streaming;
-        if let Outcome::Done | Outcome::TimedOut | Outcome::Unheard = outcome {
+        if !hurried && matches!(outcome, Outcome::Done | Outcome::TimedOut | Outcome::Unheard) {
             self.lost += (if outcome == Outcome::Done { 0.0 } else { 1.0 } - self.lost) * LOST.1;
         }
-        let spans = self.ejection_spans();
+        let spans = (4.0 * self.set.limits.connect_timeout, self.set.rules.ask_within / 4.0);
         if let Some(s) = self.servers.get_mut(&server) {
             s.note_class(class, outcome, now, spans);
         }
@@ -1119,8 +1118,8 @@
         }
     }
 
-    /// The requests that a second copy could still serve, and when their answer is missed. Only where answers
-    /// get lost: what is merely heavy would else run twice. A queue at the node tells that it is load.
+    /// What a second copy could still serve, and when its answer is missed. Only where answers get lost, and
+    /// none is held for load: what is merely heavy would else run twice.
     fn hedges(&self) -> impl Iterator<Item = (RequestId, Millis)> + '_ {
         let may = self.set.limits.second_copies && self.lost > LOST.0 && self.waiting.is_empty();
         self.requests.iter().filter(move |_| may).filter_map(|(id, r)| {
@@ -1156,8 +1155,9 @@
         let Some(request) = self.requests.get(&id) else { return };
         let class = &self.set.classes[request.class];
         if request.may_repeat(class, &self.set.limits, self.now, None) {
-            let stay_away = self.stay_away(request.class);
-            actions.push(Action::Refuse { id, stay_away });
+            actions.push(Action::Refuse { id, stay_away: self.stay_away(request.class) });
+            let pace = &mut self.classes[request.class];
+            pace.refused.add(self.now, pace.most_left, 1.0);
         } else {
             actions.push(Action::Fail(id));
         }
@@ -1195,7 +1195,8 @@
             } else {
                 spare
             };
-            if self.now <= end.min(request.deadline - last) {
+            let of_use = self.set.classes[class].late_worth > 0.0 || self.useful_until(request) > self.now;
+            if of_use && self.now <= end.min(request.deadline - last) {
                 held.push(id);
             } else {
                 self.conclude(id, actions);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -221,6 +221,22 @@
     assert!(server.server == ServerId(2) && server.warmth < 1.0, "{server:?}");
 }
 
+/// Guards days on which some clients gave their requests little time: the time-outs ejected the fleet.
+#[test]
+fn clients_in_a_hurry_eject_no_server() {
+    for (left, ejected) in [(30.0, false), (PATIENCE, true)] {
+        let mut node = Node::fleet(settings(), 4);
+        for _ in 0..12 {
+            let (id, mut actions) = node.ask_with(SAFE, None, left);
+            while sent_to(&actions).is_some() {
+                node.now += left.min(90.0);
+                actions = node.end(id, Outcome::TimedOut);
+            }
+        }
+        assert_eq!(node.balancer.status().servers.iter().any(|s| s.ejected), ejected, "{left} ms left");
+    }
+}
+
 /// Guards page5425: servers of a new release turned one class away, and lost the turns of all others with it.
 #[test]
 fn a_server_that_turns_one_class_away_keeps_the_others() {
@@ -382,19 +398,32 @@
 /// too late to be of use.
 #[test]
 fn a_repeat_counts_from_the_first_asking_where_its_deadline_tells() {
-    let timeout = |class, left| {
+    // One is due where one was refused.
+    let refuse = |node: &mut Node, servers: u64| {
+        node.event(Event::List { entries: Vec::new(), saved: false });
+        let (id, _) = node.ask(UNSAFE);
+        assert!(refused(&node.wait(60.0), id));
+        node.event(Event::List { entries: (0..servers).map(|id| entry(id, 1.0)).collect(), saved: false });
+    };
+    let timeout_after = |refusals: usize, class, left| {
         let mut node = Node::fleet(settings(), 3);
         node.serve(class, 10.0);
+        (0..refusals).for_each(|_| refuse(&mut node, 3));
         let (_, actions) = node.ask_with(class, None, left);
         actions.iter().find_map(|a| if let Action::Send { timeout, .. } = a { *timeout } else { None })
     };
+    let timeout = |class, left| timeout_after(1, class, left);
     let (new, back) = (timeout(UNSAFE, PATIENCE).expect("sent"), timeout(UNSAFE, PATIENCE - 60.0));
     assert_eq!(back, Some(new - 60.0));
+    // Else its client is in a hurry, and has not asked before.
+    assert_eq!(timeout_after(0, UNSAFE, PATIENCE - 60.0), Some(new));
+    assert_eq!(timeout_after(0, UNSAFE, 20.0), Some(20.0));
     // Clients may give up a try of a safe request for another: what its deadline tells is that of the try.
     assert_eq!(timeout(SAFE, PATIENCE - 60.0), timeout(SAFE, PATIENCE));
 
     // A repeat is held no longer than an answer may still be of use.
     let mut node = Node::fleet(settings(), 1);
+    refuse(&mut node, 1);
     while sent_to(&node.ask(UNSAFE).1).is_some() {}
     let (old, _) = node.ask_with(UNSAFE, None, PATIENCE - 85.0);
     let (fresh, _) = node.ask_with(UNSAFE, None, PATIENCE);
