--- a/src/balance.rs
+++ b/src/balance.rs
@@ -828,8 +828,7 @@
             Outcome::Cancelled | Outcome::NotSent | Outcome::Full | Outcome::Rejected | Outcome::Unheard => {}
             Outcome::ConnectFailed => self.suspect(id, outcome, took),
             // Servers close on what they can't read, and break off single answers. To take each for a crash
-            // would put all on cold budgets. Several together are another matter where a probe can tell; else
-            // the next connection will.
+            // would put all on cold budgets. Several together are another matter where a probe can tell.
             Outcome::TimedOut | Outcome::Error | Outcome::Reset | Outcome::Unwritten => {
                 let (broke, limits) =
                     (matches!(outcome, Outcome::Reset | Outcome::Unwritten), &self.set.limits);
@@ -883,10 +882,10 @@
         self.serve_waiting(actions);
     }
 
-    /// How long ago the client first asked. One that comes back after a refusal still gives up when the time of
-    /// its first asking ends: work on what can no longer be in time is lost. The most time that any of a class
-    /// ever had left is that of new ones; one with less is a repeat if one is due, else in a hurry. Where
-    /// clients may repeat what they gave up, the deadline is that of the try.
+    /// How long ago the client first asked. One that comes back after a refusal still gives up when the time
+    /// of its first asking ends: work on what can no longer be in time is lost. The most time that one of a
+    /// class ever had left is that of new ones; one with less is a repeat if one is due, else in a hurry.
+    /// Where clients may repeat what they gave up, the deadline is that of the try.
     fn age(&mut self, class: usize, deadline: Millis) -> Millis {
         let (now, left) = (self.now, deadline - self.now);
         let ClassStats { most_left: most, refused, .. } = &mut self.classes[class];
