--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -73,6 +73,7 @@
 struct Open {
     asked: Rc<Asked>,
     came: Instant,
+    deadline: Instant,
     /// Where the final answer goes; taken when there is one, or when none is owed any more.
     answer: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Try>,
@@ -300,7 +301,7 @@
             state.last_id += 1;
             let id = RequestId(state.last_id);
             let (asked, came) = (Rc::new(asked), Instant::now());
-            let open = Open { asked, came, answer: Some(answer), attempts: Vec::new() };
+            let open = Open { asked, came, deadline, answer: Some(answer), attempts: Vec::new() };
             state.requests.insert(id, open);
             id
         };
@@ -596,11 +597,12 @@
     // Users are told apart, not named.
     let text = |name: &str| asked.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default();
     let mut line = format!(
-        "request {} {class} of {tenant}, key {:04x}, work {}, {} bytes: {end} after {:.1} ms",
+        "request {} {class} of {tenant}, key {:04x}, work {}, {} bytes, {:.0} ms left: {end} after {:.1} ms",
         asked.txn,
         number_of(text("cookie")) & 0xFFFF,
         text("x-estimate"),
         asked.body.len(),
+        ms(open.deadline.saturating_duration_since(open.came)),
         ms(open.came.elapsed())
     );
     for a in &open.attempts {
