Keep back no more than an eighth of a request's time for the way to its client

The deadline that the module gets lay 20 ms before the client's, whatever time the client gave.

Requests with 160 ms or more are treated as before.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -30,6 +30,10 @@
 const MARGIN: Duration = Duration::from_millis(20);
 /// How long before the client's deadline the node answers in the module's place.
 const GUARD: Duration = Duration::from_millis(9);
+/// The most of its time, as one part in so many, that either takes from a request that came with little: an eighth of
+/// 75 ms is still many times what an answer takes to the client, and a fixed 20 ms were a quarter of what could serve it.
+const MARGIN_PART: u32 = 8;
+const GUARD_PART: u32 = 16;
 /// The longest deadline that is believed.
 const LONGEST: u64 = 600_000;
 /// How long an answer may take to be taken.
@@ -377,6 +381,11 @@
     }
 }
 
+/// How long before the client's deadline the module's ends, and the node answers in its place.
+fn kept_back(remaining: Duration) -> (Duration, Duration) {
+    (MARGIN.min(remaining / MARGIN_PART), GUARD.min(remaining / GUARD_PART))
+}
+
 /// Hands the request to the node and waits for its final answer.
 async fn settle(
     node: &Rc<Node>,
@@ -385,16 +394,16 @@
     remaining: Duration,
 ) -> Response<Full<Bytes>> {
     let last = arrived + remaining;
-    let before = |margin: Duration| last - margin.min(remaining / 2);
+    let (margin, guard) = kept_back(remaining);
     if !node.has_room() {
         return refusal(node.stay_away(asked.class));
     }
     // The id of a request that is open already: to send it on would be to run the first one again.
-    let Some((id, answered)) = node.request(asked, before(MARGIN)) else {
+    let Some((id, answered)) = node.request(asked, last - margin) else {
         return plain(StatusCode::CONFLICT);
     };
     let mut owed = Owed { node: node.clone(), id, answered: false };
-    let Some(answer) = in_time(before(GUARD), answered).await else {
+    let Some(answer) = in_time(last - guard, answered).await else {
         return plain(StatusCode::GATEWAY_TIMEOUT);
     };
     owed.answered = true;
@@ -541,6 +550,17 @@
 mod tests {
     use super::*;
 
+    /// Guards days with clients in a hurry: most of the time that they give is for the servers, and the module ends first.
+    #[test]
+    fn little_time_is_not_spent_on_the_way_back() {
+        for ms in [0, 8, 40, 75, 160, 1000] {
+            let remaining = Duration::from_millis(ms);
+            let (margin, guard) = kept_back(remaining);
+            assert!(margin <= remaining / 8 && guard <= margin, "{ms} ms: {margin:?}, {guard:?}");
+        }
+        assert_eq!(kept_back(Duration::from_millis(1000)), (MARGIN, GUARD));
+    }
+
     /// An answer that never comes must not keep the client past its deadline.
     #[test]
     fn the_guard_ends_the_wait_for_an_answer() {
