Let a connect that had its time tell of its server when the attempt's time ends first

One whose connect had half of the time to connect now ends as Unwritten: it never ran, and counts as a failure.

--- a/src/api.rs
+++ b/src/api.rs
@@ -265,7 +265,8 @@
     Unheard,
     /// No connection; it never ran.
     ConnectFailed,
-    /// The connection stood and broke before the request's last byte was written; it never ran.
+    /// The connection broke, or did not stand in the attempt's time, before the request's last byte was written; it
+    /// never ran.
     Unwritten,
     /// The connection broke; it may have run.
     Reset,
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -240,6 +240,16 @@
     }
 }
 
+/// How an attempt ends whose time was over before its connection stood. Where the time to connect is longer than an
+/// attempt's, a machine that says nothing fails no connect: one that had half of that time tells of it all the same.
+fn unfinished(waited: Duration, connect: Duration) -> Outcome {
+    if waited >= connect / 2 {
+        Outcome::Unwritten
+    } else {
+        Outcome::NotSent
+    }
+}
+
 /// Which attempt, where to, and until when.
 #[derive(Clone, Copy)]
 pub struct To {
@@ -289,7 +299,11 @@
         kept.set(pooled.as_ref().map(|link| link.since.elapsed()));
         let link = match pooled.take() {
             Some(link) => Ok(link),
-            None => timeout_at(end.into(), node.pool.connect(place)).await.unwrap_or(Err(Outcome::NotSent)),
+            None => {
+                let began = Instant::now();
+                let link = timeout_at(end.into(), node.pool.connect(place)).await;
+                link.unwrap_or_else(|_| Err(unfinished(began.elapsed(), node.pool.connect)))
+            }
         };
         let mut link = match link {
             Ok(link) => link,
@@ -460,4 +474,12 @@
         assert_eq!(of(ErrorKind::ConnectionRefused), Outcome::ConnectFailed);
         assert!(Outcome::Unwritten.never_ran());
     }
+
+    /// Guards days on which machines went silent: their attempts ended unsent, which tells nothing, and went on coming.
+    #[test]
+    fn a_connect_that_had_its_time_tells_of_its_server() {
+        let connect = Duration::from_millis(150);
+        assert_eq!(unfinished(Duration::from_millis(100), connect), Outcome::Unwritten);
+        assert_eq!(unfinished(Duration::from_millis(20), connect), Outcome::NotSent);
+    }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -221,6 +221,22 @@
     assert!(server.server == ServerId(2) && server.warmth < 1.0, "{server:?}");
 }
 
+/// Guards days on which machines went silent: connects to them end with the attempt's time.
+#[test]
+fn a_server_whose_connections_never_stand_is_ejected() {
+    let mut node = Node::fleet(settings(), 4);
+    for _ in 0..12 {
+        let (id, mut actions) = node.ask(SAFE);
+        while let Some(server) = sent_to(&actions) {
+            node.now += if server == ServerId(2) { 95.0 } else { 5.0 };
+            let silent = server == ServerId(2);
+            actions = node.end(id, if silent { Outcome::Unwritten } else { Outcome::Done });
+        }
+    }
+    let server = node.balancer.status().servers[2].clone();
+    assert!(server.ejected && server.warmth >= 1.0, "{server:?}");
+}
+
 /// Guards days on which some clients gave their requests little time: the time-outs ejected the fleet.
 #[test]
 fn clients_in_a_hurry_eject_no_server() {
