--- /dev/null
+++ b/crates/core/src/carrier.rs
@@ -0,0 +1,70 @@
+//! The seam between the core and what moves bytes.
+
+use std::fmt;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use magpietally_policy::{Outcome, ServerId};
+
+use crate::node::Core;
+
+/// A request's content, for the carrier alone.
+pub trait Payload: 'static {
+    /// Writes what the log may tell of it: sizes and digests, no names of users and no secrets.
+    ///
+    /// # Errors
+    /// Those of the writer.
+    fn describe(&self, to: &mut dyn fmt::Write) -> fmt::Result;
+}
+
+/// Where an attempt goes, and until when.
+#[derive(Clone, Copy, Debug)]
+pub struct Target {
+    /// The server.
+    pub server: ServerId,
+    /// When the attempt is given up.
+    pub end: Instant,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub struct Ended<Reply> {
+    /// For the policy.
+    pub outcome: Outcome,
+    /// The server's answer, where the outcome is [`Outcome::Done`].
+    pub reply: Option<Reply>,
+    /// For how long its connection had been idle, where it was a kept one; for the log.
+    pub kept: Option<Duration>,
+}
+
+/// What moves bytes for a core: attempts, probes, and the list of servers.
+///
+/// The futures run on the core's thread. Dropping one calls it off: an attempt's connection must end with it.
+pub trait Carrier: Sized + 'static {
+    /// What goes to a server.
+    type Request: Payload;
+    /// What comes back.
+    type Reply: 'static;
+
+    /// Makes one attempt. It must ask [`Core::place`] when it begins, and again once its connection stands: a drain
+    /// holds from the moment it is told.
+    fn attempt(
+        core: Rc<Core<Self>>,
+        to: Target,
+        request: Rc<Self::Request>,
+    ) -> impl Future<Output = Ended<Self::Reply>> + 'static;
+
+    /// Probes a server over a connection of its own.
+    fn probe(core: Rc<Core<Self>>, server: ServerId) -> impl Future<Output = Outcome> + 'static;
+
+    /// Follows the list of servers from [`Core::version`] on, handing what it brings to [`Core::listed`] and
+    /// [`Core::list_alive`]; ends when the source does, with words for the log.
+    fn follow(core: Rc<Core<Self>>) -> impl Future<Output = String> + 'static;
+
+    /// A server's process has ended or moved: what is kept of its connections is void.
+    fn forget(&self, server: ServerId);
+
+    /// How many connections to servers there are, for the log.
+    fn connections(&self) -> usize;
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,22 @@
+//! One request's life, whatever protocol it came by.
+//!
+//! A front hands a whole request to [`Core::request`] and waits for its one final [`Answer`]. The core keeps the
+//! table of requests and attempts, pumps events into the policy and carries out its actions, and holds the list of
+//! servers, the deadlines and the counters. What moves bytes is a [`Carrier`]: the core hands it a payload that it
+//! does not look into, so that HTTP, LDAP or a test's own protocol come in by the same door.
+//!
+//! All of it lives on one thread; futures are spawned on tokio's local set. The core decides nothing: which server,
+//! whether again and what to refuse is the policy's.
+
+mod carrier;
+mod clock;
+mod members;
+mod node;
+mod sample;
+mod table;
+
+pub use carrier::{Carrier, Ended, Payload, Target};
+pub use members::{number_of, Listing, Member, Place};
+pub use node::{Core, Setup};
+pub use sample::Sample;
+pub use table::{Answer, Asked};
--- /dev/null
+++ b/crates/core/src/members.rs
@@ -0,0 +1,166 @@
+//! The servers that the node knows: where each listens, which of its lives this is, and whether it takes new work.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use magpietally_policy::{Entry, Listed, Millis, ServerId};
+
+/// What a source of the list says: all of it, or what changed.
+#[derive(Clone, Debug)]
+pub struct Listing {
+    /// The list's version.
+    pub version: u64,
+    /// The whole list, not just changes.
+    pub whole: bool,
+    /// The entries.
+    pub members: Vec<Member>,
+}
+
+/// One server of a listing.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Its name, the same at every node.
+    pub name: String,
+    /// Where it listens; one that is gone may have none.
+    pub dial: Option<SocketAddr>,
+    /// Its zone.
+    pub zone: String,
+    /// Its kind of machine.
+    pub kind: String,
+    /// Its cell.
+    pub cell: u64,
+    /// Its state.
+    pub state: Listed,
+    /// Its weight.
+    pub weight: f64,
+    /// When it last started, Unix time in milliseconds; 0 for long ago.
+    pub born_ms: Millis,
+}
+
+/// One life of a server: a connection to another one is of no use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Place {
+    /// Where it listens.
+    pub dial: SocketAddr,
+    born_ms: Millis,
+}
+
+struct Known {
+    name: String,
+    place: Place,
+    state: Listed,
+}
+
+/// The table of servers.
+#[derive(Default)]
+pub(crate) struct Members {
+    known: HashMap<ServerId, Known>,
+    /// The version of the list; `None` asks for the whole.
+    pub(crate) version: Option<u64>,
+}
+
+/// The same number for a name at every node and after every restart: FNV-1a, mixed so that names that differ
+/// in their last digit alone do not stay neighbours.
+pub fn number_of(name: &str) -> u64 {
+    let hash =
+        name.bytes().fold(0xCBF2_9CE4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01B3));
+    let mixed = (hash ^ (hash >> 32)).wrapping_mul(0xD6E8_FEB8_6659_FD93);
+    mixed ^ (mixed >> 32)
+}
+
+impl Members {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    pub(crate) fn name(&self, server: ServerId) -> Option<&str> {
+        self.known.get(&server).map(|k| k.name.as_str())
+    }
+
+    /// Where a server listens, if something new may be sent to it.
+    pub(crate) fn place(&self, server: ServerId) -> Option<Place> {
+        self.known.get(&server).filter(|k| k.state == Listed::Up).map(|k| k.place)
+    }
+
+    /// Takes a listing in: the policy's entries, and the servers whose connections are void.
+    pub(crate) fn take(
+        &mut self,
+        listing: Listing,
+        started: impl Fn(Millis) -> Option<Millis>,
+    ) -> (Vec<Entry>, Vec<ServerId>) {
+        if listing.whole {
+            for known in self.known.values_mut() {
+                known.state = Listed::Gone;
+            }
+        }
+        self.version = Some(listing.version);
+        let mut void = Vec::new();
+        let entries =
+            listing.members.into_iter().filter_map(|m| self.enter(m, &started, &mut void)).collect();
+        void.extend(self.known.iter().filter(|(_, k)| k.state == Listed::Gone).map(|(server, _)| *server));
+        self.known.retain(|_, k| k.state != Listed::Gone);
+        (entries, void)
+    }
+
+    /// Notes what a listing says of a server. It holds from now on, also for sends on their way.
+    fn enter(
+        &mut self,
+        member: Member,
+        started: impl Fn(Millis) -> Option<Millis>,
+        void: &mut Vec<ServerId>,
+    ) -> Option<Entry> {
+        let server = ServerId(number_of(&member.name));
+        let before = self.known.get(&server);
+        if let Some(other) = before.filter(|b| b.name != member.name) {
+            tracing::warn!(target: "list", "{} and {} have one number, left out", other.name, member.name);
+            return None;
+        }
+        let dial = member.dial.or(before.map(|b| b.place.dial));
+        if before.is_some_and(|b| b.place.born_ms != member.born_ms || Some(b.place.dial) != dial) {
+            // Its connections ended with the old process.
+            void.push(server);
+        }
+        if let Some(dial) = dial {
+            let place = Place { dial, born_ms: member.born_ms };
+            self.known.insert(server, Known { name: member.name, place, state: member.state });
+        }
+        Some(Entry {
+            server,
+            zone: number_of(&member.zone),
+            cell: member.cell,
+            kind: number_of(&member.kind),
+            state: member.state,
+            weight: member.weight,
+            started: started(member.born_ms),
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn member(name: &str, port: u16, state: Listed, born_ms: Millis) -> Member {
+        let dial = Some(SocketAddr::from(([127, 0, 0, 1], port)));
+        let (zone, kind) = ("a".to_string(), "m".to_string());
+        Member { name: name.into(), dial, zone, kind, cell: 0, state, weight: 1.0, born_ms }
+    }
+
+    fn take(members: &mut Members, whole: bool, entries: Vec<Member>) -> Vec<ServerId> {
+        members.take(Listing { version: 1, whole, members: entries }, |_| None).1
+    }
+
+    #[test]
+    fn a_restart_under_the_same_name_voids_its_connections_and_a_drain_takes_its_place() {
+        let mut members = Members::default();
+        let one = ServerId(number_of("one"));
+        assert!(take(&mut members, true, vec![member("one", 1, Listed::Up, 0.0)]).is_empty());
+        let first = members.place(one).expect("it is up");
+        assert_eq!(take(&mut members, false, vec![member("one", 1, Listed::Up, 5.0)]), [one]);
+        assert_ne!(members.place(one), Some(first), "another life, though the address is the same");
+        assert!(take(&mut members, false, vec![member("one", 1, Listed::Draining, 5.0)]).is_empty());
+        assert_eq!(members.place(one), None);
+        assert_eq!(take(&mut members, true, vec![]), [one], "what a whole list leaves out is gone");
+        assert!(members.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/core/src/node.rs
@@ -0,0 +1,439 @@
+//! The event pump: events into the policy, its actions out, and the state between them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use magpietally_policy::{
+    Action, Balancer, Event, Millis, Outcome, RequestId, ServerId, Settings, SettingsError,
+};
+use tokio::sync::{oneshot, Notify};
+use tokio::task::{spawn_local, AbortHandle};
+
+use crate::carrier::{Carrier, Ended, Target};
+use crate::clock::{ms, span, Clock};
+use crate::members::{Listing, Members, Place};
+use crate::sample::Sample;
+use crate::table::{story, Answer, Asked, Attempt, Counts, Table};
+
+/// How long the node waits for the list's source before it serves by the saved list.
+const READY_WITHIN: Duration = Duration::from_millis(2500);
+/// One in so many requests that are served at once has a line in the log.
+const SERVED_TOLD: u32 = 16;
+
+/// What a core is told at its start.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The policy's settings.
+    pub settings: Settings,
+    /// Seed of its random numbers.
+    pub seed: u64,
+    /// The names of the classes, by index; for the log.
+    pub classes: Vec<String>,
+    /// The names of the tenants, by index; for the log.
+    pub tenants: Vec<String>,
+    /// The most requests that may be open.
+    pub open_cap: usize,
+    /// The list as last had, perhaps out of date.
+    pub known: Option<Listing>,
+}
+
+struct State<C: Carrier> {
+    balancer: Balancer,
+    events: VecDeque<Event>,
+    feeding: bool,
+    table: Table<C::Request, C::Reply>,
+    members: Members,
+    /// When the policy wants to be woken.
+    timer: Option<Instant>,
+    /// The call to the list's source that is out.
+    call: Option<AbortHandle>,
+    counts: Counts,
+}
+
+/// One node: a policy, its requests and its servers.
+pub struct Core<C: Carrier> {
+    carrier: C,
+    classes: Vec<String>,
+    tenants: Vec<String>,
+    open_cap: usize,
+    /// Since when the node is to end: it is not ready any more.
+    pub stopping: Cell<Option<Instant>>,
+    /// Set shortly before the node ends: answers then close their connections.
+    pub closing: Cell<bool>,
+    sample: Sample,
+    clock: Clock,
+    informed: Cell<bool>,
+    state: RefCell<State<C>>,
+    rearmed: Notify,
+}
+
+impl<C: Carrier> Core<C> {
+    /// A node that knows the saved list and has not asked the list's source yet.
+    ///
+    /// # Errors
+    /// Where the policy refuses the settings.
+    pub fn new(setup: Setup, carrier: C) -> Result<Rc<Self>, SettingsError> {
+        let balancer = Balancer::new(setup.settings, setup.seed)?;
+        let state = State {
+            balancer,
+            events: VecDeque::new(),
+            feeding: false,
+            table: Table::default(),
+            members: Members::default(),
+            timer: None,
+            call: None,
+            counts: Counts::default(),
+        };
+        let core = Rc::new(Self {
+            carrier,
+            classes: setup.classes,
+            tenants: setup.tenants,
+            open_cap: setup.open_cap,
+            stopping: Cell::new(None),
+            closing: Cell::new(false),
+            sample: Sample::default(),
+            clock: Clock::new(),
+            informed: Cell::new(false),
+            state: RefCell::new(state),
+            rearmed: Notify::new(),
+        });
+        let saved = setup.known.unwrap_or(Listing { version: 0, whole: true, members: Vec::new() });
+        core.take_list(saved, true);
+        Ok(core)
+    }
+
+    /// What moves its bytes.
+    pub fn carrier(&self) -> &C {
+        &self.carrier
+    }
+
+    /// Runs the policy's timer; never ends.
+    pub async fn run_timer(self: Rc<Self>) {
+        loop {
+            let due = self.state.borrow().timer;
+            match due {
+                None => self.rearmed.notified().await,
+                Some(at) => tokio::select! {
+                    () = tokio::time::sleep_until(at.into()) => {
+                        self.state.borrow_mut().timer = None;
+                        self.feed(Event::Timer);
+                    }
+                    () = self.rearmed.notified() => {}
+                },
+            }
+        }
+    }
+
+    /// Can the node serve? Once the list's source has answered, or soon with a saved list.
+    pub fn ready(&self) -> bool {
+        if self.stopping.get().is_some() {
+            return false;
+        }
+        let late = self.clock.age() >= READY_WITHIN;
+        self.informed.get() || (late && !self.state.borrow().members.is_empty())
+    }
+
+    /// Logs what was counted since the last time, and what the policy holds: one line, where anything happened.
+    /// `dropped` counts lines that others had no room for.
+    pub fn log_status(&self, dropped: u64) {
+        let dropped = dropped + self.sample.renew();
+        let state = &mut *self.state.borrow_mut();
+        let Counts { served, refused, failed, gone, attempts } = std::mem::take(&mut state.counts);
+        let status = state.balancer.status();
+        if served + refused + failed + gone == 0 && status.open == 0 {
+            return;
+        }
+        let mut servers = String::new();
+        for s in &status.servers {
+            let name = state.members.name(s.server).unwrap_or("?");
+            servers += &format!("; {name} out {} limit {:.2} share {:.2}", s.out, s.limit, s.share);
+            if s.warmth < 1.0 {
+                servers += &format!(" warmth {:.2}", s.warmth);
+            }
+            if s.ejected {
+                servers += " ejected";
+            }
+        }
+        let (held, open, fleet, budget) = (status.held, status.open, status.fleet, status.retry_budget);
+        let connections = self.carrier.connections();
+        tracing::info!(
+            target: "status",
+            "served {served} refused {refused} failed {failed} gone {gone}; attempts {attempts:?}; held {held} \
+             open {open} fleet {fleet:.2} budget {budget:.1}; connections {connections}; {dropped} lines \
+             dropped{servers}"
+        );
+    }
+
+    // ---- Events ----
+
+    /// Hands an event to the policy and does what it says. Events that come of that wait their turn.
+    fn feed(self: &Rc<Self>, event: Event) {
+        {
+            let mut state = self.state.borrow_mut();
+            state.events.push_back(event);
+            if state.feeding {
+                return;
+            }
+            state.feeding = true;
+        }
+        let mut actions = Vec::new();
+        loop {
+            {
+                let mut state = self.state.borrow_mut();
+                let Some(event) = state.events.pop_front() else {
+                    state.feeding = false;
+                    return;
+                };
+                let now = self.clock.at(Instant::now());
+                state.balancer.handle(now, event, &mut actions);
+            }
+            for action in actions.drain(..) {
+                self.act(action);
+            }
+        }
+    }
+
+    /// Takes in a client's request; the final answer comes from the receiver. `deadline` is when the answer
+    /// must be on its way. `None` where a request with this id is open already.
+    pub fn request(
+        self: &Rc<Self>,
+        asked: Asked<C::Request>,
+        deadline: Instant,
+    ) -> Option<(RequestId, oneshot::Receiver<Answer<C::Reply>>)> {
+        let (answer, answered) = oneshot::channel();
+        let (class, tenant) = (asked.class, asked.tenant);
+        let id = self.state.borrow_mut().table.enter(asked, deadline, answer)?;
+        self.feed(Event::Request { id, class, tenant, deadline: self.clock.at(deadline) });
+        Some((id, answered))
+    }
+
+    /// How many requests await their final answer.
+    pub fn open_requests(&self) -> usize {
+        self.state.borrow().table.unanswered()
+    }
+
+    /// Fails all that is still open: the node ends, and an answer is better than a reset.
+    pub fn fail_open(self: &Rc<Self>) {
+        let open = self.state.borrow().table.numbers();
+        for id in open {
+            self.answer(id, Answer::Failed);
+            self.client_gone(id);
+        }
+    }
+
+    /// May one more request be taken in?
+    pub fn has_room(&self) -> bool {
+        self.state.borrow().table.len() < self.open_cap
+    }
+
+    /// The policy's word on when to come back, for a request of this class that it is not shown.
+    pub fn stay_away(&self, class: usize) -> Millis {
+        self.state.borrow().balancer.stay_away(class)
+    }
+
+    /// Nothing is owed any more: the client left, or has been answered in the policy's place.
+    pub fn client_gone(self: &Rc<Self>, id: RequestId) {
+        {
+            let mut state = self.state.borrow_mut();
+            if state.table.get(id).is_none() {
+                return;
+            }
+            if state.table.close(id).is_some() {
+                state.counts.gone += 1;
+                self.sample.line(|| self.tell(&state, id, "client gone"));
+            }
+        }
+        self.feed(Event::ClientGone(id));
+        self.drop_if_over(id);
+    }
+
+    fn attempt_ended(self: &Rc<Self>, id: RequestId, attempt: usize, ended: Ended<C::Reply>) {
+        let Ended { outcome, reply, kept } = ended;
+        let event = {
+            let mut state = self.state.borrow_mut();
+            let Some((_, server, took)) = Self::end(&mut state, id, attempt, outcome, kept) else { return };
+            if let Some(reply) = reply {
+                self.give(&mut state, id, Answer::Served(reply));
+            } else if outcome == Outcome::Rejected {
+                self.give(&mut state, id, Answer::Rejected);
+            }
+            let finished = state.table.get(id).is_none_or(|open| open.answer.is_none());
+            Event::Ended { id, attempt, server, outcome, took, finished }
+        };
+        self.feed(event);
+        self.drop_if_over(id);
+    }
+
+    /// Notes an attempt's one outcome: its task, its server and how long it took; `None` where it has had one.
+    fn end(
+        state: &mut State<C>,
+        id: RequestId,
+        attempt: usize,
+        outcome: Outcome,
+        kept: Option<Duration>,
+    ) -> Option<(AbortHandle, ServerId, Millis)> {
+        let ended = state.table.get_mut(id)?.attempts.get_mut(attempt)?;
+        let task = ended.task.take()?;
+        let span = ended.sent.elapsed();
+        ended.ended = Some((outcome, span, kept));
+        state.counts.ended(outcome);
+        Some((task, ended.server, ms(span)))
+    }
+
+    fn drop_if_over(&self, id: RequestId) {
+        self.state.borrow_mut().table.drop_if_over(id);
+    }
+
+    // ---- Actions ----
+
+    fn act(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Send { id, server, timeout } => self.send(id, server, timeout),
+            Action::Cancel { id, attempt } => self.cancel(id, attempt),
+            Action::Refuse { id, stay_away } => self.answer(id, Answer::Refused(stay_away)),
+            Action::Fail(id) => self.answer(id, Answer::Failed),
+            Action::SetTimer(after) => self.set_timer(after),
+            Action::Subscribe => self.subscribe(),
+            Action::Probe(server) => self.probe(server),
+        }
+    }
+
+    fn send(self: &Rc<Self>, id: RequestId, server: ServerId, timeout: Option<Millis>) {
+        let mut state = self.state.borrow_mut();
+        let Some(open) = state.table.get_mut(id) else { return };
+        let now = Instant::now();
+        let end = now + span(timeout.unwrap_or(f64::INFINITY));
+        let attempt = open.attempts.len();
+        let (core, request) = (self.clone(), open.request.clone());
+        let task = spawn_local(async move {
+            let ended = C::attempt(core.clone(), Target { server, end }, request).await;
+            core.attempt_ended(id, attempt, ended);
+        });
+        let task = Some(task.abort_handle());
+        open.attempts.push(Attempt { server, sent: now, task, ended: None });
+    }
+
+    /// Ending the task closes its connection.
+    fn cancel(self: &Rc<Self>, id: RequestId, attempt: usize) {
+        let event = {
+            let mut state = self.state.borrow_mut();
+            let ended = Self::end(&mut state, id, attempt, Outcome::Cancelled, None);
+            let Some((task, server, took)) = ended else { return };
+            task.abort();
+            let finished = state.table.get(id).is_none_or(|open| open.answer.is_none());
+            Event::Ended { id, attempt, server, outcome: Outcome::Cancelled, took, finished }
+        };
+        self.feed(event);
+        self.drop_if_over(id);
+    }
+
+    fn probe(self: &Rc<Self>, server: ServerId) {
+        let core = self.clone();
+        spawn_local(async move {
+            let sent = Instant::now();
+            let outcome = C::probe(core.clone(), server).await;
+            core.feed(Event::Probed { server, outcome, took: ms(sent.elapsed()) });
+        });
+    }
+
+    fn answer(&self, id: RequestId, answer: Answer<C::Reply>) {
+        self.give(&mut self.state.borrow_mut(), id, answer);
+        self.drop_if_over(id);
+    }
+
+    fn give(&self, state: &mut State<C>, id: RequestId, answer: Answer<C::Reply>) {
+        let Some(to) = state.table.close(id) else { return };
+        state.counts.answered(&answer);
+        let attempts = state.table.get(id).map_or(0, |open| open.attempts.len());
+        // Of what was served at the first attempt some are told, to compare the others with.
+        let plain = matches!(answer, Answer::Served(_)) && attempts == 1;
+        if !plain || state.counts.served % SERVED_TOLD == 1 {
+            self.sample.line(|| self.tell(state, id, answer.word()));
+        }
+        // A client that has just left needs no answer.
+        let _ = to.send(answer);
+    }
+
+    fn tell(&self, state: &State<C>, id: RequestId, end: &str) {
+        if let Some(open) = state.table.get(id) {
+            let line = story(open, &state.members, (&self.classes, &self.tenants), end);
+            tracing::info!(target: "request", "{line}");
+        }
+    }
+
+    fn set_timer(&self, after: Millis) {
+        let at = Instant::now() + span(after);
+        let mut state = self.state.borrow_mut();
+        if state.timer.is_none_or(|due| at < due) {
+            state.timer = Some(at);
+            self.rearmed.notify_one();
+        }
+    }
+
+    // ---- The list ----
+
+    fn subscribe(self: &Rc<Self>) {
+        let core = self.clone();
+        let call = spawn_local(async move {
+            let words = C::follow(core.clone()).await;
+            tracing::info!(target: "list", "{words}");
+            core.feed(Event::ListFailed);
+        });
+        // One call at a time: what the policy no longer waits for is only load on the service.
+        if let Some(old) = self.state.borrow_mut().call.replace(call.abort_handle()) {
+            old.abort();
+        }
+    }
+
+    /// The list's source is elsewhere from now on. The list is kept; its version may mean nothing there, so the
+    /// whole is asked for, at once. Ending the old call first keeps its late lines out.
+    pub fn list_moved(self: &Rc<Self>) {
+        {
+            let mut state = self.state.borrow_mut();
+            state.members.version = None;
+            if let Some(old) = state.call.take() {
+                old.abort();
+            }
+        }
+        self.feed(Event::DiscoveryMoved);
+    }
+
+    /// The version to follow from; `None` where the whole list is needed first.
+    pub fn version(&self) -> Option<u64> {
+        self.state.borrow().members.version
+    }
+
+    /// What was read last can't be trusted to follow on what the node has.
+    pub fn forget_version(&self) {
+        self.state.borrow_mut().members.version = None;
+    }
+
+    /// The source stands, with no news.
+    pub fn list_alive(self: &Rc<Self>) {
+        if !self.informed.replace(true) {
+            self.feed(Event::ListChange(Vec::new()));
+        }
+    }
+
+    /// The source has brought a list, or changes.
+    pub fn listed(self: &Rc<Self>, listing: Listing) {
+        self.informed.set(true);
+        self.take_list(listing, false);
+    }
+
+    fn take_list(self: &Rc<Self>, listing: Listing, saved: bool) {
+        let whole = listing.whole;
+        let (entries, void) = self.state.borrow_mut().members.take(listing, |unix| self.clock.at_unix(unix));
+        for server in void {
+            self.carrier.forget(server);
+        }
+        self.feed(if whole { Event::List { entries, saved } } else { Event::ListChange(entries) });
+    }
+
+    /// Where a server listens and which of its lives this is, if something new may be sent to it.
+    pub fn place(&self, server: ServerId) -> Option<Place> {
+        self.state.borrow().members.place(server)
+    }
+}
--- /dev/null
+++ b/crates/core/src/table.rs
@@ -0,0 +1,204 @@
+//! The requests that are open or have attempts out.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::fmt::Write;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use magpietally_policy::{Millis, Outcome, RequestId, ServerId};
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+
+use crate::carrier::Payload;
+use crate::clock::ms;
+use crate::members::Members;
+
+/// The final answer of a request.
+#[derive(Debug)]
+pub enum Answer<Reply> {
+    /// A server's answer.
+    Served(Reply),
+    /// Refused: trying again is harmless, after this time.
+    Refused(Millis),
+    /// Failed.
+    Failed,
+    /// The server finds the request itself bad.
+    Rejected,
+}
+
+impl<Reply> Answer<Reply> {
+    pub(crate) fn word(&self) -> &'static str {
+        match self {
+            Self::Served(_) => "served",
+            Self::Refused(_) => "refused",
+            Self::Failed => "failed",
+            Self::Rejected => "rejected",
+        }
+    }
+}
+
+/// A whole request, as a front read it.
+#[derive(Clone, Debug)]
+pub struct Asked<Request> {
+    /// The client's id for it; two that are open at once may not share one.
+    pub id: String,
+    /// Index of its class.
+    pub class: usize,
+    /// Index of its tenant.
+    pub tenant: Option<usize>,
+    /// What goes to a server.
+    pub request: Request,
+}
+
+/// A request that is open, or has attempts out.
+pub(crate) struct Open<Request, Reply> {
+    pub(crate) id: String,
+    pub(crate) class: usize,
+    pub(crate) tenant: Option<usize>,
+    pub(crate) request: Rc<Request>,
+    pub(crate) came: Instant,
+    pub(crate) deadline: Instant,
+    /// Where the final answer goes; taken when there is one, or when none is owed any more.
+    pub(crate) answer: Option<oneshot::Sender<Answer<Reply>>>,
+    pub(crate) attempts: Vec<Attempt>,
+}
+
+pub(crate) struct Attempt {
+    pub(crate) server: ServerId,
+    pub(crate) sent: Instant,
+    /// `None` once it has ended.
+    pub(crate) task: Option<AbortHandle>,
+    /// How it ended, after which time, and for how long its connection had been idle before; for the log.
+    pub(crate) ended: Option<(Outcome, Duration, Option<Duration>)>,
+}
+
+/// How many answers, attempts and events there have been since the last line of the log told of them.
+#[derive(Default)]
+pub(crate) struct Counts {
+    pub(crate) served: u32,
+    pub(crate) refused: u32,
+    pub(crate) failed: u32,
+    pub(crate) gone: u32,
+    pub(crate) attempts: BTreeMap<Outcome, u32>,
+}
+
+impl Counts {
+    pub(crate) fn answered<Reply>(&mut self, answer: &Answer<Reply>) {
+        let count = match answer {
+            Answer::Served(_) => &mut self.served,
+            Answer::Refused(_) => &mut self.refused,
+            Answer::Failed | Answer::Rejected => &mut self.failed,
+        };
+        *count += 1;
+    }
+
+    pub(crate) fn ended(&mut self, outcome: Outcome) {
+        *self.attempts.entry(outcome).or_default() += 1;
+    }
+}
+
+/// All requests of a node.
+pub(crate) struct Table<Request, Reply> {
+    open: HashMap<RequestId, Open<Request, Reply>>,
+    /// The clients' ids of those that still await their answer.
+    ids: HashSet<String>,
+    last: u64,
+}
+
+impl<Request, Reply> Default for Table<Request, Reply> {
+    fn default() -> Self {
+        Self { open: HashMap::new(), ids: HashSet::new(), last: 0 }
+    }
+}
+
+impl<Request: Payload, Reply> Table<Request, Reply> {
+    /// Enters a request; `None` where one with its id awaits its answer.
+    pub(crate) fn enter(
+        &mut self,
+        asked: Asked<Request>,
+        deadline: Instant,
+        answer: oneshot::Sender<Answer<Reply>>,
+    ) -> Option<RequestId> {
+        let Asked { id, class, tenant, request } = asked;
+        if !self.ids.insert(id.clone()) {
+            return None;
+        }
+        self.last += 1;
+        let number = RequestId(self.last);
+        let (request, came) = (Rc::new(request), Instant::now());
+        let open =
+            Open { id, class, tenant, request, came, deadline, answer: Some(answer), attempts: Vec::new() };
+        self.open.insert(number, open);
+        Some(number)
+    }
+
+    pub(crate) fn get(&self, id: RequestId) -> Option<&Open<Request, Reply>> {
+        self.open.get(&id)
+    }
+
+    pub(crate) fn get_mut(&mut self, id: RequestId) -> Option<&mut Open<Request, Reply>> {
+        self.open.get_mut(&id)
+    }
+
+    /// Takes the way to the client: from now on nothing is owed, and its id may come again.
+    pub(crate) fn close(&mut self, id: RequestId) -> Option<oneshot::Sender<Answer<Reply>>> {
+        let open = self.open.get_mut(&id)?;
+        let to = open.answer.take()?;
+        self.ids.remove(&open.id);
+        Some(to)
+    }
+
+    /// Forgets a request that has its answer and no attempt out.
+    pub(crate) fn drop_if_over(&mut self, id: RequestId) {
+        let over =
+            |r: &Open<Request, Reply>| r.answer.is_none() && r.attempts.iter().all(|a| a.task.is_none());
+        if self.open.get(&id).is_some_and(over) {
+            self.open.remove(&id);
+        }
+    }
+
+    /// How many are open or have attempts out.
+    pub(crate) fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// How many await their final answer.
+    pub(crate) fn unanswered(&self) -> usize {
+        self.open.values().filter(|r| r.answer.is_some()).count()
+    }
+
+    /// All of them, in the order in which they came.
+    pub(crate) fn numbers(&self) -> Vec<RequestId> {
+        let mut all: Vec<RequestId> = self.open.keys().copied().collect();
+        all.sort_unstable();
+        all
+    }
+}
+
+/// One line on the way of a request from its coming to its answer.
+pub(crate) fn story<Request: Payload, Reply>(
+    open: &Open<Request, Reply>,
+    members: &Members,
+    (classes, tenants): (&[String], &[String]),
+    end: &str,
+) -> String {
+    let class = classes.get(open.class).map_or("?", String::as_str);
+    let tenant = open.tenant.and_then(|t| tenants.get(t)).map_or("?", String::as_str);
+    let left = ms(open.deadline.saturating_duration_since(open.came));
+    let mut line = format!("{} {class} of {tenant}, ", open.id);
+    // Writing to a string can't fail.
+    let _ = open.request.describe(&mut line);
+    let _ = write!(line, ", {left:.0} ms left: {end} after {:.1} ms", ms(open.came.elapsed()));
+    for a in &open.attempts {
+        let name = members.name(a.server).unwrap_or("gone");
+        let at = ms(a.sent.saturating_duration_since(open.came));
+        let _ = match a.ended {
+            Some((outcome, took, kept)) => {
+                let kept = kept.map_or("new".to_string(), |idle| format!("idle {:.0} ms", ms(idle)));
+                write!(line, "; at {at:.1} to {name} ({kept}): {outcome:?} after {:.1} ms", ms(took))
+            }
+            None => write!(line, "; at {at:.1} to {name}: out"),
+        };
+    }
+    line
+}
--- /dev/null
+++ b/crates/http/src/carrier.rs
@@ -0,0 +1,63 @@
+//! The platform's protocol as the core's carrier.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use magpietally_core::{Carrier, Core, Ended, Target};
+use magpietally_policy::{Outcome, ServerId};
+
+use crate::config::Config;
+use crate::discovery;
+use crate::message::{Message, Reply};
+use crate::pool::Pool;
+use crate::upstream::exchange;
+
+/// What carries HTTP for a core: its configuration, its pool, and where discovery is.
+pub struct Http {
+    /// The node's configuration.
+    pub config: Config,
+    /// Where discovery is now; a reload moves it.
+    pub discovery: Cell<SocketAddr>,
+    /// Its connections to servers.
+    pub pool: Rc<Pool>,
+}
+
+impl Http {
+    /// A carrier with no connections yet.
+    pub fn new(config: Config) -> Self {
+        let connect = config.told.settings.limits.connect_timeout;
+        let pool = Rc::new(Pool::new(config.servers_most(), config.told.keepalive, connect));
+        Self { discovery: Cell::new(config.discovery), config, pool }
+    }
+}
+
+impl Carrier for Http {
+    type Request = Message;
+    type Reply = Reply;
+
+    async fn attempt(core: Rc<Core<Self>>, to: Target, request: Rc<Message>) -> Ended<Reply> {
+        exchange(&core.carrier().pool, || core.place(to.server), to, &request, false).await
+    }
+
+    async fn probe(core: Rc<Core<Self>>, server: ServerId) -> Outcome {
+        let pool = &core.carrier().pool;
+        // As long as a connection may take, and as long again for the answer.
+        let to = Target { server, end: Instant::now() + 2 * pool.connect };
+        exchange(pool, || core.place(server), to, &Message::probe(), true).await.outcome
+    }
+
+    async fn follow(core: Rc<Core<Self>>) -> String {
+        let to = core.carrier().discovery.get();
+        discovery::follow(core, to).await
+    }
+
+    fn forget(&self, server: ServerId) {
+        self.pool.forget(server);
+    }
+
+    fn connections(&self) -> usize {
+        self.pool.held()
+    }
+}
--- a/src/net/clients.rs
+++ b/crates/http/src/clients.rs
@@ -15,15 +15,18 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use magpietally_core::{Answer, Core};
+use magpietally_policy::{Effect, Millis, RequestId};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, Notify};
 use tokio::time::timeout;
-use tulipmount::{Effect, Millis, RequestId};
 
-use super::log;
-use super::node::{Answer, Node, Reply};
-use super::servers::{BODY_MOST, REMAINING};
-use super::sock::{Io, Phase, Sock};
+use crate::carrier::Http;
+use crate::message::{end_to_end, Message, Reply, BODY_MOST, REMAINING, SERVICE};
+use crate::sock::{Io, Phase, Sock};
+
+type Node = Core<Http>;
+type Asked = magpietally_core::Asked<Message>;
 
 /// How long before the client's deadline the module's ends: the answer still has to be written and to
 /// arrive.
@@ -69,72 +72,6 @@
 const ORG: HeaderName = HeaderName::from_static("x-org");
 const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
-/// A request as it goes on to a server.
-pub struct Asked {
-    /// Its id; empty for a probe.
-    pub txn: String,
-    /// Index of its class.
-    pub class: usize,
-    /// Index of its tenant.
-    pub tenant: Option<usize>,
-    /// Its method.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// The headers that go on.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Bytes,
-}
-
-impl Asked {
-    /// Is this a probe? No client's request comes without an id.
-    pub fn is_probe(&self) -> bool {
-        self.txn.is_empty()
-    }
-
-    /// The request of a probe.
-    pub fn probe() -> Self {
-        let mut headers = HeaderMap::new();
-        headers.insert(HOST, HeaderValue::from_static("service.internal"));
-        let uri = Uri::from_static("/health");
-        Self {
-            txn: String::new(),
-            class: 0,
-            tenant: None,
-            method: Method::GET,
-            uri,
-            headers,
-            body: Bytes::new(),
-        }
-    }
-}
-
-/// The headers that are not about one connection alone.
-pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    const HOP: [&str; 10] = [
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    ];
-    let named: Vec<String> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    let goes = |name: &HeaderName| !HOP.contains(&name.as_str()) && !named.iter().any(|n| n == name.as_str());
-    headers.iter().filter(|(name, _)| goes(name)).map(|(n, v)| (n.clone(), v.clone())).collect()
-}
-
 struct Client {
     sock: Rc<Sock>,
     close: Notify,
@@ -152,7 +89,7 @@
 impl Clients {
     /// No connections yet.
     pub fn new(node: Rc<Node>) -> Rc<Self> {
-        let most = node.config.clients_most();
+        let most = node.carrier().config.clients_most();
         let (open, last, freed) = (RefCell::default(), Cell::new(0), Notify::new());
         Rc::new(Self { node, open, last, most, freed })
     }
@@ -175,9 +112,9 @@
                     // Out of descriptors, as a rule: what is idle makes room, and the backlog waits.
                     if logged.is_none_or(|at| at.elapsed() >= QUIET) {
                         logged = Some(Instant::now());
-                        log::line(format!("accept: {error}"));
+                        tracing::warn!(target: "accept", "{error}");
                     }
-                    if !self.node.pool.evict() {
+                    if !self.node.carrier().pool.evict() {
                         self.evict();
                     }
                     tokio::time::sleep(EXHAUSTED).await;
@@ -417,7 +354,7 @@
 
 /// The answer, if it comes in time. Whatever becomes of the module's timers and attempts, the client is not
 /// kept waiting past that.
-async fn in_time(last: Instant, answered: oneshot::Receiver<Answer>) -> Option<Answer> {
+async fn in_time(last: Instant, answered: oneshot::Receiver<Answer<Reply>>) -> Option<Answer<Reply>> {
     tokio::time::timeout_at(last.into(), answered).await.ok()?.ok()
 }
 
@@ -491,7 +428,7 @@
 }
 
 async fn read(node: &Node, sock: &Sock, request: Request<Incoming>) -> Result<(Asked, Duration), Bad> {
-    let told = &node.config.told;
+    let told = &node.carrier().config.told;
     let (parts, body) = request.into_parts();
     let bodied = !hyper::body::Body::is_end_stream(&body);
     // Nothing more is read of one whose end is in doubt, or that has a body where none may be.
@@ -526,9 +463,10 @@
     let mut headers = end_to_end(&parts.headers);
     headers.remove(REMAINING);
     if !headers.contains_key(HOST) {
-        headers.insert(HOST, HeaderValue::from_static("service.internal"));
+        headers.insert(HOST, SERVICE);
     }
-    Ok((Asked { txn, class, tenant, method: parts.method, uri, headers, body }, remaining))
+    let request = Message { method: parts.method, uri, headers, body };
+    Ok((Asked { id: txn, class, tenant, request }, remaining))
 }
 
 /// Checks what a request must bring, and gives its id and its time.
--- a/src/net/config.rs
+++ b/crates/http/src/config.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 
+use magpietally_core::Listing;
+use magpietally_settings::{told, Told};
 use serde_json::Value;
-use tulipmount::wire::{told, Told};
 
-use super::discovery::{self, Update};
+use crate::list::listing;
 
 /// The node's configuration.
 pub struct Config {
@@ -22,7 +23,7 @@
     /// The most memory that it may use, in MB.
     pub memory_mb: usize,
     /// The list of servers as last had.
-    pub known: Option<Update>,
+    pub known: Option<Listing>,
     /// The settings.
     pub told: Told,
 }
@@ -92,7 +93,7 @@
     let seed = value.get("seed").and_then(Value::as_str).ok_or("seed: text expected")?;
     let known = match value.get("known") {
         None | Some(Value::Null) => None,
-        Some(known) => Some(discovery::update(known.clone()).map_err(|e| format!("known: {e}"))?),
+        Some(known) => Some(listing(known.clone()).map_err(|e| format!("known: {e}"))?),
     };
     let told = told(value.get("settings").unwrap_or(&Value::Null)).map_err(|e| format!("settings: {e}"))?;
     Ok(Config {
--- a/src/net/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -1,4 +1,4 @@
-//! Discovery: reading the list, and the watch that brings its changes.
+//! Calls to discovery: the whole list, and the watch that brings its changes.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,15 +9,12 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, Response, StatusCode};
-use serde::Deserialize;
-use serde_json::Value;
+use magpietally_core::{Carrier, Core, Listing};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tulipmount::Listed;
 
-use super::log;
-use super::node::Node;
-use super::sock::{Io, Sock};
+use crate::list::listing;
+use crate::sock::{Io, Sock};
 
 /// The longest line that is taken.
 const LINE_MOST: usize = 4 << 20;
@@ -29,84 +26,6 @@
 /// A watch brings a line every 2 s: a longer silence is a dead link, which TCP alone would not notice.
 const SILENCE: Duration = Duration::from_millis(3200);
 
-/// One line of discovery.
-#[derive(Debug, Deserialize)]
-pub struct Update {
-    /// The list's version.
-    #[serde(rename = "seq")]
-    pub version: u64,
-    /// The whole list, not just changes.
-    #[serde(rename = "whole")]
-    pub whole: bool,
-    /// The entries.
-    pub hosts: Vec<Host>,
-}
-
-/// One server of a line.
-#[derive(Debug, Deserialize)]
-pub struct Host {
-    /// Its name, the same at every node.
-    pub host: String,
-    /// Where it listens; one that is gone may have none.
-    #[serde(default, rename = "dial")]
-    pub dial: Option<SocketAddr>,
-    /// Its zone.
-    #[serde(default, rename = "site")]
-    pub zone: String,
-    /// Its kind of machine.
-    #[serde(default, rename = "class")]
-    pub kind: String,
-    /// Its cell.
-    #[serde(default, rename = "block")]
-    pub cell: u64,
-    /// Its state.
-    pub health: Health,
-    /// Its weight.
-    #[serde(default = "one", rename = "share")]
-    pub weight: f64,
-    /// When it last started, Unix time in milliseconds; 0 for long ago.
-    #[serde(default)]
-    pub born_ms: f64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-/// The state of a server.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
-#[serde(rename_all = "lowercase")]
-pub enum Health {
-    /// In service.
-    Active,
-    /// Finishing its work.
-    Leaving,
-    /// Gone.
-    Left,
-}
-
-impl From<Health> for Listed {
-    fn from(health: Health) -> Self {
-        match health {
-            Health::Active => Self::Up,
-            Health::Leaving => Self::Draining,
-            Health::Left => Self::Gone,
-        }
-    }
-}
-
-/// Reads a line's object.
-///
-/// # Errors
-/// Names what is missing or malformed.
-pub fn update(value: Value) -> Result<Update, String> {
-    let update: Update = serde_json::from_value(value).map_err(|e| e.to_string())?;
-    match update.hosts.iter().find(|h| h.dial.is_none() && h.health != Health::Left) {
-        Some(host) => Err(format!("{}: dial is missing", host.host)),
-        None => Ok(update),
-    }
-}
-
 /// Why a call ended.
 enum Ended {
     /// It failed or broke.
@@ -121,27 +40,25 @@
     }
 }
 
-/// Watches from the version that the node has, or asks for the whole list first where it has to. Ends when
-/// the watch ends, and tells the node.
-pub async fn follow(node: Rc<Node>) {
-    let words = match watch(&node).await {
+/// Watches from the version that the core has, or asks for the whole list first where it has to. Ends when
+/// the watch ends, with words on why.
+pub async fn follow<C: Carrier>(core: Rc<Core<C>>, to: SocketAddr) -> String {
+    match watch(&core, to).await {
         Ok(()) => "the watch ended".to_string(),
         Err(Ended::Broken(words)) => words,
         Err(Ended::Unreadable(words)) => {
-            node.forget_version();
+            core.forget_version();
             format!("unreadable line dropped: {words}")
         }
-    };
-    log::line(format!("discovery: {words}"));
-    node.discovery_failed();
+    }
 }
 
-async fn watch(node: &Rc<Node>) -> Result<(), Ended> {
-    let version = match node.version() {
+async fn watch<C: Carrier>(core: &Rc<Core<C>>, to: SocketAddr) -> Result<(), Ended> {
+    let version = match core.version() {
         Some(version) => version,
-        None => whole(node).await?,
+        None => whole(core, to).await?,
     };
-    let mut body = call(node, &format!("/v1/endpoints?watch=1&from={version}")).await?;
+    let mut body = call(to, &format!("/v1/endpoints?watch=1&from={version}")).await?;
     let mut lines = Lines::default();
     let mut wait = FIRST;
     loop {
@@ -152,17 +69,17 @@
         lines.push(&data)?;
         while let Some(line) = lines.next() {
             if line.is_empty() {
-                node.discovery_alive();
+                core.list_alive();
             } else {
-                node.listed(read(&line)?);
+                core.listed(read(&line)?);
             }
         }
     }
 }
 
 /// Asks for the whole list once.
-async fn whole(node: &Rc<Node>) -> Result<u64, Ended> {
-    let mut body = call(node, "/v1/endpoints").await?;
+async fn whole<C: Carrier>(core: &Rc<Core<C>>, to: SocketAddr) -> Result<u64, Ended> {
+    let mut body = call(to, "/v1/endpoints").await?;
     let mut text = Lines::default();
     loop {
         let frame = timeout(FIRST, body.answer.frame()).await;
@@ -171,15 +88,15 @@
             text.push(&data)?;
         }
     }
-    let update = read(&text.held)?;
-    let version = update.version;
-    node.listed(update);
+    let listing = read(&text.held)?;
+    let version = listing.version;
+    core.listed(listing);
     Ok(version)
 }
 
-fn read(line: &[u8]) -> Result<Update, Ended> {
+fn read(line: &[u8]) -> Result<Listing, Ended> {
     let value = serde_json::from_slice(line).map_err(|e| Ended::Unreadable(e.to_string()))?;
-    update(value).map_err(Ended::Unreadable)
+    listing(value).map_err(Ended::Unreadable)
 }
 
 /// A call's answer; the connection ends with it.
@@ -194,9 +111,8 @@
     }
 }
 
-async fn call(node: &Rc<Node>, path: &str) -> Result<Call, Ended> {
+async fn call(to: SocketAddr, path: &str) -> Result<Call, Ended> {
     let broken = |words: &str| Ended::Broken(words.to_string());
-    let to = node.discovery.get();
     let stream = timeout(CONNECT, TcpStream::connect(to)).await.map_err(|_| broken("no connection"))?;
     let sock = stream.and_then(Sock::new).map_err(|e| broken(&e.to_string()))?;
     let (mut send, conn) = http1::handshake(Io(sock)).await?;
--- /dev/null
+++ b/crates/http/src/list.rs
@@ -0,0 +1,102 @@
+//! How discovery words the list of servers.
+
+use std::net::SocketAddr;
+
+use magpietally_core::{Listing, Member};
+use magpietally_policy::Listed;
+use serde::Deserialize;
+use serde_json::Value;
+
+/// One line of discovery.
+#[derive(Deserialize)]
+struct Update {
+    /// The list's version.
+    #[serde(rename = "seq")]
+    version: u64,
+    /// The whole list, not just changes.
+    #[serde(rename = "whole")]
+    whole: bool,
+    /// The entries.
+    hosts: Vec<Host>,
+}
+
+/// One server of a line.
+#[derive(Deserialize)]
+struct Host {
+    /// Its name, the same at every node.
+    host: String,
+    /// Where it listens; one that is gone may have none.
+    #[serde(default, rename = "dial")]
+    dial: Option<SocketAddr>,
+    /// Its zone.
+    #[serde(default, rename = "site")]
+    zone: String,
+    /// Its kind of machine.
+    #[serde(default, rename = "class")]
+    kind: String,
+    /// Its cell.
+    #[serde(default, rename = "block")]
+    cell: u64,
+    /// Its state.
+    health: Health,
+    /// Its weight.
+    #[serde(default = "one", rename = "share")]
+    weight: f64,
+    /// When it last started, Unix time in milliseconds; 0 for long ago.
+    #[serde(default)]
+    born_ms: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// The state of a server.
+#[derive(Clone, Copy, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+enum Health {
+    /// In service.
+    Active,
+    /// Finishing its work.
+    Leaving,
+    /// Gone.
+    Left,
+}
+
+impl From<Health> for Listed {
+    fn from(health: Health) -> Self {
+        match health {
+            Health::Active => Self::Up,
+            Health::Leaving => Self::Draining,
+            Health::Left => Self::Gone,
+        }
+    }
+}
+
+impl From<Host> for Member {
+    fn from(host: Host) -> Self {
+        Self {
+            name: host.host,
+            dial: host.dial,
+            zone: host.zone,
+            kind: host.kind,
+            cell: host.cell,
+            state: host.health.into(),
+            weight: host.weight,
+            born_ms: host.born_ms,
+        }
+    }
+}
+
+/// Reads a line's object.
+///
+/// # Errors
+/// Names what is missing or malformed.
+pub fn listing(value: Value) -> Result<Listing, String> {
+    let update: Update = serde_json::from_value(value).map_err(|e| e.to_string())?;
+    if let Some(host) = update.hosts.iter().find(|h| h.dial.is_none() && h.health != Health::Left) {
+        return Err(format!("{}: dial is missing", host.host));
+    }
+    let members = update.hosts.into_iter().map(Member::from).collect();
+    Ok(Listing { version: update.version, whole: update.whole, members })
+}
--- /dev/null
+++ b/crates/http/src/pool.rs
@@ -0,0 +1,257 @@
+//! The connections to servers: which are kept, which are trusted, and how a new one fails.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, Connection, SendRequest};
+use magpietally_core::{Place, Sample};
+use magpietally_policy::{Millis, Outcome, ServerId};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::sock::{Io, Sock};
+
+/// The largest head of an answer.
+const HEAD_MOST: usize = 32 * 1024;
+/// The part of the servers' keep-alive after which a connection is not used any more: one that is written to
+/// when its server closes it ends as a reset, and fails what must not be repeated.
+const IDLE_SHARE: f64 = 0.5;
+/// From when on an attempt counts as long unheard: beyond what is usual for an answer. Too soon costs new connections.
+const UNHEARD: Duration = Duration::from_millis(400);
+/// What a connect fails with through no fault of the server: ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS, ENOMEM.
+const OWN_ERRORS: [i32; 5] = [23, 24, 99, 105, 12];
+
+/// A connection between requests. It is not polled meanwhile: what happened to it is looked up before use.
+pub(crate) struct Link {
+    pub(crate) sock: Rc<Sock>,
+    pub(crate) send: SendRequest<Full<Bytes>>,
+    pub(crate) conn: Connection<Io, Full<Bytes>>,
+    /// Whom it leads to.
+    pub(crate) place: Place,
+    pub(crate) since: Instant,
+    _held: Held,
+}
+
+/// One of the descriptors that the pool may hold.
+struct Held(Rc<Cell<usize>>);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// An attempt that is noted as unheard; not any more once this is dropped.
+pub(crate) struct Expected {
+    pool: Rc<Pool>,
+    server: ServerId,
+    number: u64,
+}
+
+impl Drop for Expected {
+    fn drop(&mut self) {
+        let mut unheard = self.pool.unheard.borrow_mut();
+        if let Some(attempts) = unheard.get_mut(&self.server) {
+            attempts.retain(|(number, _)| *number != self.number);
+            if attempts.is_empty() {
+                unheard.remove(&self.server);
+            }
+        }
+    }
+}
+
+/// Connections to servers.
+pub struct Pool {
+    idle: RefCell<HashMap<ServerId, Vec<Link>>>,
+    /// When each attempt was written to which no byte has come back.
+    unheard: RefCell<HashMap<ServerId, Vec<(u64, Instant)>>>,
+    /// When the latest of the attempts was sent that a server has answered.
+    answered: RefCell<HashMap<ServerId, Instant>>,
+    last: Cell<u64>,
+    held: Rc<Cell<usize>>,
+    most: usize,
+    idle_most: Duration,
+    pub(crate) connect: Duration,
+    /// Bounds the log's lines on connects that failed.
+    pub sample: Sample,
+}
+
+impl Pool {
+    /// An empty pool of `most` connections at the most. Servers close what has been idle for `keepalive`; a
+    /// connection that takes longer than `connect` has failed; both in milliseconds.
+    pub fn new(most: usize, keepalive: Millis, connect: Millis) -> Self {
+        let ms = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3_600_000.0) / 1000.0);
+        Self {
+            idle: RefCell::default(),
+            unheard: RefCell::default(),
+            answered: RefCell::default(),
+            last: Cell::new(0),
+            held: Rc::default(),
+            most,
+            idle_most: ms(keepalive * IDLE_SHARE),
+            connect: ms(connect),
+            sample: Sample::default(),
+        }
+    }
+
+    /// How many connections there are.
+    pub fn held(&self) -> usize {
+        self.held.get()
+    }
+
+    /// Closes the idle connections to a server.
+    pub fn forget(&self, server: ServerId) {
+        self.answered.borrow_mut().remove(&server);
+        self.idle.borrow_mut().remove(&server);
+    }
+
+    /// Closes what has been idle for long or was closed by its server; its descriptor is held for nothing.
+    pub fn sweep(&self) {
+        let mut idle = self.idle.borrow_mut();
+        for links in idle.values_mut() {
+            links.retain(|l| l.since.elapsed() < self.idle_most && l.sock.quiet());
+        }
+        idle.retain(|_, links| !links.is_empty());
+    }
+
+    /// The connection that was used last, if any still stands. All that a server had open can go silent at once,
+    /// while new ones work: while an attempt has long been unheard, those last used before it are left alone.
+    pub(crate) fn take(&self, server: ServerId) -> Option<Link> {
+        let doubt = self.long_unheard(server);
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(&server)?;
+        while let Some(link) = links.pop() {
+            if doubt.is_some_and(|since| link.since < since) {
+                links.push(link);
+                return None;
+            }
+            if link.since.elapsed() < self.idle_most && link.sock.quiet() {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    /// Since when an attempt at this server has been unheard, where that is long.
+    fn long_unheard(&self, server: ServerId) -> Option<Instant> {
+        let sent = self.unheard.borrow().get(&server)?.iter().map(|(_, sent)| *sent).min()?;
+        (sent.elapsed() >= UNHEARD).then_some(sent)
+    }
+
+    /// Notes an attempt until something comes back, or it ends.
+    pub(crate) fn expect(self: &Rc<Self>, server: ServerId) -> Expected {
+        let number = self.last.get() + 1;
+        self.last.set(number);
+        self.unheard.borrow_mut().entry(server).or_default().push((number, Instant::now()));
+        Expected { pool: self.clone(), server, number }
+    }
+
+    /// A server has answered what was sent then.
+    pub(crate) fn heard(&self, server: ServerId, sent: Instant) {
+        let mut answered = self.answered.borrow_mut();
+        let last = answered.entry(server).or_insert(sent);
+        *last = sent.max(*last);
+    }
+
+    /// Has a server answered what was sent to it later? Then it is not the server that is silent.
+    pub(crate) fn overtaken(&self, server: ServerId, sent: Instant) -> bool {
+        self.answered.borrow().get(&server).is_some_and(|last| *last > sent)
+    }
+
+    /// Closes the idle connections to a server that were last used before an attempt that nothing came back of.
+    pub(crate) fn distrust(&self, server: ServerId, sent: Instant) {
+        if let Some(links) = self.idle.borrow_mut().get_mut(&server) {
+            links.retain(|link| link.since >= sent);
+        }
+    }
+
+    pub(crate) fn put(&self, server: ServerId, mut link: Link) {
+        link.since = Instant::now();
+        self.idle.borrow_mut().entry(server).or_default().push(link);
+    }
+
+    /// Closes the connection that has been idle for longest; false where none is.
+    pub fn evict(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let Some(links) =
+            idle.values_mut().filter(|l| !l.is_empty()).min_by_key(|links| links.first().map(|l| l.since))
+        else {
+            return false;
+        };
+        links.remove(0);
+        true
+    }
+
+    /// A new connection, or how the attempt ends without one. A node that has no descriptor or port left has
+    /// sent nothing, but that says nothing of the server: as a failed connect it would eject a good one.
+    pub(crate) async fn connect(&self, place: Place) -> Result<Link, Outcome> {
+        if self.held.get() >= self.most && !self.evict() {
+            return Err(Outcome::NotSent);
+        }
+        self.held.set(self.held.get() + 1);
+        let held = Held(self.held.clone());
+        let stream = match timeout(self.connect, TcpStream::connect(place.dial)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if OWN_ERRORS.contains(&error.raw_os_error().unwrap_or(0)) => {
+                self.evict();
+                return Err(Outcome::NotSent);
+            }
+            Ok(Err(error)) => {
+                self.sample.line(|| tracing::info!(target: "connect", "{}: {error}", place.dial));
+                return Err(unconnected(&error));
+            }
+            Err(_) => return Err(Outcome::ConnectFailed),
+        };
+        let failed = Outcome::ConnectFailed;
+        let sock = Sock::new(stream).map_err(|_| failed)?;
+        let builder = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(Io(sock.clone())).await;
+        let (send, conn) = builder.map_err(|_| failed)?;
+        Ok(Link { sock, send, conn, place, since: Instant::now(), _held: held })
+    }
+}
+
+/// How an attempt ends whose connect failed. One that was taken and broken at once says that something listens: a
+/// process that is down refuses.
+fn unconnected(error: &std::io::Error) -> Outcome {
+    match error.kind() {
+        ErrorKind::ConnectionReset => Outcome::Unwritten,
+        _ => Outcome::ConnectFailed,
+    }
+}
+
+/// How an attempt ends whose time was over before its connection stood. Where the time to connect is longer than an
+/// attempt's, a machine that says nothing fails no connect: one that had half of that time tells of it all the same.
+pub(crate) fn unfinished(waited: Duration, connect: Duration) -> Outcome {
+    if waited >= connect / 2 {
+        Outcome::Unwritten
+    } else {
+        Outcome::NotSent
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// As the kernel names them: refused by a machine without a listener, and broken by whatever took it.
+    #[test]
+    fn a_connect_that_was_taken_and_broken_is_no_refusal() {
+        let of = |kind| unconnected(&std::io::Error::from(kind));
+        assert_eq!(of(ErrorKind::ConnectionReset), Outcome::Unwritten);
+        assert_eq!(of(ErrorKind::ConnectionRefused), Outcome::ConnectFailed);
+        assert!(Outcome::Unwritten.never_ran());
+    }
+
+    /// Guards days on which machines went silent: their attempts ended unsent, which tells nothing, and went on coming.
+    #[test]
+    fn a_connect_that_had_its_time_tells_of_its_server() {
+        let connect = Duration::from_millis(150);
+        assert_eq!(unfinished(Duration::from_millis(100), connect), Outcome::Unwritten);
+        assert_eq!(unfinished(Duration::from_millis(20), connect), Outcome::NotSent);
+    }
+}
--- /dev/null
+++ b/crates/http/src/service.rs
@@ -0,0 +1,157 @@
+//! One node as a process: its listener, its signals, and how it ends.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use magpietally_core::{Core, Setup};
+use magpietally_policy::SettingsError;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::task::{spawn_local, LocalSet};
+
+use crate::carrier::Http;
+use crate::clients::Clients;
+use crate::config::{self, Config};
+
+type Node = Core<Http>;
+
+/// How long connections still come after SIGTERM, at the least.
+const ACCEPT: Duration = Duration::from_millis(500);
+/// How soon after SIGTERM SIGKILL may come, which resets what it finds: the longest deadline, within this, and so
+/// much more.
+const PATIENCE: (Duration, Duration) = (Duration::from_millis(3000), Duration::from_millis(700));
+/// How long before that the node begins to close connections, fails what is still open, and ends at the latest.
+const CLOSE_BEFORE: Duration = Duration::from_millis(1400);
+const FAIL_BEFORE: Duration = Duration::from_millis(500);
+const END_BEFORE: Duration = Duration::from_millis(200);
+/// How often the node looks whether it can end.
+const LOOK: Duration = Duration::from_millis(5);
+/// Connections that the kernel may hold until they are accepted.
+const BACKLOG: u32 = 1024;
+/// How often idle connections are looked at.
+const SWEEP: Duration = Duration::from_millis(200);
+/// How often the log says how the node fares.
+const STATUS: Duration = Duration::from_secs(1);
+
+/// Runs one node until a signal ends it.
+///
+/// # Errors
+/// What could not be set up, in one line: the runtime, the listener, a signal or the policy's settings.
+pub fn run(config: Config) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, serve(config))
+}
+
+fn listen(config: &Config) -> std::io::Result<TcpListener> {
+    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(config.listen)?;
+    socket.listen(BACKLOG)
+}
+
+/// A core with HTTP for its carrier.
+fn start(mut config: Config) -> Result<Rc<Node>, SettingsError> {
+    let told = &config.told;
+    let setup = Setup {
+        settings: told.settings.clone(),
+        seed: config.seed,
+        classes: told.classes.clone(),
+        tenants: told.tenants.clone(),
+        open_cap: told.open_cap,
+        known: config.known.take(),
+    };
+    Core::new(setup, Http::new(config))
+}
+
+async fn serve(config: Config) -> Result<(), String> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signal: {e}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signal: {e}"))?;
+    // Without a handler SIGHUP ends the process, and with it all that it has taken.
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signal: {e}"))?;
+    let listener = listen(&config).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let name = config.name.clone();
+    let node = start(config).map_err(|e| format!("settings: {e}"))?;
+    let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
+    tracing::info!(target: "node", "{name} listens at {address}");
+    let clients = Clients::new(node.clone());
+    spawn_local(node.clone().run_timer());
+    spawn_local(sweep(node.clone(), clients.clone()));
+    spawn_local(log_status(node.clone()));
+    spawn_local(reload(node.clone(), hangup));
+    tokio::select! {
+        () = clients.accept(&listener) => {}
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    stop(&node, &clients, listener).await;
+    Ok(())
+}
+
+/// Takes over what a new configuration says of discovery, also while the node stops. A file that can't be read
+/// changes nothing. Signals that come in quick succession are one: the file is read after the last.
+async fn reload(node: Rc<Node>, mut hangup: Signal) {
+    while hangup.recv().await.is_some() {
+        match config::reload() {
+            Ok(config) => {
+                tracing::info!(target: "reload", "discovery is {}", config.discovery);
+                node.carrier().discovery.set(config.discovery);
+                node.list_moved();
+            }
+            Err(words) => tracing::warn!(target: "reload", "{words}; the old configuration stays"),
+        }
+    }
+}
+
+async fn log_status(node: Rc<Node>) {
+    loop {
+        node.log_status(node.carrier().pool.sample.renew());
+        tokio::time::sleep(STATUS).await;
+    }
+}
+
+async fn sweep(node: Rc<Node>, clients: Rc<Clients>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        node.carrier().pool.sweep();
+        clients.sweep();
+    }
+}
+
+/// When SIGKILL may come, counted from SIGTERM.
+fn patience(longest_deadline: f64) -> Duration {
+    let most = PATIENCE.0.as_secs_f64();
+    PATIENCE.1 + Duration::from_secs_f64((longest_deadline / 1000.0).clamp(0.0, most))
+}
+
+/// Finishes all that was taken. The node says at `/ready` that it wants no more, and goes on for most of the time there
+/// is as if nothing were: connections come, and clients use what they have. Where each were sent away at once, and had
+/// nowhere to go as the node that was restarted before is not back yet or the others are down or full, all its requests
+/// would fail; and one connection that is refused makes a front take the node for gone, with all that are open. It
+/// also spares the others a rush of new connections when they are fewer. It does harm where whoever waits for the end
+/// of this process is in a hurry, or where a node is stopped because it serves badly.
+async fn stop(node: &Rc<Node>, clients: &Rc<Clients>, listener: TcpListener) {
+    let told = Instant::now();
+    node.stopping.set(Some(told));
+    let killed = patience(node.carrier().config.told.longest_deadline);
+    let after = |before: Duration| told.elapsed() >= killed.saturating_sub(before);
+    let leave = async {
+        while told.elapsed() < ACCEPT || (clients.count() > 0 && !after(CLOSE_BEFORE)) {
+            tokio::time::sleep(LOOK).await;
+        }
+    };
+    tokio::select! {
+        () = clients.accept(&listener) => {}
+        () = leave => {}
+    }
+    node.closing.set(true);
+    clients.empty_backlog(&listener).await;
+    drop(listener);
+    while !after(END_BEFORE) && (clients.count() > 0 || node.open_requests() > 0) {
+        if after(FAIL_BEFORE) {
+            node.fail_open();
+        }
+        clients.close_idle();
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- a/examples/embed.rs
+++ b/crates/policy/examples/embed.rs
@@ -1,6 +1,6 @@
 //! A node in small: one request served, one after a failed connection, one past a server that drains.
 
-use tulipmount::*;
+use magpietally_policy::*;
 
 fn settings() -> Settings {
     Settings {
--- a/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,10 +1,10 @@
 //! The decisions of a load-balancing proxy in front of a fleet of HTTP servers.
 //!
 //! [`Balancer`] takes [`Event`]s and answers with [`Action`]s; it does no I/O and reads no clock. [`api`] is
-//! its whole interface, [`wire`] an adapter that drives many instances over lines of JSON.
+//! its whole interface.
 //!
 //! ```
-//! use tulipmount::*;
+//! use magpietally_policy::*;
 //!
 //! let class = Class { aim: 100.0, worth: 1.0, late_worth: 0.0, effect: Effect::Unsafe };
 //! let settings = Settings {
@@ -34,12 +34,9 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { server: to, .. } if *to == server)));
 //! # Ok::<(), SettingsError>(())
 //! ```
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 pub mod api;
 pub mod balance;
-pub mod wire;
 
 pub use api::*;
 pub use balance::Balancer;
--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use tulipmount::*;
+use magpietally_policy::*;
 
 pub const SAFE: usize = 0;
 pub const KEYED: usize = 1;
--- a/tests/properties.rs
+++ b/crates/policy/tests/properties.rs
@@ -2,9 +2,9 @@
 
 mod common;
 use common::*;
+use magpietally_policy::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use tulipmount::*;
 
 /// One step of a day.
 #[derive(Clone, Debug)]
--- a/tests/rotation.rs
+++ b/crates/policy/tests/rotation.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use tulipmount::*;
+use magpietally_policy::*;
 
 fn turns(node: &mut Node, count: usize) -> Vec<u64> {
     let turn = |node: &mut Node| {
--- a/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use tulipmount::*;
+use magpietally_policy::*;
 
 #[test]
 fn an_unsafe_request_that_may_have_run_is_neither_resent_nor_refused() {
