--- /dev/null
+++ b/crates/site/src/examples.rs
@@ -0,0 +1,57 @@
+//! Sites that come with the program, so that it can show its work without any file.
+
+use crate::model::faults::{Fault, Kind};
+use crate::model::spec::Site;
+
+/// The embedded site files, by name.
+const SITES: [(&str, &str); 2] =
+    [("club", include_str!("../sites/club.toml")), ("demo", include_str!("../sites/demo.toml"))];
+
+/// The text of an embedded site file.
+pub fn text(name: &str) -> Option<&'static str> {
+    SITES.iter().find(|(n, _)| *n == name).map(|(_, text)| *text)
+}
+
+/// An embedded site. `calm` is `club` without a fault; a fault's name gives `club` with that fault alone, ten seconds
+/// after the start.
+pub fn site(name: &str) -> Option<Site> {
+    if let Some(text) = text(name) {
+        return Site::read(text).ok();
+    }
+    let mut club = Site::read(text("club")?).ok()?;
+    if name == "calm" {
+        return Some(club);
+    }
+    let kind = Kind::ALL.into_iter().find(|k| k.name() == name)?;
+    club.name = name.to_string();
+    club.faults = vec![single(kind)];
+    Some(club)
+}
+
+/// One fault of a kind, as bad as the worst days on record have it.
+pub fn single(kind: Kind) -> Fault {
+    let mut fault = Fault::new(kind, 10.0, 12.0);
+    match kind {
+        Kind::Hang | Kind::Silent => fault.part = Some(0.15),
+        Kind::FastErrors => (fault.part, fault.share) = (Some(0.2), Some(0.7)),
+        Kind::Burst => (fault.for_s, fault.factor) = (6.0, Some(2.2)),
+        Kind::ZoneCut => fault.zone = Some("johar".into()),
+        Kind::NodeCrash => (fault.for_s, fault.part) = (6.0, Some(0.34)),
+        Kind::Release => (fault.part, fault.step_ms) = (Some(0.5), Some(1500.0)),
+        Kind::LostAnswers => fault.share = Some(0.2),
+        Kind::BreakBefore => fault.share = Some(0.05),
+        Kind::BreakAfter => fault.share = Some(0.05),
+        Kind::TurnAway => (fault.part, fault.class) = (Some(0.35), Some("lookup".into())),
+        Kind::Slow => (fault.part, fault.factor) = (Some(0.25), Some(0.3)),
+        Kind::BoxCrash => (fault.for_s, fault.part) = (4.0, Some(0.3)),
+        Kind::ListDown => {}
+        Kind::ListClock => (fault.part, fault.ms) = (Some(0.3), Some(5000.0)),
+        Kind::Hurry => fault.share = Some(0.25),
+    }
+    fault
+}
+
+/// All names that [`site`] knows.
+pub fn names() -> Vec<&'static str> {
+    ["calm", "club", "demo"].into_iter().chain(Kind::ALL.iter().map(|k| k.name())).collect()
+}
--- /dev/null
+++ b/crates/site/src/experiment.rs
@@ -0,0 +1,301 @@
+//! Experiments: variants of a node × sites × seeds, in parallel, compared in pairs.
+//!
+//! Each run is a function of its site, variant and seed, so results can be kept as lines of JSON and a run that was
+//! interrupted goes on where it ended: a line counts where its digest is that of the run that is wanted.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::examples;
+use crate::model::spec::Site;
+use crate::virt::{self, Run, Variant};
+
+/// An experiment file.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    /// Its name.
+    pub name: String,
+    /// The sites: names of embedded ones, or paths of site files.
+    pub sites: Vec<String>,
+    /// How many seeds.
+    pub seeds: u64,
+    /// The first of them.
+    #[serde(default = "first")]
+    pub first_seed: u64,
+    /// The sites' own length, or this.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub for_s: Option<f64>,
+    /// The sites' own load, or this.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load: Option<f64>,
+    /// The variants; the others are held against the first.
+    pub variants: Vec<Variant>,
+}
+
+fn first() -> u64 {
+    1
+}
+
+/// One run that an experiment wants.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The place of its site.
+    pub site: usize,
+    /// The place of its variant.
+    pub variant: usize,
+    /// Its seed.
+    pub seed: u64,
+    /// What tells it from all others.
+    pub digest: String,
+}
+
+/// An experiment whose sites are read and checked.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The experiment.
+    pub experiment: Experiment,
+    /// Its sites.
+    pub sites: Vec<Site>,
+    /// Its runs, in order.
+    pub jobs: Vec<Job>,
+}
+
+/// A line of results.
+#[derive(Clone, Debug, Serialize)]
+pub struct Line<'a> {
+    /// The run's digest.
+    pub digest: &'a str,
+    /// Its outcome.
+    pub run: &'a Run,
+}
+
+/// The part of a run that comparisons need; read back from a line.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Kept {
+    /// The goal's figure.
+    pub goal: f64,
+    /// Worth in time.
+    pub worth: f64,
+    /// Of the worst 10 s.
+    pub worst_10_s: f64,
+    /// Rules broken.
+    pub rules_broken: u64,
+}
+
+impl From<&Run> for Kept {
+    fn from(run: &Run) -> Self {
+        let v = &run.verdict;
+        Self { goal: v.goal(), worth: v.worth, worst_10_s: v.worst_10_s, rules_broken: v.rules_broken() }
+    }
+}
+
+/// FNV-1a over 128 bits, in hex: enough to tell runs apart, and the same everywhere.
+fn digest(text: &str) -> String {
+    let step = |h: u128, b: u8| (h ^ u128::from(b)).wrapping_mul(0x0000_0000_0100_0000_0000_0000_0000_013B);
+    format!("{:032x}", text.bytes().fold(0x6C62_272E_07BB_0142_62B8_2175_6295_C58D, step))
+}
+
+impl Plan {
+    /// Reads an experiment's text; sites that are no embedded ones are read by `read`.
+    ///
+    /// # Errors
+    /// One line for each thing that is wrong, with its field or file.
+    pub fn read(text: &str, read: impl Fn(&str) -> Result<String, String>) -> Result<Self, Vec<String>> {
+        let experiment: Experiment =
+            toml::from_str(text).map_err(|e| vec![e.to_string().trim_end().to_string()])?;
+        let mut wrong = Vec::new();
+        let mut sites = Vec::new();
+        for (n, name) in experiment.sites.iter().enumerate() {
+            let site = match examples::site(name) {
+                Some(site) => Ok(site),
+                None => read(name).map_err(|e| vec![e]).and_then(|text| Site::read(&text)),
+            };
+            match site {
+                Ok(mut site) => {
+                    site.for_s = experiment.for_s.unwrap_or(site.for_s);
+                    if let Some(load) = experiment.load {
+                        (site.clients.load, site.clients.rate_per_s) = (Some(load), None);
+                    }
+                    sites.push(site);
+                }
+                Err(words) => wrong.extend(words.iter().map(|w| format!("sites[{n}] {name}: {w}"))),
+            }
+        }
+        for site in &sites {
+            // What an override made of it.
+            wrong.extend(site.check().err().into_iter().flatten());
+        }
+        if experiment.variants.is_empty() {
+            wrong.push("variants: one is needed at least".into());
+        }
+        if experiment.sites.is_empty() {
+            wrong.push("sites: one is needed at least".into());
+        }
+        if experiment.seeds == 0 {
+            wrong.push("seeds: one is needed at least".into());
+        }
+        let names = experiment.variants.iter().map(|v| &v.name);
+        if names.clone().count() != names.collect::<std::collections::BTreeSet<_>>().len() {
+            wrong.push("variants: a name is there twice".into());
+        }
+        if !wrong.is_empty() {
+            return Err(wrong);
+        }
+        let mut jobs = Vec::new();
+        for (s, site) in sites.iter().enumerate() {
+            // A site that has been read can be written.
+            let site = serde_json::to_string(site).unwrap_or_default();
+            for seed in experiment.first_seed..experiment.first_seed.saturating_add(experiment.seeds) {
+                for (v, variant) in experiment.variants.iter().enumerate() {
+                    let variant = serde_json::to_string(variant).unwrap_or_default();
+                    let digest = digest(&format!("{site}\n{variant}\n{seed}"));
+                    jobs.push(Job { site: s, variant: v, seed, digest });
+                }
+            }
+        }
+        Ok(Self { experiment, sites, jobs })
+    }
+
+    /// What lines from before say of this plan's runs. A line that was cut off, or is of another run, counts for
+    /// nothing.
+    pub fn resume(&self, lines: &str) -> BTreeMap<String, Kept> {
+        let mut kept = BTreeMap::new();
+        for line in lines.lines() {
+            let Ok(value) = serde_json::from_str::<serde_json::Value>(line) else { continue };
+            let digest = value["digest"].as_str().unwrap_or_default();
+            let v = &value["run"]["verdict"];
+            let number = |name: &str| v[name].as_f64();
+            let part = |name: &str| number(name).filter(|n| n.is_finite());
+            let (Some(worth), Some(worst_10_s), Some(class), Some(tenant)) =
+                (part("worth"), part("worst_10_s"), part("worst_class"), part("worst_tenant"))
+            else {
+                continue;
+            };
+            let broken = v["broken"].as_object();
+            let rules_broken = broken.map_or(0, |b| b.values().filter_map(serde_json::Value::as_u64).sum());
+            let goal = 0.45 * worth + 0.15 * worst_10_s + 0.3 * class + 0.1 * tenant;
+            kept.insert(digest.to_string(), Kept { goal, worth, worst_10_s, rules_broken });
+        }
+        kept.retain(|digest, _| self.jobs.iter().any(|j| j.digest == *digest));
+        kept
+    }
+
+    /// Plays the jobs that `done` does not hold on so many threads, and hands each to `each` as it ends.
+    pub fn play(&self, done: &BTreeMap<String, Kept>, threads: usize, mut each: impl FnMut(&Job, &Run)) {
+        let left: Vec<&Job> = self.jobs.iter().filter(|j| !done.contains_key(&j.digest)).collect();
+        let next = AtomicUsize::new(0);
+        let (send, ended) = mpsc::channel();
+        std::thread::scope(|scope| {
+            for _ in 0..threads.clamp(1, left.len().max(1)) {
+                let (send, next, left) = (send.clone(), &next, &left);
+                scope.spawn(move || loop {
+                    let Some(job) = left.get(next.fetch_add(1, Ordering::Relaxed)) else { return };
+                    let variant = &self.experiment.variants[job.variant];
+                    let run = virt::run(&self.sites[job.site], job.seed, variant);
+                    // Nobody listens any more where the experiment was given up.
+                    if send.send((*job, run)).is_err() {
+                        return;
+                    }
+                });
+            }
+            drop(send);
+            for (job, run) in ended {
+                each(job, &run);
+            }
+        });
+    }
+
+    /// Compares the variants on each site.
+    pub fn compare(&self, results: &BTreeMap<String, Kept>) -> Vec<Row> {
+        let mut rows = Vec::new();
+        for (s, site) in self.sites.iter().enumerate() {
+            let of = |v: usize| {
+                let jobs = self.jobs.iter().filter(move |j| j.site == s && j.variant == v);
+                jobs.filter_map(|j| Some((j.seed, results.get(&j.digest)?))).collect::<BTreeMap<u64, &Kept>>()
+            };
+            let first = of(0);
+            for (v, variant) in self.experiment.variants.iter().enumerate() {
+                let own = of(v);
+                let pairs = own.iter().filter_map(|(seed, k)| Some(k.goal - first.get(seed)?.goal));
+                let goals: Vec<f64> = own.values().map(|k| k.goal).collect();
+                rows.push(Row {
+                    site: site.name.clone(),
+                    variant: variant.name.clone(),
+                    seeds: own.len(),
+                    goal: mean(&goals).0,
+                    worth: mean(&own.values().map(|k| k.worth).collect::<Vec<_>>()).0,
+                    worst_10_s: mean(&own.values().map(|k| k.worst_10_s).collect::<Vec<_>>()).0,
+                    least: goals.iter().copied().fold(f64::INFINITY, f64::min),
+                    against_first: mean(&pairs.collect::<Vec<_>>()),
+                    rules_broken: own.values().map(|k| k.rules_broken).sum(),
+                });
+            }
+        }
+        rows
+    }
+}
+
+/// One variant on one site.
+#[derive(Clone, Debug, Serialize, PartialEq)]
+pub struct Row {
+    /// The site.
+    pub site: String,
+    /// The variant.
+    pub variant: String,
+    /// How many seeds.
+    pub seeds: usize,
+    /// Mean of the goal's figure.
+    pub goal: f64,
+    /// Mean worth in time.
+    pub worth: f64,
+    /// Mean of the worst 10 s.
+    pub worst_10_s: f64,
+    /// The least goal of a seed.
+    pub least: f64,
+    /// How much better than the first variant, seed by seed: the mean, and half of its 95% interval.
+    pub against_first: (f64, f64),
+    /// Rules broken, over all seeds.
+    pub rules_broken: u64,
+}
+
+/// The mean, and half of its 95% interval by Student's t.
+pub fn mean(values: &[f64]) -> (f64, f64) {
+    /// Two-sided 95% points for 1 to 30 degrees of freedom.
+    const T: [f64; 30] = [
+        12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201, 2.179, 2.160, 2.145,
+        2.131, 2.120, 2.110, 2.101, 2.093, 2.086, 2.080, 2.074, 2.069, 2.064, 2.060, 2.056, 2.052, 2.048,
+        2.045, 2.042,
+    ];
+    let n = values.len() as f64;
+    let mean = values.iter().sum::<f64>() / n.max(1.0);
+    if values.len() < 2 {
+        return (mean, f64::INFINITY);
+    }
+    let variance = values.iter().map(|v| (v - mean) * (v - mean)).sum::<f64>() / (n - 1.0);
+    let t = T.get(values.len() - 2).copied().unwrap_or(1.96);
+    (mean, t * (variance / n).sqrt())
+}
+
+/// The comparison as a table.
+pub fn table(rows: &[Row]) -> String {
+    let mut text = format!(
+        "{:<14} {:<18} {:>5} {:>7} {:>7} {:>7} {:>7} {:>19} {:>6}\n",
+        "site", "variant", "seeds", "goal", "worth", "10 s", "least", "against the first", "broken"
+    );
+    for r in rows {
+        let (by, half) = r.against_first;
+        let against = if by == 0.0 && half == 0.0 { "-".into() } else { format!("{by:+.4} ± {half:.4}") };
+        // Writing to a string can't fail.
+        let _ = writeln!(
+            text,
+            "{:<14} {:<18} {:>5} {:>7.4} {:>7.4} {:>7.4} {:>7.4} {:>19} {:>6}",
+            r.site, r.variant, r.seeds, r.goal, r.worth, r.worst_10_s, r.least, against, r.rules_broken
+        );
+    }
+    text
+}
--- /dev/null
+++ b/crates/site/src/model/boxes.rs
@@ -0,0 +1,402 @@
+//! One app box: it takes requests into its slots and its waiting room, turns others away, and does their work at a
+//! speed that depends on its cores, its warmth and how crowded it is. Pure: time and requests in, answers out.
+//!
+//! Requests in work share the cores evenly. Each has a place on the box's own axis of work done per request; the next
+//! to end is the one whose place is nearest. The axis moves at a rate that is constant between events.
+
+use std::collections::{HashMap, VecDeque};
+
+use super::random::Stream;
+use super::spec::{BoxKind, CancelStops, WarmBy};
+use super::time::{micros, seconds, Micros};
+
+/// In how many steps a cold box grows warm.
+const WARM_STEPS: u64 = 64;
+/// What is left of a crowded box at the least.
+const CROWDED_LEAST: f64 = 0.34;
+/// Requests, for each core, after which a box that warms by requests is warm.
+const WARM_REQUESTS: f64 = 2000.0;
+/// Work below this, in microseconds, is done: the rounding of times must not leave a request with a hair of it.
+const DONE: f64 = 1e-6;
+
+/// An attempt, as the driver numbers them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct JobId(pub u64);
+
+/// A request at a box.
+#[derive(Clone, Copy, Debug)]
+pub struct Job {
+    /// Its number.
+    pub id: JobId,
+    /// What it concerns.
+    pub key: u32,
+    /// Its class, for [`AppBox::turn_away`].
+    pub class: usize,
+    /// Its work in microseconds of a standard core, the connection's with it.
+    pub work: f64,
+    /// When its client gives up.
+    pub deadline: Micros,
+}
+
+/// What a box answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// Served: it ran.
+    Served,
+    /// An error; it may have run.
+    Error,
+    /// Turned away unseen.
+    TurnedAway,
+}
+
+/// A request that a box is done with.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Finished {
+    /// Which.
+    pub id: JobId,
+    /// The answer.
+    pub word: Word,
+    /// Has it run?
+    pub ran: bool,
+    /// The work that it took, in microseconds of a standard core.
+    pub work: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    job: Job,
+    /// Where on the axis its work is done.
+    place: f64,
+    work: f64,
+}
+
+/// An app box.
+#[derive(Clone, Debug)]
+pub struct AppBox {
+    cores: f64,
+    speed: f64,
+    slots: usize,
+    waiting_most: usize,
+    cold_share: f64,
+    warm: Micros,
+    warm_by: WarmBy,
+    crowded: (f64, f64),
+    keys_kept: usize,
+    known_key_work: f64,
+    cancel_stops: CancelStops,
+    drops_expired: bool,
+    own_errors: f64,
+    random: Stream,
+    up: bool,
+    /// Its lives so far: attempts of an earlier one are none of this one's.
+    life: u32,
+    /// When it last started cold.
+    started: Option<Micros>,
+    served_since: u64,
+    hung: bool,
+    errors: f64,
+    slow: f64,
+    away: Vec<usize>,
+    running: Vec<Running>,
+    waiting: VecDeque<Job>,
+    axis: f64,
+    at: Micros,
+    rate: f64,
+    keys: HashMap<u32, u64>,
+    key_order: VecDeque<(u32, u64)>,
+    key_uses: u64,
+    /// Work that was done for what was called off or died, in microseconds of a standard core.
+    wasted: f64,
+}
+
+impl AppBox {
+    /// A warm box of a kind. `random` is for its speed and for its own errors.
+    pub fn new(kind: &BoxKind, mut random: Stream) -> Self {
+        let spread = random.between(-kind.speed_spread, kind.speed_spread);
+        Self {
+            cores: f64::from(kind.cores),
+            speed: kind.speed * (1.0 + spread).max(0.05),
+            slots: kind.slots.unwrap_or(kind.cores as usize),
+            waiting_most: kind.waiting,
+            cold_share: kind.cold_share,
+            warm: seconds(kind.warm_s),
+            warm_by: kind.warm_by,
+            crowded: (kind.crowded_from, kind.crowded_loss),
+            keys_kept: kind.keys_kept,
+            known_key_work: kind.known_key_work,
+            cancel_stops: kind.cancel_stops,
+            drops_expired: kind.drops_expired,
+            own_errors: kind.errors,
+            random,
+            up: true,
+            life: 0,
+            started: None,
+            served_since: 0,
+            hung: false,
+            errors: 0.0,
+            slow: 1.0,
+            away: Vec::new(),
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            axis: 0.0,
+            at: 0,
+            rate: 0.0,
+            keys: HashMap::new(),
+            key_order: VecDeque::new(),
+            key_uses: 0,
+            wasted: 0.0,
+        }
+    }
+
+    /// Does its process run?
+    pub fn up(&self) -> bool {
+        self.up
+    }
+
+    /// Which of its lives this is.
+    pub fn life(&self) -> u32 {
+        self.life
+    }
+
+    /// When it last started cold.
+    pub fn started(&self) -> Option<Micros> {
+        self.started
+    }
+
+    /// Requests in work and waiting.
+    pub fn held(&self) -> usize {
+        self.running.len() + self.waiting.len()
+    }
+
+    /// Work done for nothing, in microseconds of a standard core.
+    pub fn wasted(&self) -> f64 {
+        let partly: f64 = self.running.iter().map(|r| r.work - (r.place - self.axis).max(0.0)).sum();
+        self.wasted + if self.up { 0.0 } else { partly }
+    }
+
+    /// What it can do when it is warm, in microseconds of work a microsecond.
+    pub fn capacity(&self) -> f64 {
+        self.cores * self.speed
+    }
+
+    /// Part of its capacity that it has by its warmth.
+    pub fn warmth(&self, now: Micros) -> f64 {
+        let Some(started) = self.started else { return 1.0 };
+        let step = (self.warm / WARM_STEPS).max(1);
+        let by_time = ((now.saturating_sub(started)) / step * step) as f64 / self.warm.max(1) as f64;
+        let by_requests = match self.warm_by {
+            WarmBy::Time => 0.0,
+            WarmBy::Requests => self.served_since as f64 / (WARM_REQUESTS * self.cores),
+        };
+        (self.cold_share + (1.0 - self.cold_share) * by_time.max(by_requests)).min(1.0)
+    }
+
+    fn is_warm(&self, now: Micros) -> bool {
+        self.warmth(now) >= 1.0
+    }
+
+    /// Sets what faults make of it: hanging, its share of errors, its speed, the classes it turns away.
+    pub fn set_faults(&mut self, now: Micros, hung: bool, errors: f64, slow: f64, away: Vec<usize>) {
+        let mut none = Vec::new();
+        self.advance(now, &mut none);
+        debug_assert!(none.is_empty(), "faults are set at an event's own time");
+        (self.hung, self.errors, self.slow, self.away) = (hung, errors, slow, away);
+        self.set_rate(now);
+    }
+
+    /// Does it turn this class away?
+    pub fn turns_away(&self, class: usize) -> bool {
+        self.away.contains(&class)
+    }
+
+    /// Its process ends, and with it all that it held.
+    pub fn stop(&mut self, now: Micros) {
+        self.advance_axis(now);
+        self.wasted = self.wasted();
+        for r in &self.running {
+            self.wasted += r.work - (r.place - self.axis).max(0.0);
+        }
+        self.running.clear();
+        self.waiting.clear();
+        self.keys.clear();
+        self.key_order.clear();
+        self.up = false;
+    }
+
+    /// Its process starts, cold, under its old name.
+    pub fn start(&mut self, now: Micros) {
+        self.advance_axis(now);
+        (self.up, self.started, self.served_since) = (true, Some(now), 0);
+        self.life += 1;
+        self.set_rate(now);
+    }
+
+    /// A request arrives. What it is done with at once, or by the time that passed, is in `out`.
+    pub fn offer(&mut self, now: Micros, job: Job, out: &mut Vec<Finished>) {
+        self.advance(now, out);
+        let done = |word, ran| Finished { id: job.id, word, ran, work: 0.0 };
+        if !self.up {
+            return;
+        }
+        if self.hung {
+            // Taken, and never looked at.
+            if self.waiting.len() < self.waiting_most {
+                self.waiting.push_back(job);
+            }
+            return;
+        }
+        if self.turns_away(job.class) {
+            out.push(done(Word::TurnedAway, false));
+            return;
+        }
+        if self.random.chance(self.errors) {
+            // The bad release fails before it does anything as often as after.
+            let ran = self.random.chance(0.5);
+            out.push(done(Word::Error, ran));
+            return;
+        }
+        if self.running.len() < self.slots {
+            self.begin(now, job);
+            self.set_rate(now);
+        } else if self.waiting.len() < self.waiting_most {
+            self.waiting.push_back(job);
+            self.set_rate(now);
+        } else {
+            out.push(done(Word::TurnedAway, false));
+        }
+    }
+
+    /// An attempt is called off; true where its work will never be done.
+    pub fn cancel(&mut self, now: Micros, id: JobId, out: &mut Vec<Finished>) -> bool {
+        self.advance(now, out);
+        if self.cancel_stops == CancelStops::Nothing {
+            return false;
+        }
+        if let Some(at) = self.waiting.iter().position(|job| job.id == id) {
+            self.waiting.remove(at);
+            self.set_rate(now);
+            return true;
+        }
+        if self.cancel_stops == CancelStops::All {
+            if let Some(at) = self.running.iter().position(|r| r.job.id == id) {
+                let r = self.running.remove(at);
+                self.wasted += r.work - (r.place - self.axis).max(0.0);
+                self.fill(now, out);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// When something next happens here by itself, not before the last event.
+    pub fn next(&self, now: Micros) -> Option<Micros> {
+        if !self.up || self.rate <= 0.0 {
+            return None;
+        }
+        let least = self.running.iter().map(|r| r.place).fold(f64::INFINITY, f64::min);
+        if !least.is_finite() {
+            return None;
+        }
+        let ends = self.at + ((least - self.axis).max(0.0) / self.rate).ceil() as Micros;
+        let warms = match self.started {
+            Some(started) if !self.is_warm(now) => {
+                let step = (self.warm / WARM_STEPS).max(1);
+                started + (now.saturating_sub(started) / step + 1) * step
+            }
+            _ => Micros::MAX,
+        };
+        Some(ends.min(warms).max(now))
+    }
+
+    /// Time passes up to now; what ended is in `out`, in the order in which it did.
+    pub fn advance(&mut self, now: Micros, out: &mut Vec<Finished>) {
+        self.advance_axis(now);
+        let before = out.len();
+        while let Some(at) = self.ended() {
+            let Running { job, work, .. } = self.running.remove(at);
+            let error = self.own_errors > 0.0 && self.random.chance(self.own_errors);
+            // Of what ends by an error, half has done its work.
+            let ran = !error || self.random.chance(0.5);
+            let word = if error { Word::Error } else { Word::Served };
+            out.push(Finished { id: job.id, word, ran, work });
+            self.served_since += 1;
+            self.remember(job.key);
+            self.fill(now, out);
+        }
+        if out.len() > before || self.started.is_some() {
+            self.set_rate(now);
+        }
+    }
+
+    /// The one that ended first, of those that have; of equal ones the oldest.
+    fn ended(&self) -> Option<usize> {
+        let ended = self.running.iter().enumerate().filter(|(_, r)| r.place <= self.axis + DONE);
+        ended
+            .min_by(|(_, a), (_, b)| a.place.total_cmp(&b.place).then(a.job.id.cmp(&b.job.id)))
+            .map(|(at, _)| at)
+    }
+
+    fn advance_axis(&mut self, now: Micros) {
+        if !self.hung {
+            self.axis += self.rate * now.saturating_sub(self.at) as f64;
+        }
+        self.at = now.max(self.at);
+    }
+
+    fn fill(&mut self, now: Micros, out: &mut Vec<Finished>) {
+        while !self.hung && self.running.len() < self.slots {
+            let Some(job) = self.waiting.pop_front() else { break };
+            if self.drops_expired && job.deadline <= now {
+                out.push(Finished { id: job.id, word: Word::TurnedAway, ran: false, work: 0.0 });
+            } else {
+                self.begin(now, job);
+            }
+        }
+        self.set_rate(now);
+    }
+
+    fn begin(&mut self, _now: Micros, job: Job) {
+        let known = self.keys_kept > 0 && self.keys.contains_key(&job.key);
+        let work = job.work * if known { self.known_key_work } else { 1.0 };
+        self.running.push(Running { job, place: self.axis + work, work });
+    }
+
+    fn remember(&mut self, key: u32) {
+        if self.keys_kept == 0 {
+            return;
+        }
+        self.key_uses += 1;
+        self.keys.insert(key, self.key_uses);
+        self.key_order.push_back((key, self.key_uses));
+        // The order holds old uses too; what was used again since stays.
+        while self.keys.len() > self.keys_kept || self.key_order.len() > 4 * self.keys_kept {
+            let Some((old, use_then)) = self.key_order.pop_front() else { break };
+            if self.keys.get(&old) == Some(&use_then) {
+                if self.keys.len() > self.keys_kept {
+                    self.keys.remove(&old);
+                } else {
+                    self.key_order.push_back((old, use_then));
+                }
+            }
+        }
+    }
+
+    /// What one request in work gets done in a microsecond.
+    fn set_rate(&mut self, now: Micros) {
+        let running = self.running.len() as f64;
+        if running == 0.0 || self.hung || !self.up {
+            self.rate = 0.0;
+            return;
+        }
+        let (from, loss) = self.crowded;
+        let beyond = (self.held() as f64 / self.cores - from).max(0.0);
+        let efficiency = (1.0 - loss * beyond).max(CROWDED_LEAST);
+        let each = (self.cores / running).min(1.0);
+        self.rate = self.speed * self.slow * self.warmth(now) * efficiency * each;
+    }
+
+    /// Work of a new connection to a box of this kind, in microseconds of a standard core.
+    pub fn handshake_work(kind: &BoxKind) -> f64 {
+        micros(kind.handshake_ms) as f64
+    }
+}
--- /dev/null
+++ b/crates/site/src/model/clients.rs
@@ -0,0 +1,198 @@
+//! Who asks: first tries drawn ahead, and what a client does with each answer. Pure.
+
+use super::random::{popularity, sums, Purpose, Stream};
+use super::spec::{Effect, KeyGroup, Site};
+use super::time::{micros, millis, seconds, Micros, SECOND};
+
+/// A client's request, before its first try.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Arrival {
+    /// When it is asked first.
+    pub at: Micros,
+    /// Its class.
+    pub class: usize,
+    /// Its tenant.
+    pub tenant: Option<usize>,
+    /// Is it within its tenant's quota?
+    pub in_quota: bool,
+    /// The zone that it comes from.
+    pub zone: usize,
+    /// What it concerns.
+    pub key: u32,
+    /// Its work in microseconds of a standard core.
+    pub work: f64,
+    /// When its client gives up for good.
+    pub deadline: Micros,
+}
+
+/// First tries in the order of time: a Poisson process whose rate swings and bursts. Endless; the site's own end is
+/// the driver's.
+pub struct Arrivals {
+    random: Stream,
+    rate_per_s: f64,
+    swing: f64,
+    swing_s: f64,
+    classes: Vec<f64>,
+    tenants: Vec<f64>,
+    keys: Vec<f64>,
+    zones: usize,
+    work: Vec<(f64, f64)>,
+    deadlines: Vec<Micros>,
+    quotas: Vec<f64>,
+    /// What is left of each tenant's quota, and since when.
+    left: Vec<(f64, Micros)>,
+    hurried: f64,
+    hurried_span: (f64, f64),
+    at: f64,
+}
+
+impl Arrivals {
+    /// The arrivals of a site under a seed.
+    pub fn new(site: &Site, seed: u64) -> Self {
+        let w = &site.clients;
+        Self {
+            random: Stream::new(seed, Purpose::Arrivals),
+            rate_per_s: site.rate_per_s(),
+            swing: w.swing,
+            swing_s: w.swing_s,
+            classes: sums(w.classes.iter().map(|c| c.share)),
+            tenants: sums(w.tenants.iter().map(|t| t.share)),
+            keys: popularity(w.keys, w.key_skew),
+            zones: site.zones.len(),
+            work: w.classes.iter().map(|c| (micros(c.work_ms) as f64, c.work_cv)).collect(),
+            deadlines: w.classes.iter().map(|c| micros(c.deadline_ms)).collect(),
+            quotas: w.tenants.iter().map(|t| t.quota_per_s).collect(),
+            left: w.tenants.iter().map(|t| (t.quota_per_s, 0)).collect(),
+            hurried: w.hurried,
+            hurried_span: (w.hurried_from_ms, w.hurried_to_ms),
+            at: 0.0,
+        }
+    }
+
+    /// The next one, with what bursts and hurry hold at its time as `burst` and `hurry` tell them. `most` is the
+    /// highest that `burst` ever gets.
+    pub fn next(
+        &mut self,
+        most: f64,
+        burst: impl Fn(Micros) -> f64,
+        hurry: impl Fn(Micros) -> f64,
+    ) -> Arrival {
+        let peak = self.rate_per_s * (1.0 + self.swing) * most.max(1.0);
+        // Thinning: candidates come at the peak's rate, and are kept by the rate of their time.
+        let at = loop {
+            self.at += self.random.exponential() / peak * SECOND as f64;
+            let at = self.at as Micros;
+            let phase = std::f64::consts::TAU * (self.at / SECOND as f64) / self.swing_s;
+            let rate = self.rate_per_s * (1.0 + self.swing * phase.sin()) * burst(at);
+            if self.random.part() * peak < rate {
+                break at;
+            }
+        };
+        let class = self.random.pick(&self.classes);
+        let tenant = self.random.pick(&self.tenants);
+        let tenant = (!self.tenants.is_empty()).then_some(tenant);
+        let zone = self.random.below(self.zones);
+        let key = self.random.pick(&self.keys) as u32;
+        let (mean, cv) = self.work[class];
+        let work = mean * self.random.varied(cv);
+        let hurried = self.random.chance(1.0 - (1.0 - self.hurried) * (1.0 - hurry(at)));
+        let little = micros(self.random.between(self.hurried_span.0, self.hurried_span.1));
+        let span = if hurried { little.min(self.deadlines[class]) } else { self.deadlines[class] };
+        let in_quota = tenant.is_none_or(|t| self.take_quota(t, at));
+        Arrival { at, class, tenant, in_quota, zone, key, work: work.max(1.0), deadline: at + span }
+    }
+
+    fn take_quota(&mut self, tenant: usize, at: Micros) -> bool {
+        let quota = self.quotas[tenant];
+        let (left, since) = self.left[tenant];
+        let left = (left + quota * (at - since) as f64 / SECOND as f64).min(quota.max(1.0));
+        let within = left >= 1.0;
+        self.left[tenant] = (if within { left - 1.0 } else { left }, at);
+        within
+    }
+}
+
+/// What a client learns of a try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Served.
+    Served,
+    /// Refused: trying again is harmless, after this time if it is not 0.
+    Refused(Micros),
+    /// Failed.
+    Failed,
+    /// The node could not be reached, or its connection broke: nothing was answered.
+    Unreachable,
+}
+
+/// What clients do with an answer that is not what they wanted.
+pub struct Retries {
+    random: Stream,
+    most: u32,
+    backoff: Micros,
+    heed: f64,
+    most_away: Micros,
+    effects: Vec<(Effect, KeyGroup, Micros)>,
+}
+
+impl Retries {
+    /// The habits of a site's clients under a seed.
+    pub fn new(site: &Site, seed: u64) -> Self {
+        let w = &site.clients;
+        Self {
+            random: Stream::new(seed, Purpose::Clients),
+            most: w.retries,
+            backoff: micros(w.backoff_ms),
+            heed: w.heed_retry_after,
+            most_away: micros(site.nodes.max_retry_after_ms),
+            effects: w.classes.iter().map(|c| (c.effect, c.key_group, micros(c.key_span_ms))).collect(),
+        }
+    }
+
+    /// When a client asks again, if it does. A class that is safe to repeat, or keyed over all boxes and within its
+    /// span, is asked again after any failure; any other only where nothing was done: after a refusal, or where no
+    /// node was reached before the request was out (`unsent`).
+    pub fn after(
+        &mut self,
+        now: Micros,
+        arrival: &Arrival,
+        tries: u32,
+        answer: Answer,
+        unsent: bool,
+    ) -> Option<Micros> {
+        let (effect, group, span) = self.effects[arrival.class];
+        let harmless = match effect {
+            Effect::Safe => true,
+            Effect::Keyed => group == KeyGroup::All && now < arrival.at + span,
+            Effect::Unsafe => false,
+        };
+        let (roll, heeds) = (self.random.part(), self.random.chance(self.heed));
+        let away = match answer {
+            Answer::Served => return None,
+            Answer::Refused(away) => away,
+            Answer::Failed | Answer::Unreachable if harmless => 0,
+            Answer::Unreachable if unsent => 0,
+            Answer::Failed | Answer::Unreachable => return None,
+        };
+        // A client whose node can't be reached turns to another at once, which is no try of its budget.
+        if tries > self.most + if unsent { 2 } else { 0 } {
+            return None;
+        }
+        let backoff = (self.backoff << (tries.saturating_sub(1)).min(6)) as f64 * (0.5 + roll);
+        let wait = if unsent { 0.1 * backoff } else { backoff };
+        let wait = if heeds { wait.max(away.min(self.most_away) as f64) } else { wait } as Micros;
+        let again = now + wait.max(1);
+        // A try that can't be answered any more is not made.
+        (again + micros(1.0) < arrival.deadline).then_some(again)
+    }
+}
+
+/// The time that a try is told it has, in whole milliseconds as on the wire.
+pub fn remaining_ms(arrival: &Arrival, now: Micros) -> u64 {
+    millis(arrival.deadline.saturating_sub(now)) as u64
+}
+
+/// The span of a site's arrivals.
+pub fn length(site: &Site) -> Micros {
+    seconds(site.for_s)
+}
--- /dev/null
+++ b/crates/site/src/model/list.rs
@@ -0,0 +1,224 @@
+//! The box list: one service that notices late what boxes do, handles calls in turn, and may be down. Pure.
+
+use std::collections::VecDeque;
+
+use super::random::Stream;
+use super::spec::List;
+use super::time::{micros, Micros, SECOND};
+
+/// The state of a box, as the list knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// In service.
+    Up,
+    /// Finishing its work.
+    Draining,
+    /// Gone.
+    Gone,
+}
+
+/// What the list says of a box.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Its number.
+    pub app_box: usize,
+    /// Its state.
+    pub state: State,
+    /// When it last started.
+    pub started: Option<Micros>,
+}
+
+/// One version of the list and what it changed.
+#[derive(Clone, Copy, Debug)]
+struct Version {
+    at: Micros,
+    entry: Entry,
+}
+
+/// How a call goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// It is answered at this time.
+    Answered(Micros),
+    /// It fails at this time.
+    Failed(Micros),
+}
+
+/// How many changes the list remembers; older versions get the whole list.
+const REMEMBERED: usize = 4096;
+
+/// The service.
+#[derive(Clone, Debug)]
+pub struct BoxList {
+    notice: (Micros, Micros),
+    per_call: Micros,
+    call_timeout: Micros,
+    stale_for: Micros,
+    random: Stream,
+    entries: Vec<Entry>,
+    changes: VecDeque<Version>,
+    /// The version of the newest change.
+    version: u64,
+    down: bool,
+    /// Until when it tells what it knew when it went down.
+    stale_until: Micros,
+    stale_version: u64,
+    /// When the calls so far are done.
+    busy_until: Micros,
+}
+
+impl BoxList {
+    /// A service that knows all boxes as up.
+    pub fn new(spec: &List, boxes: usize, random: Stream) -> Self {
+        let entry = |app_box| Entry { app_box, state: State::Up, started: None };
+        Self {
+            notice: (micros(spec.notice_from_ms), micros(spec.notice_to_ms)),
+            per_call: ((SECOND as f64 / spec.calls_per_s).round() as Micros).max(1),
+            call_timeout: micros(spec.call_timeout_ms),
+            stale_for: micros(spec.stale_for_ms),
+            random,
+            entries: (0..boxes).map(entry).collect(),
+            changes: VecDeque::new(),
+            version: 1,
+            down: false,
+            stale_until: 0,
+            stale_version: 1,
+            busy_until: 0,
+        }
+    }
+
+    /// How long it takes to notice what happens now.
+    pub fn notice_after(&mut self) -> Micros {
+        self.random.between(self.notice.0 as f64, self.notice.1 as f64) as Micros
+    }
+
+    /// A change is noticed; its version, or `None` where it is no change.
+    pub fn notice(&mut self, now: Micros, entry: Entry) -> Option<u64> {
+        if self.entries[entry.app_box] == entry {
+            return None;
+        }
+        self.entries[entry.app_box] = entry;
+        self.version += 1;
+        self.changes.push_back(Version { at: now, entry });
+        if self.changes.len() > REMEMBERED {
+            self.changes.pop_front();
+        }
+        Some(self.version)
+    }
+
+    /// It goes down, or comes back with what it knew when it went.
+    pub fn set_down(&mut self, now: Micros, down: bool) {
+        if down && !self.down {
+            self.stale_version = self.version;
+        }
+        if !down && self.down {
+            (self.stale_until, self.busy_until) = (now + self.stale_for, now);
+        }
+        self.down = down;
+    }
+
+    /// Is it down?
+    pub fn down(&self) -> bool {
+        self.down
+    }
+
+    /// Does it tell the truth as far as it knows, and if not, until when not?
+    pub fn stale_until(&self, now: Micros) -> Option<Micros> {
+        (now < self.stale_until).then_some(self.stale_until)
+    }
+
+    /// A node calls: calls are handled in turn, and fail when they would have to wait too long.
+    pub fn call(&mut self, now: Micros) -> Call {
+        if self.down {
+            return Call::Failed(now);
+        }
+        let done = self.busy_until.max(now) + self.per_call;
+        if done - now > self.call_timeout {
+            return Call::Failed(now + self.call_timeout);
+        }
+        self.busy_until = done;
+        Call::Answered(done)
+    }
+
+    /// The newest version that it tells of at present.
+    pub fn version(&self, now: Micros) -> u64 {
+        if now < self.stale_until {
+            self.stale_version
+        } else {
+            self.version
+        }
+    }
+
+    /// What changed after a version, and up to which; `None` where the whole list is needed.
+    pub fn since(&self, now: Micros, version: u64) -> Option<(Vec<Entry>, u64)> {
+        let newest = self.version(now);
+        let oldest = self.version - self.changes.len() as u64;
+        if version < oldest || version > newest {
+            return None;
+        }
+        let (from, to) = ((version - oldest) as usize, (newest - oldest) as usize);
+        Some((self.changes.range(from..to).map(|v| v.entry).collect(), newest))
+    }
+
+    /// The whole list as it tells it at present, and its version.
+    pub fn whole(&self, now: Micros) -> (Vec<Entry>, u64) {
+        let newest = self.version(now);
+        let mut entries = self.entries.clone();
+        // What came after it is taken back, newest first.
+        let hidden = (self.version - newest) as usize;
+        let known = self.changes.len().saturating_sub(hidden);
+        for place in (known..self.changes.len()).rev() {
+            let app_box = self.changes[place].entry.app_box;
+            let before = self.changes.range(..place).rev().find(|v| v.entry.app_box == app_box);
+            let first = Entry { app_box, state: State::Up, started: None };
+            entries[app_box] = before.map_or(first, |v| v.entry);
+        }
+        entries.retain(|e| e.state != State::Gone);
+        (entries, newest)
+    }
+
+    /// When the newest change of a box was noticed.
+    pub fn noticed(&self, app_box: usize) -> Option<Micros> {
+        self.changes.iter().rev().find(|v| v.entry.app_box == app_box).map(|v| v.at)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::random::Purpose;
+    use super::*;
+
+    fn list(calls_per_s: f64) -> BoxList {
+        let spec = List { calls_per_s, call_timeout_ms: 100.0, stale_for_ms: 50.0, ..List::default() };
+        BoxList::new(&spec, 3, Stream::new(1, Purpose::List))
+    }
+
+    fn drains(app_box: usize) -> Entry {
+        Entry { app_box, state: State::Draining, started: None }
+    }
+
+    #[test]
+    fn calls_wait_in_turn_and_fail_when_they_have_waited_too_long() {
+        let mut list = list(20.0);
+        let ends: Vec<Call> = (0..3).map(|_| list.call(1000)).collect();
+        assert_eq!(ends, [Call::Answered(51_000), Call::Answered(101_000), Call::Failed(101_000)]);
+        list.set_down(60_000, true);
+        assert_eq!(list.call(60_000), Call::Failed(60_000));
+    }
+
+    #[test]
+    fn back_from_being_down_it_tells_for_a_while_what_it_knew_before() {
+        let mut list = list(20.0);
+        assert_eq!(list.notice(1, drains(0)), Some(2));
+        list.set_down(10, true);
+        assert_eq!(list.notice(20, drains(1)), Some(3));
+        list.set_down(30, false);
+        let (entries, version) = list.whole(40);
+        assert_eq!(version, 2);
+        assert_eq!(entries[0].state, State::Draining);
+        assert_eq!(entries[1].state, State::Up, "noticed while it was down");
+        let after = 30 + 50_000;
+        assert_eq!(list.since(after, 2), Some((vec![drains(1)], 3)));
+        assert_eq!(list.since(40, 2), Some((vec![], 2)));
+    }
+}
--- /dev/null
+++ b/crates/site/src/model/spec.rs
@@ -0,0 +1,671 @@
+//! The site file: what a site is made of, in TOML. Unknown fields are refused, units stand in the names, and
+//! [`Site::check`] names each field that makes no sense.
+
+use std::collections::BTreeSet;
+
+use magpietally_policy as policy;
+use serde::{Deserialize, Serialize};
+
+use super::faults::Fault;
+
+/// A whole site.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Site {
+    /// Its name.
+    pub name: String,
+    /// For how long requests come.
+    pub for_s: f64,
+    /// The zones, by name.
+    #[serde(default = "one_zone")]
+    pub zones: Vec<String>,
+    /// Links and their delays.
+    #[serde(default)]
+    pub network: Network,
+    /// The nodes.
+    #[serde(default)]
+    pub nodes: Nodes,
+    /// Kinds of app boxes.
+    pub boxes: Vec<BoxKind>,
+    /// How news of the boxes travels.
+    #[serde(default)]
+    pub list: List,
+    /// Who asks.
+    pub clients: Clients,
+    /// The four rules' figures.
+    #[serde(default)]
+    pub rules: Rules,
+    /// What goes wrong, and when.
+    #[serde(default)]
+    pub faults: Vec<Fault>,
+}
+
+/// Delays one way, and how they vary.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Network {
+    /// Within a zone.
+    pub same_zone_ms: f64,
+    /// Between zones.
+    pub cross_zone_ms: f64,
+    /// Between clients and nodes.
+    pub client_ms: f64,
+    /// Each delay is up to this part longer.
+    pub jitter: f64,
+    /// A connection that takes longer has failed.
+    pub connect_timeout_ms: f64,
+    /// Boxes close connections that have been idle for this long.
+    pub keepalive_ms: f64,
+}
+
+/// The load-balancer nodes.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Nodes {
+    /// How many there are.
+    pub count: usize,
+    /// How soon clients notice that one is dead.
+    pub noticed_after_ms: f64,
+    /// Attempts for one request.
+    pub attempts: usize,
+    /// Two attempts of a request may be out at once.
+    pub second_copies: bool,
+    /// Attempts may be called off.
+    pub cancel: bool,
+    /// Boxes may be probed.
+    pub probes: bool,
+    /// The longest that clients can be told to stay away; 0: they can't be told.
+    pub max_retry_after_ms: f64,
+    /// Events come in at most this often.
+    pub tick_ms: f64,
+}
+
+/// When cold boxes grow warm.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum WarmBy {
+    /// Evenly with time.
+    Time,
+    /// With the requests that they have served, at least as fast as with time.
+    Requests,
+}
+
+/// What calling an attempt off does at its box.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum CancelStops {
+    /// Nothing: the work is done all the same.
+    Nothing,
+    /// What has not begun.
+    Waiting,
+    /// All of it.
+    All,
+}
+
+/// App boxes of one kind.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct BoxKind {
+    /// The kind's name; its boxes are called by it and a number from 0: `std-0`.
+    pub name: String,
+    /// How many there are.
+    pub count: usize,
+    /// Cores of each.
+    #[serde(default = "two")]
+    pub cores: u32,
+    /// Work done in a second of a core, in seconds of a standard core.
+    #[serde(default = "one")]
+    pub speed: f64,
+    /// Boxes differ from that by up to this part.
+    #[serde(default)]
+    pub speed_spread: f64,
+    /// Requests in work at once; as many as cores where it is absent.
+    pub slots: Option<usize>,
+    /// Requests that may wait beyond those; what comes then is turned away unseen.
+    #[serde(default = "waiting")]
+    pub waiting: usize,
+    /// Part of its capacity that a box has when it starts.
+    #[serde(default = "cold_share")]
+    pub cold_share: f64,
+    /// When it has all of it at the latest.
+    #[serde(default = "warm_s")]
+    pub warm_s: f64,
+    /// How it grows.
+    #[serde(default = "warm_by")]
+    pub warm_by: WarmBy,
+    /// Requests held for each core from which on a box loses efficiency.
+    #[serde(default = "crowded_from")]
+    pub crowded_from: f64,
+    /// Part of its capacity that each further one for a core costs, down to a third in all.
+    #[serde(default)]
+    pub crowded_loss: f64,
+    /// The keys that a box remembers, the latest first.
+    #[serde(default)]
+    pub keys_kept: usize,
+    /// Part of the work that a request costs whose key is remembered.
+    #[serde(default = "one")]
+    pub known_key_work: f64,
+    /// Work of a new connection.
+    #[serde(default)]
+    pub handshake_ms: f64,
+    /// The most connections; further ones are refused.
+    #[serde(default = "connections")]
+    pub connections: usize,
+    /// What calling an attempt off stops.
+    #[serde(default = "cancel_stops")]
+    pub cancel_stops: CancelStops,
+    /// Does it drop what waits once its time is over?
+    #[serde(default = "yes")]
+    pub drops_expired: bool,
+    /// Part of the requests that end by an error, of half of which the work has been done.
+    #[serde(default)]
+    pub errors: f64,
+    /// Is it listed with its size, or with 1?
+    #[serde(default = "yes")]
+    pub listed_by_size: bool,
+}
+
+/// The box list: one service for all nodes.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct List {
+    /// How long it takes to notice what changed, at the least.
+    pub notice_from_ms: f64,
+    /// And at the most.
+    pub notice_to_ms: f64,
+    /// Nodes watch it; otherwise changes come by themselves.
+    pub watched: bool,
+    /// Calls that it handles in a second, in turn.
+    pub calls_per_s: f64,
+    /// A call that has waited for longer fails.
+    pub call_timeout_ms: f64,
+    /// After it was down, for how long it tells what it knew before.
+    pub stale_for_ms: f64,
+}
+
+/// Who asks, and how.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Clients {
+    /// First tries a second; or see `load`.
+    pub rate_per_s: Option<f64>,
+    /// Work asked for, as a part of what all boxes can do warm.
+    pub load: Option<f64>,
+    /// How far the rate swings about its mean, as a part of it.
+    #[serde(default)]
+    pub swing: f64,
+    /// How long one swing takes.
+    #[serde(default = "swing_s")]
+    pub swing_s: f64,
+    /// Further tries of a request.
+    #[serde(default)]
+    pub retries: u32,
+    /// Before the first of them; twice that before the next.
+    #[serde(default = "backoff_ms")]
+    pub backoff_ms: f64,
+    /// Part of the clients that heed `Retry-After`.
+    #[serde(default = "one")]
+    pub heed_retry_after: f64,
+    /// Part of the requests that come with little time.
+    #[serde(default)]
+    pub hurried: f64,
+    /// That time, at the least.
+    #[serde(default = "hurried_from_ms")]
+    pub hurried_from_ms: f64,
+    /// And at the most.
+    #[serde(default = "hurried_to_ms")]
+    pub hurried_to_ms: f64,
+    /// How many different things requests concern.
+    #[serde(default = "keys")]
+    pub keys: usize,
+    /// The n-th of them is wanted n^-skew times as often as the first.
+    #[serde(default)]
+    pub key_skew: f64,
+    /// The classes.
+    pub classes: Vec<Class>,
+    /// The tenants; may be empty.
+    #[serde(default)]
+    pub tenants: Vec<Tenant>,
+    /// Worth of a request beyond its tenant's quota, as a part of its class's.
+    #[serde(default = "over_share_worth")]
+    pub over_share_worth: f64,
+}
+
+/// May a request run again?
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Effect {
+    /// Any number of times.
+    Safe,
+    /// Boxes drop repeats, for a while.
+    Keyed,
+    /// Never.
+    Unsafe,
+}
+
+/// Which boxes drop the repeats of a keyed request.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum KeyGroup {
+    /// All of them.
+    All,
+    /// Those of one zone.
+    Zone,
+}
+
+/// A request class.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Its part of all requests, against the other classes'.
+    pub share: f64,
+    /// Worth of an answer in time.
+    pub worth: f64,
+    /// In time is an answer within this of the first asking.
+    pub aim_ms: f64,
+    /// How long a client waits in all.
+    pub deadline_ms: f64,
+    /// May it run again?
+    pub effect: Effect,
+    /// For keyed ones: for how long boxes remember, from the first send.
+    #[serde(default)]
+    pub key_span_ms: f64,
+    /// For keyed ones: which boxes do.
+    #[serde(default = "key_group")]
+    pub key_group: KeyGroup,
+    /// Mean work, on a standard core.
+    pub work_ms: f64,
+    /// How that varies: 0 is constant, 1 exponential.
+    #[serde(default)]
+    pub work_cv: f64,
+}
+
+/// A tenant.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Tenant {
+    /// Its name.
+    pub name: String,
+    /// Its part of all requests, against the other tenants'.
+    pub share: f64,
+    /// Requests a second within its share.
+    pub quota_per_s: f64,
+}
+
+/// The figures of the four rules.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Rules {
+    /// Until when sends to a box must end once its drain was told.
+    pub drain_grace_ms: f64,
+    /// After this, a drain counts as told whether it was or not.
+    pub told_within_ms: f64,
+    /// The longest that a node may leave off asking for the list.
+    pub ask_within_ms: f64,
+    /// A cold box falls over when sent more than this many times its present capacity ...
+    pub fall_multiple: f64,
+    /// ... for this long.
+    pub fall_ms: f64,
+    /// How much later than the client's deadline a final answer still counts as one.
+    pub answer_slack_ms: f64,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Self {
+            same_zone_ms: 0.2,
+            cross_zone_ms: 2.0,
+            client_ms: 0.5,
+            jitter: 0.1,
+            connect_timeout_ms: 150.0,
+            keepalive_ms: 10_000.0,
+        }
+    }
+}
+
+impl Default for Nodes {
+    fn default() -> Self {
+        Self {
+            count: 3,
+            noticed_after_ms: 2000.0,
+            attempts: 5,
+            second_copies: true,
+            cancel: true,
+            probes: false,
+            max_retry_after_ms: 1000.0,
+            tick_ms: 1.0,
+        }
+    }
+}
+
+impl Default for List {
+    fn default() -> Self {
+        Self {
+            notice_from_ms: 300.0,
+            notice_to_ms: 2500.0,
+            watched: true,
+            calls_per_s: 50.0,
+            call_timeout_ms: 2000.0,
+            stale_for_ms: 1000.0,
+        }
+    }
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self {
+            drain_grace_ms: 750.0,
+            told_within_ms: 6000.0,
+            ask_within_ms: 10_000.0,
+            fall_multiple: 4.0,
+            fall_ms: 1500.0,
+            answer_slack_ms: 50.0,
+        }
+    }
+}
+
+fn one_zone() -> Vec<String> {
+    vec!["here".into()]
+}
+fn one() -> f64 {
+    1.0
+}
+fn two() -> u32 {
+    2
+}
+fn yes() -> bool {
+    true
+}
+fn waiting() -> usize {
+    400
+}
+fn cold_share() -> f64 {
+    0.2
+}
+fn warm_s() -> f64 {
+    15.0
+}
+fn warm_by() -> WarmBy {
+    WarmBy::Time
+}
+fn crowded_from() -> f64 {
+    4.0
+}
+fn connections() -> usize {
+    1000
+}
+fn cancel_stops() -> CancelStops {
+    CancelStops::Waiting
+}
+fn swing_s() -> f64 {
+    10.0
+}
+fn backoff_ms() -> f64 {
+    50.0
+}
+fn hurried_from_ms() -> f64 {
+    40.0
+}
+fn hurried_to_ms() -> f64 {
+    80.0
+}
+fn keys() -> usize {
+    500
+}
+fn over_share_worth() -> f64 {
+    0.1
+}
+fn key_group() -> KeyGroup {
+    KeyGroup::All
+}
+
+/// Collects what is wrong with a site file, each with its field.
+pub(super) struct Checks(pub(super) Vec<String>);
+
+impl Checks {
+    pub(super) fn not(&mut self, wrong: bool, field: impl AsRef<str>, words: &str) {
+        if wrong {
+            self.0.push(format!("{}: {words}", field.as_ref()));
+        }
+    }
+
+    /// At least `least`, and finite.
+    pub(super) fn amount(&mut self, field: impl AsRef<str>, value: f64, least: f64) {
+        let field = field.as_ref();
+        self.not(!(value.is_finite() && value >= least), field, &format!("{value} is not {least} or more"));
+    }
+
+    pub(super) fn above(&mut self, field: impl AsRef<str>, value: f64) {
+        self.not(!(value.is_finite() && value > 0.0), field, &format!("{value} is not above 0"));
+    }
+
+    pub(super) fn part(&mut self, field: impl AsRef<str>, value: f64) {
+        self.not(!(0.0..=1.0).contains(&value), field, &format!("{value} is no part of 0 to 1"));
+    }
+
+    pub(super) fn order(&mut self, field: impl AsRef<str>, low: f64, high: f64, of: &str) {
+        self.not(low > high, field, &format!("{high} is below {of}, {low}"));
+    }
+
+    fn names<'a>(&mut self, field: &str, names: impl Iterator<Item = &'a String>) {
+        let mut seen = BTreeSet::new();
+        for (n, name) in names.enumerate() {
+            self.not(name.is_empty(), format!("{field}[{n}]"), "a name is empty");
+            self.not(!seen.insert(name), format!("{field}[{n}]"), &format!("{name:?} is there twice"));
+        }
+    }
+}
+
+/// The most boxes, and the most nodes, of a site.
+const MOST: (usize, usize) = (20_000, 2_000);
+
+impl Site {
+    /// Reads a site file and checks it.
+    ///
+    /// # Errors
+    /// One line for each thing that is wrong; those of the syntax name line and column.
+    pub fn read(text: &str) -> Result<Self, Vec<String>> {
+        let site: Self = toml::from_str(text).map_err(|e| vec![e.to_string().trim_end().to_string()])?;
+        site.check()?;
+        Ok(site)
+    }
+
+    /// How many boxes there are.
+    pub fn box_count(&self) -> usize {
+        self.boxes.iter().map(|k| k.count).sum()
+    }
+
+    /// The boxes' names, kind by kind.
+    pub fn box_names(&self) -> Vec<String> {
+        let of = |k: &BoxKind| (0..k.count).map(|n| format!("{}-{n}", k.name)).collect::<Vec<_>>();
+        self.boxes.iter().flat_map(of).collect()
+    }
+
+    /// Mean work of a request, in milliseconds of a standard core.
+    pub fn mean_work_ms(&self) -> f64 {
+        let shares: f64 = self.clients.classes.iter().map(|c| c.share).sum();
+        self.clients.classes.iter().map(|c| c.share * c.work_ms).sum::<f64>() / shares
+    }
+
+    /// Requests a second that all boxes can serve when they are warm.
+    pub fn capacity_per_s(&self) -> f64 {
+        let cores: f64 = self.boxes.iter().map(|k| k.count as f64 * f64::from(k.cores) * k.speed).sum();
+        cores * 1000.0 / self.mean_work_ms()
+    }
+
+    /// First tries a second, on average.
+    pub fn rate_per_s(&self) -> f64 {
+        let load = || self.clients.load.unwrap_or(0.0) * self.capacity_per_s();
+        self.clients.rate_per_s.unwrap_or_else(load)
+    }
+
+    /// Checks that the site makes sense.
+    ///
+    /// # Errors
+    /// One line for each thing that is wrong, with its field.
+    pub fn check(&self) -> Result<(), Vec<String>> {
+        let mut c = Checks(Vec::new());
+        c.above("for_s", self.for_s);
+        c.not(self.zones.is_empty(), "zones", "there is none");
+        c.names("zones", self.zones.iter());
+        self.check_network(&mut c);
+        self.check_boxes(&mut c);
+        self.check_clients(&mut c);
+        for (n, fault) in self.faults.iter().enumerate() {
+            fault.check(&format!("faults[{n}]"), self, &mut c);
+        }
+        if c.0.is_empty() {
+            Ok(())
+        } else {
+            Err(c.0)
+        }
+    }
+
+    fn check_network(&self, c: &mut Checks) {
+        let (n, l, r) = (&self.network, &self.list, &self.rules);
+        for (field, value) in [
+            ("network.same_zone_ms", n.same_zone_ms),
+            ("network.cross_zone_ms", n.cross_zone_ms),
+            ("network.client_ms", n.client_ms),
+            ("network.jitter", n.jitter),
+            ("nodes.noticed_after_ms", self.nodes.noticed_after_ms),
+            ("nodes.max_retry_after_ms", self.nodes.max_retry_after_ms),
+            ("list.notice_from_ms", l.notice_from_ms),
+            ("list.stale_for_ms", l.stale_for_ms),
+            ("rules.drain_grace_ms", r.drain_grace_ms),
+            ("rules.answer_slack_ms", r.answer_slack_ms),
+        ] {
+            c.amount(field, value, 0.0);
+        }
+        for (field, value) in [
+            ("network.connect_timeout_ms", n.connect_timeout_ms),
+            ("network.keepalive_ms", n.keepalive_ms),
+            ("nodes.tick_ms", self.nodes.tick_ms),
+            ("list.calls_per_s", l.calls_per_s),
+            ("list.call_timeout_ms", l.call_timeout_ms),
+            ("rules.told_within_ms", r.told_within_ms),
+            ("rules.ask_within_ms", r.ask_within_ms),
+            ("rules.fall_multiple", r.fall_multiple),
+            ("rules.fall_ms", r.fall_ms),
+        ] {
+            c.above(field, value);
+        }
+        c.order("list.notice_to_ms", l.notice_from_ms, l.notice_to_ms, "list.notice_from_ms");
+        let (count, attempts) = (self.nodes.count, self.nodes.attempts);
+        c.not(!(1..=MOST.1).contains(&count), "nodes.count", &format!("{count} is not 1 to {}", MOST.1));
+        c.not(attempts == 0, "nodes.attempts", "one is needed at least");
+    }
+
+    fn check_boxes(&self, c: &mut Checks) {
+        c.names("boxes", self.boxes.iter().map(|k| &k.name));
+        let count = self.box_count();
+        c.not(!(1..=MOST.0).contains(&count), "boxes", &format!("{count} in all is not 1 to {}", MOST.0));
+        for (n, k) in self.boxes.iter().enumerate() {
+            let at = |field: &str| format!("boxes[{n}].{field}");
+            c.not(k.cores == 0, at("cores"), "one is needed at least");
+            c.not(k.slots == Some(0), at("slots"), "one is needed at least");
+            c.above(at("speed"), k.speed);
+            c.part(at("speed_spread"), k.speed_spread);
+            c.not(k.cold_share <= 0.0, at("cold_share"), "a box that starts with nothing never warms up");
+            c.part(at("cold_share"), k.cold_share);
+            c.above(at("warm_s"), k.warm_s);
+            c.amount(at("crowded_from"), k.crowded_from, 1.0);
+            c.part(at("crowded_loss"), k.crowded_loss);
+            c.part(at("known_key_work"), k.known_key_work);
+            c.amount(at("handshake_ms"), k.handshake_ms, 0.0);
+            c.not(k.connections == 0, at("connections"), "one is needed at least");
+            c.part(at("errors"), k.errors);
+        }
+    }
+
+    fn check_clients(&self, c: &mut Checks) {
+        let w = &self.clients;
+        let both = w.rate_per_s.is_some() == w.load.is_some();
+        c.not(both, "clients", "one of rate_per_s and load is needed, and not both");
+        c.not(w.classes.is_empty(), "clients.classes", "one is needed at least");
+        c.above("clients.rate_per_s", w.rate_per_s.unwrap_or(1.0));
+        c.above("clients.load", w.load.unwrap_or(1.0));
+        c.part("clients.swing", w.swing);
+        c.above("clients.swing_s", w.swing_s);
+        c.amount("clients.backoff_ms", w.backoff_ms, 0.0);
+        c.part("clients.heed_retry_after", w.heed_retry_after);
+        c.part("clients.hurried", w.hurried);
+        c.amount("clients.hurried_from_ms", w.hurried_from_ms, 1.0);
+        c.order("clients.hurried_to_ms", w.hurried_from_ms, w.hurried_to_ms, "clients.hurried_from_ms");
+        c.not(w.keys == 0, "clients.keys", "one is needed at least");
+        c.amount("clients.key_skew", w.key_skew, 0.0);
+        c.part("clients.over_share_worth", w.over_share_worth);
+        c.names("clients.classes", w.classes.iter().map(|x| &x.name));
+        c.names("clients.tenants", w.tenants.iter().map(|x| &x.name));
+        for (n, k) in w.classes.iter().enumerate() {
+            let at = |field: &str| format!("clients.classes[{n}].{field}");
+            c.above(at("share"), k.share);
+            c.amount(at("worth"), k.worth, 0.0);
+            c.above(at("aim_ms"), k.aim_ms);
+            c.order(at("deadline_ms"), k.aim_ms, k.deadline_ms, "its aim_ms");
+            c.above(at("work_ms"), k.work_ms);
+            c.amount(at("work_cv"), k.work_cv, 0.0);
+            let keyed = k.effect == Effect::Keyed;
+            c.not(
+                keyed != (k.key_span_ms > 0.0),
+                at("key_span_ms"),
+                "goes with keyed classes, and only there",
+            );
+        }
+        for (n, t) in w.tenants.iter().enumerate() {
+            c.above(format!("clients.tenants[{n}].share"), t.share);
+            c.above(format!("clients.tenants[{n}].quota_per_s"), t.quota_per_s);
+        }
+    }
+
+    /// What a node of this site is told at its start.
+    pub fn settings(&self, number: usize) -> policy::Settings {
+        let (n, r) = (&self.nodes, &self.rules);
+        let class = |c: &Class| policy::Class {
+            aim: c.aim_ms,
+            worth: c.worth,
+            late_worth: 0.0,
+            effect: match c.effect {
+                Effect::Safe => policy::Effect::Safe,
+                Effect::Unsafe => policy::Effect::Unsafe,
+                Effect::Keyed => policy::Effect::Keyed {
+                    group: match c.key_group {
+                        KeyGroup::All => policy::Group::All,
+                        KeyGroup::Zone => policy::Group::Zone,
+                    },
+                    memory: c.key_span_ms,
+                },
+            },
+        };
+        let tenant = |t: &Tenant| policy::Tenant { quota_per_s: t.quota_per_s };
+        let least = |of: fn(&BoxKind) -> f64| self.boxes.iter().map(of).fold(f64::INFINITY, f64::min);
+        policy::Settings {
+            number,
+            nodes: n.count,
+            classes: self.clients.classes.iter().map(class).collect(),
+            tenants: self.clients.tenants.iter().map(tenant).collect(),
+            over_share_worth: self.clients.over_share_worth,
+            goal: policy::Goal { worth: 0.6, worst_class: 0.3, worst_tenant: 0.1 },
+            limits: policy::Limits {
+                attempts: n.attempts,
+                second_copies: n.second_copies,
+                cancel: n.cancel,
+                probes: n.probes,
+                connect_timeout: self.network.connect_timeout_ms,
+                max_retry_after: n.max_retry_after_ms,
+            },
+            rules: policy::Rules {
+                ask_within: r.ask_within_ms,
+                cold_share: least(|k| k.cold_share),
+                warm_within: self.boxes.iter().map(|k| k.warm_s * 1000.0).fold(0.0, f64::max),
+                fall_multiple: r.fall_multiple,
+                fall_window: r.fall_ms,
+            },
+            discovery: if self.list.watched { policy::Discovery::Asked } else { policy::Discovery::Pushed },
+            weights: policy::Weights::Listed,
+            tick: n.tick_ms,
+        }
+    }
+}
--- /dev/null
+++ b/crates/site/tests/same.rs
@@ -0,0 +1,117 @@
+//! The same seed gives the same result, whatever runs beside it and in whatever order.
+
+use std::collections::BTreeMap;
+
+use magpietally_site::examples;
+use magpietally_site::experiment::{table, Kept, Line, Plan};
+use magpietally_site::model::faults::{Fault, Kind};
+use magpietally_site::virt::{run, Variant};
+
+const FILE: &str = r#"
+name = "same"
+sites = ["node_crash", "release", "list_down"]
+seeds = 2
+for_s = 14.0
+
+[[variants]]
+name = "policy"
+
+[[variants]]
+name = "two"
+pick = "two_choices"
+"#;
+
+fn lines(threads: usize) -> (Vec<String>, String) {
+    let plan = Plan::read(FILE, |_| Err("no file".into())).expect("it makes sense");
+    let (mut lines, mut results) = (Vec::new(), BTreeMap::new());
+    plan.play(&BTreeMap::new(), threads, |job, run| {
+        results.insert(job.digest.clone(), Kept::from(run));
+        lines.push(serde_json::to_string(&Line { digest: &job.digest, run }).expect("numbers and names"));
+    });
+    lines.sort();
+    (lines, table(&plan.compare(&results)))
+}
+
+#[test]
+fn one_thread_and_four_give_the_same_bytes() {
+    let (one, four) = (lines(1), lines(4));
+    assert_eq!(one.0.len(), 12);
+    assert_eq!(one, four);
+}
+
+#[test]
+fn an_interrupted_experiment_goes_on_where_it_ended() {
+    let (all, whole) = lines(4);
+    let plan = Plan::read(FILE, |_| Err("no file".into())).expect("it makes sense");
+    // Five lines, and half of a sixth; one of another experiment.
+    let half = &all[5][..all[5].len() / 2];
+    let before = format!("{}\n{{\"digest\":\"other\",\"run\":{{}}}}\n{half}", all[..5].join("\n"));
+    let mut results = plan.resume(&before);
+    assert_eq!(results.len(), 5);
+    let (done, mut played) = (results.clone(), 0);
+    plan.play(&done, 2, |job, run| {
+        played += 1;
+        results.insert(job.digest.clone(), Kept::from(run));
+    });
+    assert_eq!(played, 7, "what was there is not played again");
+    assert_eq!(table(&plan.compare(&results)), whole);
+}
+
+#[test]
+fn another_seed_gives_another_day_and_a_variant_meets_the_same_requests() {
+    let mut site = examples::site("calm").expect("it is embedded");
+    site.for_s = 5.0;
+    let day = |seed| run(&site, seed, &Variant::policy()).verdict.whole.requests;
+    assert_ne!(day(1), day(2));
+    let random = Variant::baseline(magpietally_site::virt::Pick::Random);
+    assert_eq!(run(&site, 1, &random).verdict.whole.requests, day(1));
+}
+
+/// A schedule that overlaps itself, a box that starts again under its name while old attempts are out, and a node that
+/// dies while all of it goes on.
+#[test]
+fn overlapping_faults_are_played_and_break_no_rule() {
+    let mut site = examples::site("calm").expect("it is embedded");
+    site.for_s = 14.0;
+    let fault = |kind, at_s, for_s, boxes: &[&str]| Fault {
+        boxes: boxes.iter().map(|b| b.to_string()).collect(),
+        ..Fault::new(kind, at_s, for_s)
+    };
+    site.faults = vec![
+        fault(Kind::BoxCrash, 3.0, 2.0, &["std-1", "std-2"]),
+        fault(Kind::BoxCrash, 4.0, 2.0, &["std-2", "slow-0"]),
+        fault(Kind::Hang, 3.5, 4.0, &["std-2", "std-3"]),
+        fault(Kind::Hang, 5.0, 1.0, &["std-3"]),
+        Fault { part: Some(0.3), step_ms: Some(700.0), ..Fault::new(Kind::Release, 6.0, 0.0) },
+        Fault { part: Some(0.3), ..Fault::new(Kind::NodeCrash, 5.0, 2.0) },
+        Fault { share: Some(0.1), ..Fault::new(Kind::LostAnswers, 4.0, 5.0) },
+        Fault { share: Some(0.1), ..Fault::new(Kind::BreakAfter, 4.0, 5.0) },
+    ];
+    site.check().expect("it makes sense");
+    for seed in 1..=4 {
+        let run = run(&site, seed, &Variant::policy());
+        assert_eq!(run.verdict.rules_broken(), 0, "{:?}", run.verdict.breaches);
+        assert!(run.verdict.whole.failed > 0 && run.verdict.worth > 0.6, "{}", run.verdict.worth);
+    }
+}
+
+#[test]
+fn what_is_wrong_with_a_file_is_named_all_at_once() {
+    let text = examples::text("club").expect("it is embedded");
+    let wrong = text.replace("jitter = 0.2", "jitter = -1.0").replace("cores = 2", "cores = 0");
+    let wrong =
+        wrong + "[[faults]]\nkind = \"hang\"\nat_s = 1.0\nfor_s = 1.0\nshare = 0.5\nboxes = [\"std-77\"]\n";
+    let words = magpietally_site::model::spec::Site::read(&wrong).expect_err("it is wrong").join("\n");
+    for field in [
+        "network.jitter: -1",
+        "boxes[0].cores",
+        "boxes[1].cores",
+        "faults[0].share: hang takes none",
+        "faults[0].boxes: there is no box \"std-77\"",
+    ] {
+        assert!(words.contains(field), "{field} is missing in:\n{words}");
+    }
+    let unknown = text.replace("jitter = 0.2", "jiter = 0.2");
+    let words = magpietally_site::model::spec::Site::read(&unknown).expect_err("it is wrong").join("\n");
+    assert!(words.contains("jiter") && words.contains("line 10"), "{words}");
+}
--- /dev/null
+++ b/src/commands/mod.rs
@@ -0,0 +1,32 @@
+//! One subcommand a file.
+
+pub mod experiment;
+pub mod site;
+
+/// How a subcommand ends: well, failed, or used wrongly.
+#[derive(Debug)]
+pub enum Failure {
+    /// It did its work, and the result is bad; or it could not do it. Exit code 1.
+    Failed(String),
+    /// A file or an argument makes no sense. Exit code 2.
+    Wrong(String),
+}
+
+impl From<String> for Failure {
+    fn from(words: String) -> Self {
+        Self::Failed(words)
+    }
+}
+
+/// What is wrong with a file, one line each, headed by its name.
+pub fn wrong(file: &str, lines: &[String]) -> Failure {
+    Failure::Wrong(lines.iter().map(|l| format!("{file}: {l}")).collect::<Vec<_>>().join("\n"))
+}
+
+/// The text of a file.
+///
+/// # Errors
+/// Names the file and why it can't be read.
+pub fn text_of(file: &str) -> Result<String, String> {
+    std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,10 +1,14 @@
 //! The program: arguments, log and exit codes; each subcommand is a crate's to carry out.
 
+mod commands;
 mod logging;
 
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
+use commands::experiment::ExperimentArgs;
+use commands::site::SiteCommand;
+use commands::Failure;
 use logging::Format;
 
 /// A load-balancer node: successive requests go to the ready servers in turn.
@@ -21,6 +25,11 @@
     Node(NodeArgs),
     /// Host many instances of the policy on the simulator's wire: standard input and output
     Simhost,
+    /// Check an emulated site, or play it in virtual time
+    #[command(subcommand)]
+    Site(SiteCommand),
+    /// Compare variants of a node over sites and seeds, in virtual time
+    Experiment(ExperimentArgs),
 }
 
 #[derive(Args)]
@@ -33,16 +42,20 @@
 fn main() -> ExitCode {
     // Wrong use ends with 2 in clap's own words.
     let ended = match Cli::parse().command {
-        Command::Node(args) => node(&args),
-        Command::Simhost => simhost(),
+        Command::Node(args) => node(&args).map_err(Failure::Failed),
+        Command::Simhost => simhost().map_err(Failure::Failed),
+        Command::Site(command) => commands::site::run(&command),
+        Command::Experiment(args) => commands::experiment::run(&args),
+    };
+    let (words, code) = match ended {
+        Ok(()) => return ExitCode::SUCCESS,
+        Err(Failure::Failed(words)) => (words, 1),
+        Err(Failure::Wrong(words)) => (words, 2),
     };
-    match ended {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(words) => {
-            eprintln!("magpietally: {}", words.replace('\n', " "));
-            ExitCode::FAILURE
-        }
+    for line in words.lines() {
+        eprintln!("magpietally: {line}");
     }
+    ExitCode::from(code)
 }
 
 fn node(args: &NodeArgs) -> Result<(), String> {
