Reproduce the findings in virtual time, with each mend taken out

Need: the emulated faults must show the symptoms that the mends of docs/findings/ guard against, or the site proves nothing.

Change: mends as switches of a variant: those of the network in the node's stand-in, those of decisions by what the policy is told or by what becomes of its actions. Experiments set fields of a site by path. Kept connections break too; nodes are restarted in order and the list moves. The referee no longer takes an answer that was on its way when its node was killed for a second one.

--- a/crates/site/src/examples.rs
+++ b/crates/site/src/examples.rs
@@ -36,7 +36,7 @@
         Kind::FastErrors => (fault.part, fault.share) = (Some(0.2), Some(0.7)),
         Kind::Burst => (fault.for_s, fault.factor) = (6.0, Some(2.2)),
         Kind::ZoneCut => fault.zone = Some("johar".into()),
-        Kind::NodeCrash => (fault.for_s, fault.part) = (6.0, Some(0.34)),
+        Kind::NodeCrash | Kind::NodeRestart => (fault.for_s, fault.part) = (6.0, Some(0.34)),
         Kind::Release => (fault.part, fault.step_ms) = (Some(0.5), Some(1500.0)),
         Kind::LostAnswers => fault.share = Some(0.2),
         Kind::BreakBefore => fault.share = Some(0.05),
@@ -44,7 +44,7 @@
         Kind::TurnAway => (fault.part, fault.class) = (Some(0.35), Some("lookup".into())),
         Kind::Slow => (fault.part, fault.factor) = (Some(0.25), Some(0.3)),
         Kind::BoxCrash => (fault.for_s, fault.part) = (4.0, Some(0.3)),
-        Kind::ListDown => {}
+        Kind::ListDown | Kind::ListMoved => {}
         Kind::ListClock => (fault.part, fault.ms) = (Some(0.3), Some(5000.0)),
         Kind::Hurry => fault.share = Some(0.25),
     }
--- a/crates/site/src/experiment.rs
+++ b/crates/site/src/experiment.rs
@@ -20,19 +20,13 @@
 pub struct Experiment {
     /// Its name.
     pub name: String,
-    /// The sites: names of embedded ones, or paths of site files.
-    pub sites: Vec<String>,
+    /// The sites.
+    pub sites: Vec<Case>,
     /// How many seeds.
     pub seeds: u64,
     /// The first of them.
     #[serde(default = "first")]
     pub first_seed: u64,
-    /// The sites' own length, or this.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub for_s: Option<f64>,
-    /// The sites' own load, or this.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub load: Option<f64>,
     /// The variants; the others are held against the first.
     pub variants: Vec<Variant>,
 }
@@ -41,6 +35,69 @@
     1
 }
 
+/// A site of an experiment: the name of an embedded one or the path of a site file, as it is or with some fields set.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(untagged)]
+pub enum Case {
+    /// As it is.
+    Plain(String),
+    /// With fields set, under a name of its own.
+    Set(SetCase),
+}
+
+/// A site with some of its fields set.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SetCase {
+    /// The name of an embedded site, or the path of a site file.
+    pub site: String,
+    /// What it is called in the results.
+    pub name: String,
+    /// Fields by their path, as `"clients.load" = 0.8` or `"faults.0.share" = 0.1`.
+    pub set: BTreeMap<String, toml::Value>,
+}
+
+impl Case {
+    fn site(&self) -> &str {
+        match self {
+            Self::Plain(site) => site,
+            Self::Set(case) => &case.site,
+        }
+    }
+
+    /// The site with its fields set.
+    fn apply(&self, mut site: Site) -> Result<Site, Vec<String>> {
+        let Self::Set(case) = self else { return Ok(site) };
+        site.name = case.name.clone();
+        let mut value = toml::Value::try_from(&site).map_err(|e| vec![e.to_string()])?;
+        for (path, to) in &case.set {
+            set(&mut value, path, to.clone()).map_err(|e| vec![e])?;
+        }
+        let site: Site = value.try_into().map_err(|e: toml::de::Error| vec![e.message().to_string()])?;
+        site.check().map(|()| site)
+    }
+}
+
+/// Sets one field by its path; all but the last part must be there.
+fn set(value: &mut toml::Value, path: &str, to: toml::Value) -> Result<(), String> {
+    let (way, last) = path.rsplit_once('.').unwrap_or(("", path));
+    let mut at = value;
+    for part in way.split('.').filter(|p| !p.is_empty()) {
+        let inner = match at {
+            toml::Value::Array(all) => part.parse::<usize>().ok().and_then(|n| all.get_mut(n)),
+            other => other.get_mut(part),
+        };
+        at = inner.ok_or_else(|| format!("set: {path}: there is no {part}"))?;
+    }
+    match at {
+        toml::Value::Table(table) => {
+            table.insert(last.to_string(), to);
+            Ok(())
+        }
+        _ => Err(format!("set: {path}: {last} is no field")),
+    }
+}
+
 /// One run that an experiment wants.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -110,26 +167,17 @@
             toml::from_str(text).map_err(|e| vec![e.to_string().trim_end().to_string()])?;
         let mut wrong = Vec::new();
         let mut sites = Vec::new();
-        for (n, name) in experiment.sites.iter().enumerate() {
+        for (n, case) in experiment.sites.iter().enumerate() {
+            let name = case.site();
             let site = match examples::site(name) {
                 Some(site) => Ok(site),
                 None => read(name).map_err(|e| vec![e]).and_then(|text| Site::read(&text)),
             };
-            match site {
-                Ok(mut site) => {
-                    site.for_s = experiment.for_s.unwrap_or(site.for_s);
-                    if let Some(load) = experiment.load {
-                        (site.clients.load, site.clients.rate_per_s) = (Some(load), None);
-                    }
-                    sites.push(site);
-                }
+            match site.and_then(|site| case.apply(site)) {
+                Ok(site) => sites.push(site),
                 Err(words) => wrong.extend(words.iter().map(|w| format!("sites[{n}] {name}: {w}"))),
             }
         }
-        for site in &sites {
-            // What an override made of it.
-            wrong.extend(site.check().err().into_iter().flatten());
-        }
         if experiment.variants.is_empty() {
             wrong.push("variants: one is needed at least".into());
         }
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -1,8 +1,7 @@
 //! An emulated site: app boxes, their list, clients and faults as a pure model, and a referee who knows the rules.
 //!
 //! [`model`] is deterministic and does no I/O. [`virt`] drives it in virtual time with many policies in one process;
-//! [`experiment`] compares variants of a node over
-//! seeds and schedules.
+//! [`experiment`] compares variants of a node over seeds and schedules.
 //!
 //! ```
 //! use magpietally_site::{examples, virt};
--- a/crates/site/src/model/boxes.rs
+++ b/crates/site/src/model/boxes.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use super::faults::BoxFaults;
 use super::random::Stream;
 use super::spec::{BoxKind, CancelStops, WarmBy};
 use super::time::{micros, seconds, Micros};
@@ -30,7 +31,7 @@
     pub id: JobId,
     /// What it concerns.
     pub key: u32,
-    /// Its class, for [`AppBox::turn_away`].
+    /// Its class, for the classes that a box turns away.
     pub class: usize,
     /// Its work in microseconds of a standard core, the connection's with it.
     pub work: f64,
@@ -195,13 +196,13 @@
         self.warmth(now) >= 1.0
     }
 
-    /// Sets what faults make of it: hanging, its share of errors, its speed, the classes it turns away.
-    pub fn set_faults(&mut self, now: Micros, hung: bool, errors: f64, slow: f64, away: Vec<usize>) {
-        let mut none = Vec::new();
-        self.advance(now, &mut none);
-        debug_assert!(none.is_empty(), "faults are set at an event's own time");
-        (self.hung, self.errors, self.slow, self.away) = (hung, errors, slow, away);
-        self.set_rate(now);
+    /// Sets what faults make of it; what ended up to now, and what is turned away, is in `out`.
+    pub fn set_faults(&mut self, now: Micros, faults: BoxFaults, out: &mut Vec<Finished>) {
+        self.advance(now, out);
+        (self.hung, self.errors, self.slow, self.away) =
+            (faults.hung, faults.errors, faults.slow, faults.away);
+        // What came while it hung and fits begins now.
+        self.fill(now, out);
     }
 
     /// Does it turn this class away?
--- a/crates/site/src/model/clients.rs
+++ b/crates/site/src/model/clients.rs
@@ -1,5 +1,6 @@
 //! Who asks: first tries drawn ahead, and what a client does with each answer. Pure.
 
+use super::faults::Rates;
 use super::random::{popularity, sums, Purpose, Stream};
 use super::spec::{Effect, KeyGroup, Site};
 use super::time::{micros, millis, seconds, Micros, SECOND};
@@ -69,21 +70,15 @@
         }
     }
 
-    /// The next one, with what bursts and hurry hold at its time as `burst` and `hurry` tell them. `most` is the
-    /// highest that `burst` ever gets.
-    pub fn next(
-        &mut self,
-        most: f64,
-        burst: impl Fn(Micros) -> f64,
-        hurry: impl Fn(Micros) -> f64,
-    ) -> Arrival {
-        let peak = self.rate_per_s * (1.0 + self.swing) * most.max(1.0);
+    /// The next one, as often and as hurried as the schedule has it.
+    pub fn next(&mut self, rates: &Rates) -> Arrival {
+        let peak = self.rate_per_s * (1.0 + self.swing) * rates.most();
         // Thinning: candidates come at the peak's rate, and are kept by the rate of their time.
         let at = loop {
             self.at += self.random.exponential() / peak * SECOND as f64;
             let at = self.at as Micros;
             let phase = std::f64::consts::TAU * (self.at / SECOND as f64) / self.swing_s;
-            let rate = self.rate_per_s * (1.0 + self.swing * phase.sin()) * burst(at);
+            let rate = self.rate_per_s * (1.0 + self.swing * phase.sin()) * rates.burst(at);
             if self.random.part() * peak < rate {
                 break at;
             }
@@ -95,7 +90,7 @@
         let key = self.random.pick(&self.keys) as u32;
         let (mean, cv) = self.work[class];
         let work = mean * self.random.varied(cv);
-        let hurried = self.random.chance(1.0 - (1.0 - self.hurried) * (1.0 - hurry(at)));
+        let hurried = self.random.chance(1.0 - (1.0 - self.hurried) * (1.0 - rates.hurry(at)));
         let little = micros(self.random.between(self.hurried_span.0, self.hurried_span.1));
         let span = if hurried { little.min(self.deadlines[class]) } else { self.deadlines[class] };
         let in_quota = tenant.is_none_or(|t| self.take_quota(t, at));
--- a/crates/site/src/model/faults.rs
+++ b/crates/site/src/model/faults.rs
@@ -21,6 +21,10 @@
     ZoneCut,
     /// Nodes are killed, and come back at its end.
     NodeCrash,
+    /// Nodes are told to end, finish what they have, and start anew at its end.
+    NodeRestart,
+    /// The list is at another address from then on, and nodes are told to reload.
+    ListMoved,
     /// Boxes drain, end and come back cold, one after the other.
     Release,
     /// A share of all answers never arrives.
@@ -47,12 +51,14 @@
 
 impl Kind {
     /// All of them.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 18] = [
         Self::Hang,
         Self::FastErrors,
         Self::Burst,
         Self::ZoneCut,
         Self::NodeCrash,
+        Self::NodeRestart,
+        Self::ListMoved,
         Self::Release,
         Self::LostAnswers,
         Self::BreakBefore,
@@ -74,6 +80,8 @@
             Self::Burst => "burst",
             Self::ZoneCut => "zone_cut",
             Self::NodeCrash => "node_crash",
+            Self::NodeRestart => "node_restart",
+            Self::ListMoved => "list_moved",
             Self::Release => "release",
             Self::LostAnswers => "lost_answers",
             Self::BreakBefore => "break_before",
@@ -95,12 +103,12 @@
             Self::FastErrors => &["part", "boxes", "share"],
             Self::Burst => &["factor"],
             Self::ZoneCut => &["zone"],
-            Self::NodeCrash => &["part"],
+            Self::NodeCrash | Self::NodeRestart => &["part"],
             Self::Release => &["part", "boxes", "step_ms"],
             Self::LostAnswers | Self::BreakBefore | Self::BreakAfter | Self::Hurry => &["share"],
             Self::TurnAway => &["part", "boxes", "class"],
             Self::Slow => &["part", "boxes", "factor"],
-            Self::ListDown => &[],
+            Self::ListDown | Self::ListMoved => &[],
             Self::ListClock => &["part", "boxes", "ms"],
         }
     }
@@ -231,6 +239,10 @@
     Draining(usize),
     /// A node is dead; it starts when this ends.
     NodeDown(usize),
+    /// A node finishes what it has; it starts anew when this ends.
+    NodeEnds(usize),
+    /// The list is elsewhere.
+    ListMoved,
     /// Clients ask this many times as often.
     Burst(f64),
     /// A zone is cut off.
@@ -267,7 +279,8 @@
     let names = site.box_names();
     let mut all = Vec::new();
     for fault in &site.faults {
-        let bound = if fault.kind == Kind::NodeCrash { site.nodes.count } else { names.len() };
+        let of_nodes = matches!(fault.kind, Kind::NodeCrash | Kind::NodeRestart);
+        let bound = if of_nodes { site.nodes.count } else { names.len() };
         let count = ((fault.part.unwrap_or(0.0) * bound as f64).round() as usize).max(1);
         let drawn = random.choose(count, bound);
         let named = |b: &String| names.iter().position(|n| n == b);
@@ -289,6 +302,8 @@
             Kind::FastErrors => whom.iter().for_each(|b| hold(from, to, Effect::Errors(*b, share))),
             Kind::Burst => hold(from, to, Effect::Burst(factor)),
             Kind::ZoneCut => hold(from, to, Effect::ZoneCut(zone().unwrap_or(0))),
+            Kind::NodeRestart => whom.iter().for_each(|n| hold(from, to, Effect::NodeEnds(*n))),
+            Kind::ListMoved => hold(from, to, Effect::ListMoved),
             Kind::NodeCrash => whom.iter().for_each(|n| hold(from, to, Effect::NodeDown(*n))),
             Kind::Release => {
                 let step = micros(fault.step_ms.unwrap_or(1.0));
@@ -356,12 +371,126 @@
         self.0.iter().filter_map(of).product()
     }
 
+    /// What holds of one box.
+    pub fn of_box(&self, app_box: usize) -> BoxFaults {
+        BoxFaults {
+            hung: self.holds(Effect::Hang(app_box)),
+            errors: self.share(|e| match e {
+                Effect::Errors(at, share) if *at == app_box => Some(*share),
+                _ => None,
+            }),
+            slow: self.factor(|e| match e {
+                Effect::Slow(at, factor) if *at == app_box => Some(*factor),
+                _ => None,
+            }),
+            away: self
+                .0
+                .iter()
+                .filter_map(|e| match e {
+                    Effect::TurnAway(at, class) if *at == app_box => Some(*class),
+                    _ => None,
+                })
+                .collect(),
+        }
+    }
+
+    /// By how much the list's clock is wrong about a box.
+    pub fn clock_off(&self, app_box: usize) -> Option<Micros> {
+        self.0.iter().find_map(|e| match e {
+            Effect::ListClock(at, off) if *at == app_box => Some(*off),
+            _ => None,
+        })
+    }
+
+    /// The share of answers that is lost.
+    pub fn lost(&self) -> f64 {
+        self.share(|e| if let Effect::Lost(s) = e { Some(*s) } else { None })
+    }
+
+    /// The share of connections that breaks before the request is out.
+    pub fn breaks_before(&self) -> f64 {
+        self.share(|e| if let Effect::BreakBefore(s) = e { Some(*s) } else { None })
+    }
+
+    /// The share of connections that breaks after it.
+    pub fn breaks_after(&self) -> f64 {
+        self.share(|e| if let Effect::BreakAfter(s) = e { Some(*s) } else { None })
+    }
+
+    /// Is the way between these two zones cut?
+    pub fn cuts(&self, from: usize, to: usize) -> bool {
+        from != to && (self.holds(Effect::ZoneCut(from)) || self.holds(Effect::ZoneCut(to)))
+    }
+
     /// What holds.
     pub fn iter(&self) -> impl Iterator<Item = &Effect> {
         self.0.iter()
     }
 }
 
+/// What faults make of one box.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct BoxFaults {
+    /// It takes and answers nothing.
+    pub hung: bool,
+    /// Part of the requests that it answers by errors.
+    pub errors: f64,
+    /// How many times as fast it is.
+    pub slow: f64,
+    /// Classes that it turns away.
+    pub away: Vec<usize>,
+}
+
+/// How often clients ask at each time of a schedule, and how many of them are hurried: what a driver needs ahead.
+#[derive(Clone, Debug)]
+pub struct Rates {
+    bursts: Vec<Toggle>,
+    hurries: Vec<Toggle>,
+    most: f64,
+}
+
+impl Rates {
+    /// Those of a schedule in the order of time.
+    pub fn of(toggles: &[Toggle]) -> Self {
+        let of =
+            |f: fn(&Effect) -> bool| toggles.iter().filter(|t| f(&t.effect)).copied().collect::<Vec<_>>();
+        let mut rates = Self {
+            bursts: of(|e| matches!(e, Effect::Burst(_))),
+            hurries: of(|e| matches!(e, Effect::Hurry(_))),
+            most: 1.0,
+        };
+        rates.most = rates.bursts.iter().map(|t| rates.burst(t.at)).fold(1.0, f64::max);
+        rates
+    }
+
+    /// The highest that [`Self::burst`] gets.
+    pub fn most(&self) -> f64 {
+        self.most
+    }
+
+    /// How many times as often clients ask.
+    pub fn burst(&self, at: Micros) -> f64 {
+        held_at(&self.bursts, at, |e| if let Effect::Burst(factor) = e { *factor } else { 1.0 })
+    }
+
+    /// Which share of the requests is hurried.
+    pub fn hurry(&self, at: Micros) -> f64 {
+        1.0 - held_at(&self.hurries, at, |e| {
+            if let Effect::Hurry(share) = e {
+                (1.0 - share).max(1e-9)
+            } else {
+                1.0
+            }
+        })
+    }
+}
+
+/// The product of what holds at a time, from toggles in the order of time.
+fn held_at(toggles: &[Toggle], at: Micros, of: impl Fn(&Effect) -> f64) -> f64 {
+    let passed = toggles.iter().take_while(|t| t.at <= at);
+    passed.fold(1.0, |product, t| if t.on { product * of(&t.effect) } else { product / of(&t.effect) })
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/site/src/model/list.rs
+++ b/crates/site/src/model/list.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use super::boxes::AppBox;
 use super::random::Stream;
 use super::spec::List;
 use super::time::{micros, Micros, SECOND};
@@ -28,6 +29,23 @@
     pub started: Option<Micros>,
 }
 
+impl Entry {
+    /// What is true of a box: down, draining or up, with its start as the list's clock has it (`off`: by how much that
+    /// is wrong).
+    pub fn of(app_box: usize, model: &AppBox, draining: bool, off: Option<Micros>) -> Self {
+        let state = match (model.up(), draining) {
+            (false, _) => State::Gone,
+            (true, true) => State::Draining,
+            (true, false) => State::Up,
+        };
+        let started = match off {
+            Some(off) => Some(model.started().unwrap_or(0) + off),
+            None => model.started(),
+        };
+        Self { app_box, state, started }
+    }
+}
+
 /// One version of the list and what it changed.
 #[derive(Clone, Copy, Debug)]
 struct Version {
--- a/crates/site/src/model/referee.rs
+++ b/crates/site/src/model/referee.rs
@@ -89,6 +89,8 @@
     taken: Option<Micros>,
     deadline: Micros,
     over: bool,
+    /// Its node was killed: an answer may still be on its way, and is not owed.
+    void: bool,
     /// Attempts that reached a box whole and were not turned away.
     may_have_run: u32,
     /// Its answer was a refusal that promised that nothing had run.
@@ -314,6 +316,7 @@
             taken: None,
             deadline,
             over: false,
+            void: false,
             may_have_run: 0,
             promised: false,
             out: 0,
@@ -405,7 +408,7 @@
         if self.tries[number].over {
             return;
         }
-        if lost && self.tries[number].taken.is_some() {
+        if lost && self.tries[number].taken.is_some() && !self.tries[number].void {
             self.note(Rule::OneAnswer, now, || format!("try {number} was lost"));
         }
         self.tries[number].over = true;
@@ -426,7 +429,7 @@
     /// A node was killed: what it held is its clients' to repeat, and no blame of the next node.
     pub fn node_killed(&mut self, node: usize) {
         for t in self.tries.iter_mut().filter(|t| t.node == node && !t.over && t.taken.is_some()) {
-            t.over = true;
+            t.void = true;
         }
         for watch in &mut self.boxes {
             watch.told.remove(&node);
@@ -598,11 +601,8 @@
 
     /// All deadlines have passed: what has no answer is lost.
     pub fn finish(mut self, now: Micros) -> Verdict {
-        let open: Vec<TryNo> = (0..self.tries.len())
-            .filter(|n| {
-                !self.tries[*n].over && self.tries[*n].taken.is_some() && self.tries[*n].deadline < now
-            })
-            .collect();
+        let owed = |t: &Try| !t.over && !t.void && t.taken.is_some() && t.deadline < now;
+        let open: Vec<TryNo> = (0..self.tries.len()).filter(|n| owed(&self.tries[*n])).collect();
         for number in open {
             self.note(Rule::OneAnswer, now, || format!("try {number} never had an answer"));
         }
--- a/crates/site/src/virt/attempts.rs
+++ b/crates/site/src/virt/attempts.rs
@@ -40,15 +40,19 @@
         let mut closed = 0;
         let kept = self.nodes[n].take(self.now, b, &self.boxes[b], self.idle_most, &mut closed);
         self.box_conns[b] -= closed.min(self.box_conns[b]);
-        if kept {
+        // The rolls are drawn in any case, so that a share of 0 moves no other draw.
+        let share = self.active.breaks_before();
+        let (kept_broke, breaks) = (self.rolls.chance(share), self.rolls.chance(share));
+        if kept && !kept_broke {
             self.attempts[number].holds = true;
             self.write(number);
             return;
         }
+        if kept {
+            // It broke while it was idle: nothing was sent, so a new one is still the same attempt.
+            self.box_conns[b] = self.box_conns[b].saturating_sub(1);
+        }
         self.connections += 1;
-        // The roll is drawn in any case, so that a share of 0 moves no other draw.
-        let share = self.active.share(|e| if let Effect::BreakBefore(s) = e { Some(*s) } else { None });
-        let breaks = self.rolls.chance(share);
         if self.active.holds(Effect::Silent(b)) || self.is_cut(n, b) {
             self.after(self.connect, Ev::ConnectEnds(number, Outcome::ConnectFailed));
         } else if !self.boxes[b].up() || self.box_conns[b] >= self.kind(b).connections {
@@ -121,7 +125,7 @@
             self.after(way, Ev::Reset(number));
             return;
         }
-        let share = self.active.share(|e| if let Effect::BreakAfter(s) = e { Some(*s) } else { None });
+        let share = self.active.breaks_after();
         if self.rolls.chance(share) {
             self.after(way, Ev::Reset(number));
         }
@@ -145,7 +149,7 @@
 
     /// Sends on what a box is done with, and sees to its next event.
     pub(super) fn settle(&mut self, b: usize, mut done: Vec<Finished>) {
-        let share = self.active.share(|e| if let Effect::Lost(s) = e { Some(*s) } else { None });
+        let share = self.active.lost();
         for f in done.drain(..) {
             let number = f.id.0 as usize;
             if f.word == Word::TurnedAway {
--- a/crates/site/src/virt/decider.rs
+++ b/crates/site/src/virt/decider.rs
@@ -1,6 +1,8 @@
 //! What decides at a node: the policy, or something to hold it against.
 
-use magpietally_policy::{Action, Balancer, Event, Millis, Outcome, Settings};
+use std::collections::HashMap;
+
+use magpietally_policy::{Action, Balancer, Effect, Event, Millis, Outcome, RequestId, Settings};
 use serde::{Deserialize, Serialize};
 
 use super::faulty::{Faulty, Misdeed};
@@ -34,8 +36,11 @@
     pub second_copies: bool,
     /// Little time is not spent on the way back (`hurried-clients`). Out: 20 ms are kept back whatever is left.
     pub margin: bool,
-    /// Time-outs of clients in a hurry eject nobody (`hurried-clients`). Out: they are told with a whole aim's time.
+    /// Time-outs of clients in a hurry eject nobody (`hurried-clients`). Out: they are told as if half the aim had passed.
     pub hurried: bool,
+    /// Little time alone makes no repeat (`hurried-clients`). Out: what may never run twice and comes with less time
+    /// than the most seen is sent with the time-out that it had as a repeat whose aim was long over, 0.001 ms.
+    pub repeats: bool,
     /// A connect that had its time tells of its server. Out: it is told as never sent.
     pub silent: bool,
 }
@@ -49,6 +54,7 @@
             second_copies: true,
             margin: true,
             hurried: true,
+            repeats: true,
             silent: true,
         }
     }
@@ -95,7 +101,6 @@
     /// What decides at one node.
     pub(super) fn decider(&self, mut settings: Settings, seed: u64) -> Box<dyn Decider> {
         settings.limits.second_copies &= self.mends.second_copies;
-        let aims: Vec<Millis> = settings.classes.iter().map(|c| c.aim).collect();
         let inner: Box<dyn Decider> = match self.pick {
             Some(pick) => Box::new(Plain::new(settings.clone(), pick, seed)),
             None => match Balancer::new(settings.clone(), seed) {
@@ -104,10 +109,11 @@
                 Err(_) => Box::new(Plain::refusing(settings.clone())),
             },
         };
-        let inner: Box<dyn Decider> = if self.mends.turned_away && self.mends.hurried {
+        let Mends { turned_away, hurried, repeats, .. } = self.mends;
+        let inner: Box<dyn Decider> = if turned_away && hurried && repeats {
             inner
         } else {
-            Box::new(Unmended { inner, mends: self.mends, aims, classes: Default::default() })
+            Box::new(Unmended::new(inner, self.mends, &settings))
         };
         match self.misdeed {
             Some(misdeed) => Box::new(Faulty::new(inner, misdeed, &settings)),
@@ -116,39 +122,79 @@
     }
 }
 
-/// Tells a policy what it was told before a mend.
+/// Tells a policy what it was told before a mend, and does what it did.
 struct Unmended {
     inner: Box<dyn Decider>,
     mends: Mends,
     aims: Vec<Millis>,
-    classes: std::collections::HashMap<magpietally_policy::RequestId, usize>,
+    once: Vec<bool>,
+    /// The most time that a request of each class ever had left.
+    most_left: Vec<Millis>,
+    /// The class of each open request, and whether it is taken for a repeat.
+    open: HashMap<RequestId, (usize, bool)>,
 }
 
-impl Decider for Unmended {
-    fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
-        let event = match event {
-            Event::Request { id, class, tenant, deadline } => {
-                self.classes.insert(id, class);
-                Event::Request { id, class, tenant, deadline }
+/// The time-out of what was taken for a repeat whose aim was over.
+const NO_TIME: Millis = 0.001;
+
+impl Unmended {
+    fn new(inner: Box<dyn Decider>, mends: Mends, settings: &Settings) -> Self {
+        let classes = &settings.classes;
+        Self {
+            inner,
+            mends,
+            aims: classes.iter().map(|c| c.aim).collect(),
+            once: classes.iter().map(|c| c.effect == Effect::Unsafe).collect(),
+            most_left: vec![0.0; classes.len()],
+            open: HashMap::new(),
+        }
+    }
+
+    fn told(&mut self, now: Millis, event: Event) -> Event {
+        match event {
+            Event::Request { id, class, deadline, .. } => {
+                let left = deadline - now;
+                self.most_left[class] = self.most_left[class].max(left);
+                let over = self.most_left[class] - left > self.aims[class];
+                self.open.insert(id, (class, over && self.once[class] && !self.mends.repeats));
+                event
             }
             Event::Ended { id, attempt, server, outcome, took, finished } => {
-                let aim = self.classes.get(&id).and_then(|c| self.aims.get(*c)).copied().unwrap_or(took);
+                let class = self.open.get(&id).map(|(class, _)| *class);
+                let aim = class.map_or(took, |c| self.aims[c]);
                 let (outcome, took) = match outcome {
                     Outcome::Full if !self.mends.turned_away => (Outcome::TimedOut, took.max(aim)),
-                    Outcome::TimedOut if !self.mends.hurried => (outcome, took.max(aim)),
+                    Outcome::TimedOut if !self.mends.hurried => (outcome, took.max(0.5 * aim)),
                     _ => (outcome, took),
                 };
                 if finished {
-                    self.classes.remove(&id);
+                    self.open.remove(&id);
                 }
                 Event::Ended { id, attempt, server, outcome, took, finished }
             }
             Event::ClientGone(id) => {
-                self.classes.remove(&id);
-                Event::ClientGone(id)
+                self.open.remove(&id);
+                event
             }
             other => other,
-        };
+        }
+    }
+}
+
+impl Decider for Unmended {
+    fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
+        let event = self.told(now, event);
+        let from = actions.len();
         self.inner.handle(now, event, actions);
+        for action in &mut actions[from..] {
+            if let Action::Send { id, timeout, .. } = action {
+                if self.open.get(id).is_some_and(|(_, over)| *over) {
+                    *timeout = Some(NO_TIME);
+                }
+            }
+            if let Action::Refuse { id, .. } | Action::Fail(id) = action {
+                self.open.remove(id);
+            }
+        }
     }
 }
--- a/crates/site/src/virt/fleet.rs
+++ b/crates/site/src/virt/fleet.rs
@@ -76,6 +76,12 @@
             }
             Effect::NodeDown(n) if changes && toggle.on => self.kill_node(n),
             Effect::NodeDown(n) if changes => self.start_node(n),
+            Effect::NodeEnds(n) if changes && toggle.on => self.nodes[n].dealt = false,
+            Effect::NodeEnds(n) if changes => {
+                self.kill_node(n);
+                self.start_node(n);
+            }
+            Effect::ListMoved if changes && toggle.on => self.move_list(),
             Effect::ListDown if changes => self.set_list_down(toggle.on),
             Effect::ListClock(b, _) if changes => self.tell_later(b),
             _ => {}
@@ -85,24 +91,8 @@
     pub(super) fn set_faults(&mut self, b: usize) {
         // What ends at this very instant has ended before the fault holds.
         let mut done = std::mem::take(&mut self.done);
-        self.boxes[b].advance(self.now, &mut done);
+        self.boxes[b].set_faults(self.now, self.active.of_box(b), &mut done);
         self.settle(b, done);
-        let hung = self.active.holds(Effect::Hang(b));
-        let errors = self.active.share(|e| match e {
-            Effect::Errors(at, share) if *at == b => Some(*share),
-            _ => None,
-        });
-        let slow = self.active.factor(|e| match e {
-            Effect::Slow(at, factor) if *at == b => Some(*factor),
-            _ => None,
-        });
-        let away = self.active.iter().filter_map(|e| match e {
-            Effect::TurnAway(at, class) if *at == b => Some(*class),
-            _ => None,
-        });
-        let away = away.collect();
-        self.boxes[b].set_faults(self.now, hung, errors, slow, away);
-        self.look_at(b);
     }
 
     pub(super) fn kill_node(&mut self, n: usize) {
--- a/crates/site/src/virt/listing.rs
+++ b/crates/site/src/virt/listing.rs
@@ -27,34 +27,14 @@
         }
     }
 
-    /// What is true of a box now, but for the list's own wrong clock.
-    pub(super) fn truth(&self, b: usize) -> list::Entry {
-        let off = self.active.iter().find_map(|e| match e {
-            Effect::ListClock(at, off) if *at == b => Some(*off),
-            _ => None,
-        });
-        let state = if !self.boxes[b].up() {
-            State::Gone
-        } else if self.active.holds(Effect::Draining(b)) {
-            State::Draining
-        } else {
-            State::Up
-        };
-        let started = self.boxes[b].started();
-        let started = match off {
-            Some(off) => Some(started.unwrap_or(0) + off),
-            None => started,
-        };
-        list::Entry { app_box: b, state, started }
-    }
-
     pub(super) fn tell_later(&mut self, b: usize) {
         let span = self.list.notice_after();
         self.after(span, Ev::Noticed(b));
     }
 
     pub(super) fn noticed(&mut self, b: usize) {
-        let truth = self.truth(b);
+        let draining = self.active.holds(Effect::Draining(b));
+        let truth = list::Entry::of(b, &self.boxes[b], draining, self.active.clock_off(b));
         if self.list.notice(self.now, truth).is_some() && !self.list.down() {
             self.tell_watchers();
         }
@@ -84,6 +64,15 @@
         }
     }
 
+    /// Another service with the same knowledge: its versions mean nothing there, so nodes ask for the whole.
+    pub(super) fn move_list(&mut self) {
+        for n in 0..self.nodes.len() {
+            let node = &mut self.nodes[n];
+            (node.version, node.watching, node.call) = (None, false, node.call + 1);
+            self.feed(n, Event::DiscoveryMoved);
+        }
+    }
+
     pub(super) fn watch_ends(&mut self, n: usize, life: u32, call: u64) {
         if self.nodes[n].life == life && self.nodes[n].call == call && self.nodes[n].watching {
             self.nodes[n].watching = false;
--- a/crates/site/src/virt/world.rs
+++ b/crates/site/src/virt/world.rs
@@ -11,7 +11,7 @@
 use super::shell::{idle_most, kept_back, Attempt, Node, Try};
 use crate::model::boxes::{AppBox, Finished, Word};
 use crate::model::clients::{length, Answer, Arrival, Arrivals, Retries};
-use crate::model::faults::{schedule, Active, Effect, Toggle};
+use crate::model::faults::{schedule, Active, Effect, Rates, Toggle};
 use crate::model::list::{BoxList, State};
 use crate::model::random::{Purpose, Stream};
 use crate::model::referee::{AttemptNo, Final, Referee, RequestNo, TryNo, Verdict};
@@ -112,9 +112,7 @@
     pub(super) played: u64,
     pub(super) arrivals: Arrivals,
     pub(super) next_arrival: Option<Arrival>,
-    pub(super) most_burst: f64,
-    pub(super) bursts: Vec<Toggle>,
-    pub(super) hurries: Vec<Toggle>,
+    pub(super) rates: Rates,
     pub(super) ends: Micros,
     pub(super) retries: Retries,
     pub(super) front: Stream,
@@ -167,39 +165,9 @@
     (run, began.elapsed().as_secs_f64())
 }
 
-/// The product of what holds at a time, from toggles in the order of time.
-fn held_at(toggles: &[Toggle], at: Micros, of: impl Fn(&Effect) -> f64) -> f64 {
-    let passed = toggles.iter().take_while(|t| t.at <= at);
-    let held =
-        |product: f64, t: &Toggle| if t.on { product * of(&t.effect) } else { product / of(&t.effect) };
-    passed.fold(1.0, held)
-}
-
-fn burst_of(effect: &Effect) -> f64 {
-    if let Effect::Burst(factor) = effect {
-        *factor
-    } else {
-        1.0
-    }
-}
-
-/// What a hurry leaves of those who have time.
-fn unhurried_of(effect: &Effect) -> f64 {
-    if let Effect::Hurry(share) = effect {
-        (1.0 - share).max(1e-9)
-    } else {
-        1.0
-    }
-}
-
 impl<'a> World<'a> {
     fn new(site: &'a Site, seed: u64, variant: &'a Variant) -> Self {
         let toggles = schedule(site, seed);
-        let of =
-            |f: fn(&Effect) -> bool| toggles.iter().filter(|t| f(&t.effect)).copied().collect::<Vec<_>>();
-        let bursts = of(|e| matches!(e, Effect::Burst(_)));
-        let hurries = of(|e| matches!(e, Effect::Hurry(_)));
-        let most_burst = bursts.iter().map(|t| held_at(&bursts, t.at, burst_of)).fold(1.0, f64::max);
         let mut kinds = Vec::new();
         for (n, kind) in site.boxes.iter().enumerate() {
             kinds.extend(std::iter::repeat_n(n, kind.count));
@@ -225,9 +193,7 @@
             played: 0,
             arrivals: Arrivals::new(site, seed),
             next_arrival: None,
-            most_burst,
-            bursts,
-            hurries,
+            rates: Rates::of(&toggles),
             ends: length(site),
             retries: Retries::new(site, seed),
             front: Stream::new(seed, Purpose::Front),
@@ -381,17 +347,13 @@
     }
 
     pub(super) fn is_cut(&self, node: usize, b: usize) -> bool {
-        let (from, to) = (self.nodes[node].zone, self.box_zone[b]);
-        from != to && (self.active.holds(Effect::ZoneCut(from)) || self.active.holds(Effect::ZoneCut(to)))
+        self.active.cuts(self.nodes[node].zone, self.box_zone[b])
     }
 
     // ---- Clients ----
 
     fn draw_arrival(&mut self) {
-        let (bursts, hurries) = (&self.bursts, &self.hurries);
-        let burst = |at| held_at(bursts, at, burst_of);
-        let hurry = |at| 1.0 - held_at(hurries, at, unhurried_of);
-        let arrival = self.arrivals.next(self.most_burst, burst, hurry);
+        let arrival = self.arrivals.next(&self.rates);
         if arrival.at <= self.ends {
             self.next_arrival = Some(arrival);
             self.at(arrival.at, Ev::Arrive);
--- a/crates/site/tests/referee.rs
+++ b/crates/site/tests/referee.rs
@@ -119,6 +119,19 @@
     assert_eq!(verdict.whole.in_time, 1);
 }
 
+/// The answer had left when the node died: it is the one answer, and no second one.
+#[test]
+fn an_answer_on_its_way_when_its_node_is_killed_still_counts() {
+    let mut referee = referee();
+    let request = referee.asked(0, LOOKUP, None, true);
+    let number = referee.tried(0, request, 0, SECOND);
+    referee.taken(100, number);
+    referee.node_killed(0);
+    referee.answered(900, 800, number, Final::Served);
+    let verdict = referee.finish(2 * SECOND);
+    assert_eq!((verdict.rules_broken(), verdict.whole.in_time), (0, 1));
+}
+
 #[test]
 fn a_refusal_is_broken_by_what_arrives_after_it() {
     let mut referee = referee();
--- a/crates/site/tests/same.rs
+++ b/crates/site/tests/same.rs
@@ -9,9 +9,12 @@
 
 const FILE: &str = r#"
 name = "same"
-sites = ["node_crash", "release", "list_down"]
+sites = [
+    { site = "node_crash", name = "a", set = { for_s = 14.0 } },
+    { site = "release", name = "b", set = { for_s = 14.0, "clients.load" = 0.5 } },
+    { site = "list_down", name = "c", set = { for_s = 14.0, "faults.0.at_s" = 4.0 } },
+]
 seeds = 2
-for_s = 14.0
 
 [[variants]]
 name = "policy"
@@ -57,6 +60,19 @@
     assert_eq!(table(&plan.compare(&results)), whole);
 }
 
+#[test]
+fn a_field_that_can_not_be_set_is_named() {
+    for (field, words) in [
+        ("\"clients.lod\" = 0.5", "lod"),
+        ("\"clients.classes.9.aim_ms\" = 1.0", "there is no 9"),
+        ("\"network.jitter\" = -1.0", "network.jitter: -1"),
+    ] {
+        let file = FILE.replace("for_s = 14.0 } }", &format!("for_s = 14.0, {field} }} }}"));
+        let wrong = Plan::read(&file, |_| Err("no file".into())).expect_err(words).join("\n");
+        assert!(wrong.contains(words) && wrong.contains("sites[0]"), "{words}: {wrong}");
+    }
+}
+
 #[test]
 fn another_seed_gives_another_day_and_a_variant_meets_the_same_requests() {
     let mut site = examples::site("calm").expect("it is embedded");
