Run the emulated site on sockets with real nodes, and show it in a demo

Need: a newcomer who clones the project could not see it do its job, and what is shown in virtual time must also be shown with real processes.

Change: stand-in app boxes, a box list with an address for each node, and open-loop clients on loopback over the same model and referee; nodes are processes that are started, killed, told to end and told to reload. Latency counts from when a client meant to ask.

--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -1,7 +1,7 @@
 //! An emulated site: app boxes, their list, clients and faults as a pure model, and a referee who knows the rules.
 //!
 //! [`model`] is deterministic and does no I/O. [`virt`] drives it in virtual time with many policies in one process;
-//! [`experiment`] compares variants of a node over seeds and schedules.
+//! [`sockets`] drives it in real time, with real nodes on loopback. [`experiment`] compares variants of a node over seeds and schedules.
 //!
 //! ```
 //! use magpietally_site::{examples, virt};
@@ -14,4 +14,5 @@
 pub mod examples;
 pub mod experiment;
 pub mod model;
+pub mod sockets;
 pub mod virt;
--- a/crates/site/src/model/referee.rs
+++ b/crates/site/src/model/referee.rs
@@ -597,6 +597,16 @@
         }
     }
 
+    /// Sums so far.
+    pub fn so_far(&self) -> Sum {
+        self.whole
+    }
+
+    /// Rules broken so far.
+    pub fn broken_so_far(&self) -> u64 {
+        self.broken.values().sum()
+    }
+
     // ---- The end ----
 
     /// All deadlines have passed: what has no answer is lost.
--- /dev/null
+++ b/src/commands/demo.rs
@@ -0,0 +1,214 @@
+//! `magpietally demo`: the node at its work, on loopback, with nothing but this program.
+
+use std::io::IsTerminal;
+use std::path::PathBuf;
+
+use clap::Args;
+use indicatif::{MultiProgress, ProgressBar, ProgressDrawTarget, ProgressStyle};
+use magpietally_site::sockets::{self, NodeCost, Options, Progress, Report};
+use serde_json::json;
+
+use super::site::{site_of, verdict_table};
+use super::{wrong, Failure};
+
+/// What to show.
+#[derive(Args)]
+pub struct DemoArgs {
+    /// For how many seconds requests come; faults keep their place in the course
+    #[arg(long, default_value_t = 20.0)]
+    seconds: f64,
+    /// The seed of all that is drawn
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// A site file, or an embedded site, in place of the demo's: two nodes, six boxes, one hangs and one restarts cold
+    #[arg(long)]
+    site: Option<String>,
+    /// Requests a second, in place of the site's own
+    #[arg(long)]
+    rate: Option<f64>,
+    /// Part of the requests that go straight to a box, to compare the latency with; 0 to 1
+    #[arg(long, default_value_t = 0.0)]
+    straight: f64,
+    /// One object with the result, and nothing else on standard output
+    #[arg(long)]
+    json: bool,
+}
+
+/// Where nodes' configurations lie for the time of a run; gone with it.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> std::io::Result<Self> {
+        let folder = std::env::temp_dir().join(format!("magpietally-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        Ok(Self(folder))
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        // A folder that can't be removed is the system's to clear.
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Carries it out.
+pub fn run(args: &DemoArgs) -> Result<(), Failure> {
+    let name = args.site.as_deref().unwrap_or("demo");
+    let mut site = site_of(name)?;
+    if !(args.seconds.is_finite() && args.seconds > 0.0) {
+        return Err(Failure::Wrong(format!("--seconds: {} is not above 0", args.seconds)));
+    }
+    if !(0.0..=1.0).contains(&args.straight) {
+        return Err(Failure::Wrong(format!("--straight: {} is no part of 0 to 1", args.straight)));
+    }
+    // The course is the same, however long it takes.
+    let stretch = args.seconds / site.for_s;
+    for fault in &mut site.faults {
+        (fault.at_s, fault.for_s) = (fault.at_s * stretch, fault.for_s * stretch);
+    }
+    site.for_s = args.seconds;
+    if let Some(rate) = args.rate {
+        (site.clients.rate_per_s, site.clients.load) = (Some(rate), None);
+    }
+    site.check().map_err(|lines| wrong(name, &lines))?;
+    let folder = Folder::new().map_err(|e| format!("temporary folder: {e}"))?;
+    let program = std::env::current_exe().map_err(|e| format!("this program: {e}"))?;
+    let options = Options { program, folder: folder.0.clone(), seed: args.seed, direct: args.straight };
+    let show = Show::new(args.json, args.seconds, &site.box_names());
+    if !args.json {
+        println!(
+            "{} nodes, {} app boxes, a box list and {:.0} requests a second for {} s, on loopback; seed {}",
+            site.nodes.count,
+            site.box_count(),
+            site.rate_per_s(),
+            args.seconds,
+            args.seed
+        );
+    }
+    let report = sockets::run(&site, &options, |progress| show.tell(progress));
+    show.end();
+    let report = report.map_err(|e| Failure::Failed(e.to_string()))?;
+    let broken = report.verdict.rules_broken();
+    let crashes: u32 = report.nodes.iter().map(|n| n.crashes).sum();
+    if args.json {
+        println!("{}", object(&report));
+    } else {
+        print!("{}", verdict_table(&report.verdict));
+        print!("{}", costs(&report));
+    }
+    if broken > 0 || crashes > 0 {
+        return Err(Failure::Failed(format!("{broken} rules broken, {crashes} nodes ended by themselves")));
+    }
+    Ok(())
+}
+
+fn object(report: &Report) -> serde_json::Value {
+    let v = &report.verdict;
+    json!({
+        "requests": v.whole.requests, "in_time": v.whole.in_time, "served": v.whole.served,
+        "refused": v.whole.refused, "failed": v.whole.failed, "rules_broken": v.rules_broken(),
+        "breaches": v.breaches, "worth": v.worth, "worst_10_s": v.worst_10_s, "waste": v.waste,
+        "latency": report.latency, "straight": report.straight, "lateness": report.lateness,
+        "nodes": report.nodes, "fallen": report.fallen, "troubles": report.troubles,
+    })
+}
+
+fn costs(report: &Report) -> String {
+    let mut text = String::new();
+    let of = |name: &str, l: &sockets::Latency| {
+        let (a, b, c) = (l.median_ms, l.p99_ms, l.p99_9_ms);
+        format!("  {name:<24} median {a:.2} ms, 99% {b:.2} ms, 99.9% {c:.2} ms of {}\n", l.count)
+    };
+    text += &of("by way of a node", &report.latency);
+    if report.straight.count > 0 {
+        text += &of("straight to a box", &report.straight);
+    }
+    text += &of("clients were late by", &report.lateness);
+    for NodeCost { name, tries, cpu_ms, memory_kib, starts, crashes } in &report.nodes {
+        let each = 1000.0 * cpu_ms / (*tries).max(1) as f64;
+        let crashed = if *crashes > 0 { format!(", ended by itself {crashes} times") } else { String::new() };
+        text += &format!(
+            "  {name:<24} {tries} tries, {each:.0} us of CPU each, {:.1} MB, started {starts} times{crashed}\n",
+            *memory_kib as f64 / 1024.0
+        );
+    }
+    for words in &report.troubles {
+        text += &format!("  trouble: {words}\n");
+    }
+    text
+}
+
+/// The course: live on a terminal, plain lines elsewhere, nothing beside JSON.
+enum Show {
+    Live { all: MultiProgress, course: ProgressBar, sums: ProgressBar, boxes: Vec<ProgressBar> },
+    Lines,
+    Nothing,
+}
+
+impl Show {
+    fn new(json: bool, seconds: f64, boxes: &[String]) -> Self {
+        if json {
+            return Self::Nothing;
+        }
+        // More boxes than a screen has lines are told by numbers alone.
+        if !std::io::stdout().is_terminal() || boxes.len() > 30 {
+            return Self::Lines;
+        }
+        let all = MultiProgress::with_draw_target(ProgressDrawTarget::stdout());
+        let style = |template| {
+            ProgressStyle::with_template(template).unwrap_or_else(|_| ProgressStyle::default_bar())
+        };
+        let course =
+            all.add(ProgressBar::new(seconds.ceil() as u64).with_style(style("{wide_bar} {pos}/{len} s")));
+        let line = || all.add(ProgressBar::new_spinner().with_style(style("  {msg}")));
+        let sums = line();
+        let boxes = boxes.iter().map(|_| line()).collect();
+        Self::Live { course, sums, boxes, all }
+    }
+
+    fn tell(&self, p: &Progress) {
+        let s = &p.sum;
+        let share = 100.0 * s.in_time as f64 / (s.requests as f64).max(1.0);
+        let down: Vec<&str> = p.nodes.iter().filter(|(_, up)| !up).map(|(name, _)| name.as_str()).collect();
+        let sums = format!(
+            "{} requests, {share:.1}% answered in time, rules broken {}{}",
+            s.requests,
+            p.rules_broken,
+            if down.is_empty() { String::new() } else { format!(", down: {}", down.join(" ")) }
+        );
+        match self {
+            Self::Live { course, sums: line, boxes, .. } => {
+                course.set_position(p.at_s as u64);
+                line.set_message(sums);
+                for (line, (name, word, held)) in boxes.iter().zip(&p.boxes) {
+                    line.set_message(format!("{name:<10} {word:<7} {}", "#".repeat((*held).min(60))));
+                }
+            }
+            Self::Lines => {
+                let odd = p.boxes.iter().filter(|(_, word, _)| *word != "serves");
+                let odd: Vec<String> = odd.map(|(name, word, _)| format!("{name} {word}")).collect();
+                println!("{:>5.1} s  {sums}  {}", p.at_s, odd.join(", "));
+            }
+            Self::Nothing => {}
+        }
+    }
+
+    fn end(&self) {
+        if let Self::Live { all, .. } = self {
+            // A terminal that is gone has nothing to clear.
+            let _ = all.clear();
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use magpietally_site::examples;
+
+    #[test]
+    fn the_embedded_demo_is_a_good_site() {
+        let site = examples::site("demo").expect("it is embedded and good");
+        assert_eq!((site.nodes.count, site.box_count(), site.clients.classes.len()), (2, 6, 3));
+    }
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! One subcommand a file.
 
+pub mod demo;
 pub mod experiment;
 pub mod site;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
+use commands::demo::DemoArgs;
 use commands::experiment::ExperimentArgs;
 use commands::site::SiteCommand;
 use commands::Failure;
@@ -25,6 +26,8 @@
     Node(NodeArgs),
     /// Host many instances of the policy on the simulator's wire: standard input and output
     Simhost,
+    /// Show the node at its work: nodes, app boxes, a box list and clients on loopback, with faults and a referee
+    Demo(DemoArgs),
     /// Check an emulated site, or play it in virtual time
     #[command(subcommand)]
     Site(SiteCommand),
@@ -44,6 +47,7 @@
     let ended = match Cli::parse().command {
         Command::Node(args) => node(&args).map_err(Failure::Failed),
         Command::Simhost => simhost().map_err(Failure::Failed),
+        Command::Demo(args) => commands::demo::run(&args),
         Command::Site(command) => commands::site::run(&command),
         Command::Experiment(args) => commands::experiment::run(&args),
     };
