Count lost log lines in the status line, and test the app box and the full pipe

Need: what the bounded log drops must be counted where it is read, and the app box's hard cases must be named: an attempt that runs on after a cancel, an arrival at the instant of an end, a start under the same name.

--- a/crates/http/src/service.rs
+++ b/crates/http/src/service.rs
@@ -33,14 +33,15 @@
 /// How often the log says how the node fares.
 const STATUS: Duration = Duration::from_secs(1);
 
-/// Runs one node until a signal ends it.
+/// Runs one node until a signal ends it. `lost_lines` counts the lines that the log has dropped so far, for the status
+/// lines.
 ///
 /// # Errors
 /// What could not be set up, in one line: the runtime, the listener, a signal or the policy's settings.
-pub fn run(config: Config) -> Result<(), String> {
+pub fn run(config: Config, lost_lines: impl Fn() -> u64 + 'static) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, serve(config))
+    LocalSet::new().block_on(&runtime, serve(config, lost_lines))
 }
 
 fn listen(config: &Config) -> std::io::Result<TcpListener> {
@@ -64,7 +65,7 @@
     Core::new(setup, Http::new(config))
 }
 
-async fn serve(config: Config) -> Result<(), String> {
+async fn serve(config: Config, lost_lines: impl Fn() -> u64 + 'static) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signal: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signal: {e}"))?;
     // Without a handler SIGHUP ends the process, and with it all that it has taken.
@@ -77,7 +78,7 @@
     let clients = Clients::new(node.clone());
     spawn_local(node.clone().run_timer());
     spawn_local(sweep(node.clone(), clients.clone()));
-    spawn_local(log_status(node.clone()));
+    spawn_local(log_status(node.clone(), lost_lines));
     spawn_local(reload(node.clone(), hangup));
     tokio::select! {
         () = clients.accept(&listener) => {}
@@ -103,9 +104,12 @@
     }
 }
 
-async fn log_status(node: Rc<Node>) {
+async fn log_status(node: Rc<Node>, lost_lines: impl Fn() -> u64) {
+    let mut told = 0;
     loop {
-        node.log_status(node.carrier().pool.sample.renew());
+        let lost = lost_lines();
+        node.log_status(node.carrier().pool.sample.renew() + lost.saturating_sub(told));
+        told = lost;
         tokio::time::sleep(STATUS).await;
     }
 }
--- /dev/null
+++ b/crates/site/tests/boxes.rs
@@ -0,0 +1,142 @@
+//! What an app box does with what it is sent.
+
+use magpietally_site::examples;
+use magpietally_site::model::boxes::{AppBox, Finished, Job, JobId, Word};
+use magpietally_site::model::faults::BoxFaults;
+use magpietally_site::model::random::{Purpose, Stream};
+use magpietally_site::model::spec::{BoxKind, CancelStops};
+
+const MS: u64 = 1000;
+
+fn kind() -> BoxKind {
+    let mut kind = examples::site("club").expect("it is embedded").boxes[0].clone();
+    (kind.speed_spread, kind.errors, kind.keys_kept, kind.crowded_loss) = (0.0, 0.0, 0, 0.0);
+    (kind.cores, kind.slots, kind.waiting) = (1, None, 2);
+    kind
+}
+
+fn new(kind: &BoxKind) -> AppBox {
+    AppBox::new(kind, Stream::new(1, Purpose::Boxes))
+}
+
+fn job(id: u64, ms: u64) -> Job {
+    Job { id: JobId(id), key: id as u32, class: 0, work: (ms * MS) as f64, deadline: u64::MAX }
+}
+
+/// Plays a box up to a time: what ended, and when.
+fn play(app_box: &mut AppBox, from: u64, to: u64) -> Vec<(u64, u64, Word)> {
+    let (mut now, mut all, mut done) = (from, Vec::new(), Vec::new());
+    while let Some(next) = app_box.next(now).filter(|next| *next <= to) {
+        now = next;
+        app_box.advance(now, &mut done);
+        all.extend(done.drain(..).map(|f: Finished| (f.id.0, now, f.word)));
+    }
+    all
+}
+
+fn offer(app_box: &mut AppBox, now: u64, job: Job) -> Vec<Word> {
+    let mut done = Vec::new();
+    app_box.offer(now, job, &mut done);
+    done.into_iter().filter(|f| f.id == job.id).map(|f| f.word).collect()
+}
+
+#[test]
+fn what_does_not_fit_is_turned_away_unseen_and_the_rest_is_served_in_turn() {
+    let mut one = new(&kind());
+    for id in 0..3 {
+        assert!(offer(&mut one, 0, job(id, 10)).is_empty());
+    }
+    assert_eq!(offer(&mut one, 0, job(3, 10)), [Word::TurnedAway]);
+    let served = [(0, 10 * MS, Word::Served), (1, 20 * MS, Word::Served), (2, 30 * MS, Word::Served)];
+    assert_eq!(play(&mut one, 0, 1000 * MS), served);
+}
+
+#[test]
+fn requests_in_work_share_the_cores() {
+    let mut shared = new(&BoxKind { slots: Some(2), ..kind() });
+    offer(&mut shared, 0, job(0, 10));
+    offer(&mut shared, 5 * MS, job(1, 10));
+    // Alone for 5 ms, then half as fast: the first has 5 ms of work left for 10 ms, the second goes on alone.
+    let ended = [(0, 15 * MS, Word::Served), (1, 20 * MS, Word::Served)];
+    assert_eq!(play(&mut shared, 5 * MS, 1000 * MS), ended);
+}
+
+/// An attempt that is still running after a cancel: whether its work stops is the box's affair.
+#[test]
+fn a_cancel_stops_what_the_box_lets_it_stop() {
+    for (stops, running, waiting) in [
+        (CancelStops::Nothing, false, false),
+        (CancelStops::Waiting, false, true),
+        (CancelStops::All, true, true),
+    ] {
+        let mut one = new(&BoxKind { cancel_stops: stops, ..kind() });
+        offer(&mut one, 0, job(0, 10));
+        offer(&mut one, 0, job(1, 10));
+        let mut done = Vec::new();
+        assert_eq!(one.cancel(2 * MS, JobId(1), &mut done), waiting, "{stops:?}");
+        assert_eq!(one.cancel(4 * MS, JobId(0), &mut done), running, "{stops:?}");
+        let ran = play(&mut one, 4 * MS, 1000 * MS).len();
+        assert_eq!(ran, 2 - usize::from(running) - usize::from(waiting), "{stops:?}");
+        assert_eq!(one.wasted(), if running { 4000.0 } else { 0.0 }, "{stops:?}");
+    }
+}
+
+/// Two events at the same instant: one ends as the next arrives, and its slot is free.
+#[test]
+fn a_request_that_arrives_as_another_ends_finds_its_slot() {
+    let mut one = new(&BoxKind { waiting: 0, ..kind() });
+    offer(&mut one, 0, job(0, 10));
+    let mut done = Vec::new();
+    one.offer(10 * MS, job(1, 10), &mut done);
+    assert_eq!(done.iter().map(|f| (f.id.0, f.word)).collect::<Vec<_>>(), [(0, Word::Served)]);
+    assert_eq!(play(&mut one, 10 * MS, 1000 * MS), [(1, 20 * MS, Word::Served)]);
+}
+
+#[test]
+fn a_box_that_starts_again_is_cold_has_another_life_and_forgets_what_it_held() {
+    let mut one = new(&BoxKind { cold_share: 0.2, warm_s: 10.0, ..kind() });
+    offer(&mut one, 0, job(0, 10));
+    one.stop(4 * MS);
+    assert!(offer(&mut one, 5 * MS, job(1, 10)).is_empty(), "nobody is there to answer");
+    let life = one.life();
+    one.start(6 * MS);
+    assert_ne!(one.life(), life);
+    assert_eq!(one.held(), 0);
+    offer(&mut one, 6 * MS, job(2, 10));
+    let ended = play(&mut one, 6 * MS, 1000 * MS);
+    assert_eq!(ended.iter().map(|e| e.0).collect::<Vec<_>>(), [2], "what it held before is gone");
+    assert!((49 * MS..=51 * MS).contains(&(ended[0].1 - 6 * MS)), "a fifth as fast: {ended:?}");
+    assert!((one.warmth(5_006 * MS) - 0.6).abs() < 0.02 && one.warmth(10_006 * MS) == 1.0);
+}
+
+#[test]
+fn a_hung_box_takes_and_answers_nothing_until_it_wakes() {
+    let mut one = new(&BoxKind { drops_expired: true, ..kind() });
+    let mut done = Vec::new();
+    one.set_faults(0, BoxFaults { hung: true, slow: 1.0, ..BoxFaults::default() }, &mut done);
+    offer(&mut one, 0, Job { deadline: 50 * MS, ..job(0, 10) });
+    offer(&mut one, 0, job(1, 10));
+    assert_eq!(one.next(0), None);
+    one.set_faults(100 * MS, BoxFaults { slow: 1.0, ..BoxFaults::default() }, &mut done);
+    // The first one's time is over; it is dropped unseen.
+    assert_eq!(done.iter().map(|f| (f.id.0, f.word)).collect::<Vec<_>>(), [(0, Word::TurnedAway)]);
+    assert_eq!(play(&mut one, 100 * MS, 1000 * MS), [(1, 110 * MS, Word::Served)]);
+}
+
+#[test]
+fn a_crowded_box_is_slower_and_a_known_key_costs_less() {
+    let crowded = BoxKind { waiting: 100, crowded_from: 2.0, crowded_loss: 0.1, ..kind() };
+    let mut one = new(&crowded);
+    (0..6).for_each(|id| assert!(offer(&mut one, 0, job(id, 10)).is_empty()));
+    // Six held, four beyond two for its core: 60% of its speed until the first has ended.
+    let first = play(&mut one, 0, 17 * MS);
+    assert_eq!(first.len(), 1);
+    assert!((16 * MS..=17 * MS).contains(&first[0].1), "{first:?}");
+
+    let mut one = new(&BoxKind { keys_kept: 1, known_key_work: 0.5, ..kind() });
+    for (id, key, took) in [(0, 7, 10), (1, 7, 5), (2, 8, 10), (3, 7, 10)] {
+        let now = 100 * MS * id;
+        offer(&mut one, now, Job { key, ..job(id, 10) });
+        assert_eq!(play(&mut one, now, now + 99 * MS), [(id, now + took * MS, Word::Served)], "{id}");
+    }
+}
--- a/crates/site/tests/theory.rs
+++ b/crates/site/tests/theory.rs
@@ -82,6 +82,7 @@
 fn agrees(theory: f64, servers: u32, load: f64, cv: f64) {
     let runs: Vec<f64> = (1..=12).map(|seed| waiting(seed, servers, load, cv, 60_000)).collect();
     let (mean, half) = mean(&runs);
+    println!("{servers} servers, load {load}, cv {cv}: theory {theory:.4}, measured {mean:.4} ± {half:.4}");
     assert!((mean - theory).abs() <= 1.5 * half, "theory {theory:.4}, measured {mean:.4} ± {half:.4}");
     assert!(half < 0.1 * theory, "an interval this wide shows nothing: {mean:.4} ± {half:.4}");
 }
@@ -122,6 +123,7 @@
         let worth = |pick, seed| run(&site, seed, &Variant::baseline(pick)).verdict.worth;
         let pairs = (1..=24).map(|seed| worth(Pick::RoundRobin, seed) - worth(Pick::Random, seed));
         let (by, half) = mean(&pairs.collect::<Vec<_>>());
+        println!("aim {aim} ms, cv {cv}: in turn is better by {by:.4} ± {half:.4}");
         assert!(by - half > 0.0, "aim {aim}, cv {cv}: in turn is better by {by:.4} ± {half:.4}");
     }
 }
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,11 +1,12 @@
 //! The log: lines to standard error by a thread of its own. Nothing waits on a full pipe: lines beyond a bound are
 //! dropped and counted.
 
+use std::io::Write;
 use std::sync::mpsc;
 use std::time::Duration;
 
 use clap::ValueEnum;
-use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlocking, NonBlockingBuilder, WorkerGuard};
 
 /// Lines that may wait to be written; further ones are dropped.
 const WAITING: usize = 256;
@@ -27,13 +28,17 @@
     dropped: ErrorCounter,
 }
 
+/// A bounded writer, and the thread behind it.
+fn writer(to: impl Write + Send + 'static) -> (NonBlocking, WorkerGuard) {
+    NonBlockingBuilder::default().lossy(true).buffered_lines_limit(WAITING).thread_name("log").finish(to)
+}
+
 /// Opens the log for the whole process.
 ///
 /// # Errors
 /// Where one is open already.
 pub fn open(format: Format) -> Result<Log, String> {
-    let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(WAITING).thread_name("log");
-    let (writer, guard) = builder.finish(std::io::stderr());
+    let (writer, guard) = writer(std::io::stderr());
     let dropped = writer.error_counter();
     let log = tracing_subscriber::fmt().with_max_level(tracing::Level::INFO).with_writer(writer);
     let set = match format {
@@ -47,14 +52,16 @@
 }
 
 impl Log {
+    /// How many lines have been dropped so far, as a count that can be kept.
+    pub fn lost_lines(&self) -> impl Fn() -> u64 + 'static {
+        let dropped = self.dropped.clone();
+        move || dropped.dropped_lines() as u64
+    }
+
     /// Writes what waits, for a short while, and says what was dropped.
     pub fn close(self) {
         let (done, written) = mpsc::channel::<()>();
-        let Self { guard, dropped } = self;
-        let lines = dropped.dropped_lines();
-        if lines > 0 {
-            tracing::warn!(target: "log", "{lines} lines were dropped, as they could not be written in time");
-        }
+        let Self { guard, .. } = self;
         // Writing may block for as long as nobody reads: that is left to a thread that the process does not wait for.
         std::thread::spawn(move || {
             drop(guard);
@@ -63,3 +70,45 @@
         let _ = written.recv_timeout(LAST_LINES);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A pipe that takes nothing until it is told to, and says what it took.
+    struct Pipe(mpsc::Receiver<()>, mpsc::Sender<Vec<u8>>);
+
+    impl Write for Pipe {
+        fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+            // An end of the test ends the wait.
+            let _ = self.0.recv();
+            let _ = self.1.send(bytes.to_vec());
+            Ok(bytes.len())
+        }
+
+        fn flush(&mut self) -> std::io::Result<()> {
+            Ok(())
+        }
+    }
+
+    /// Were a line to wait for the full pipe, this test would never end.
+    #[test]
+    fn a_full_pipe_holds_up_nothing_and_what_is_dropped_is_counted() {
+        const LINES: usize = 1000;
+        let ((go, gone), (took, taken)) = (mpsc::channel(), mpsc::channel());
+        let (mut writer, guard) = writer(Pipe(gone, took));
+        let log = Log { dropped: writer.error_counter(), guard };
+        for n in 0..LINES {
+            writer.write_all(format!("line {n}\n").as_bytes()).expect("it takes or drops");
+        }
+        let lost = log.lost_lines()() as usize;
+        // One may be in the writing thread's hands already.
+        assert!((LINES - WAITING - 1..=LINES - WAITING).contains(&lost), "{lost} lost");
+        for _ in 0..LINES - lost {
+            go.send(()).expect("the pipe is there");
+        }
+        let written: Vec<Vec<u8>> = taken.iter().take(LINES - lost).collect();
+        assert_eq!(written[0], b"line 0\n", "the first ones are kept");
+        drop(go);
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -73,7 +73,7 @@
         std::thread::sleep(std::time::Duration::from_millis(50));
         std::process::exit(101);
     }));
-    let ended = magpietally_http::run(config);
+    let ended = magpietally_http::run(config, log.lost_lines());
     log.close();
     ended
 }
