Tell worst runs first, and let a baseline's first pick cost no walk

Need: weak spots are to be read worst first, and the driver's own cost must be told apart from that of a baseline that walked all boxes for each request.

--- a/crates/site/src/experiment.rs
+++ b/crates/site/src/experiment.rs
@@ -258,6 +258,16 @@
         });
     }
 
+    /// The runs of the first variant that came out worst: site, seed and goal.
+    pub fn worst(&self, results: &BTreeMap<String, Kept>, count: usize) -> Vec<(&str, u64, f64)> {
+        let first = self.jobs.iter().filter(|j| j.variant == 0);
+        let of = |j: &Job| Some((self.sites[j.site].name.as_str(), j.seed, results.get(&j.digest)?.goal));
+        let mut all: Vec<(&str, u64, f64)> = first.filter_map(of).collect();
+        all.sort_by(|a, b| a.2.total_cmp(&b.2));
+        all.truncate(count);
+        all
+    }
+
     /// Compares the variants on each site.
     pub fn compare(&self, results: &BTreeMap<String, Kept>) -> Vec<Row> {
         let mut rows = Vec::new();
@@ -288,6 +298,15 @@
     }
 }
 
+/// Rows with the site first on which the first variant does worst; rows of a site stay together.
+pub fn worst_first(rows: &mut [Row]) {
+    let mut first: BTreeMap<String, f64> = BTreeMap::new();
+    for row in rows.iter() {
+        first.entry(row.site.clone()).or_insert(row.goal);
+    }
+    rows.sort_by(|a, b| first[&a.site].total_cmp(&first[&b.site]));
+}
+
 /// One variant on one site.
 #[derive(Clone, Debug, Serialize, PartialEq)]
 pub struct Row {
--- a/crates/site/src/virt/plain.rs
+++ b/crates/site/src/virt/plain.rs
@@ -100,6 +100,40 @@
         self.out.get(&server).copied().unwrap_or(0)
     }
 
+    /// A first attempt may go to any server that is up.
+    fn choose_first(&mut self) -> Option<ServerId> {
+        let count = self.up.len();
+        if count == 0 {
+            return None;
+        }
+        match self.pick? {
+            Pick::Random => Some(self.up[self.random.below(count)]),
+            Pick::RoundRobin => {
+                let turn = self.up[self.cursor % count];
+                self.cursor = self.cursor % count + 1;
+                Some(turn)
+            }
+            Pick::TwoChoices => {
+                let (a, b) = (self.random.below(count), self.random.below(count));
+                Some(self.less_loaded(self.up[a], self.up[b]))
+            }
+            Pick::LeastInFlight => {
+                let up = std::mem::take(&mut self.up);
+                let least = self.choose(&up);
+                self.up = up;
+                least
+            }
+        }
+    }
+
+    fn less_loaded(&self, a: ServerId, b: ServerId) -> ServerId {
+        if self.load(b) < self.load(a) {
+            b
+        } else {
+            a
+        }
+    }
+
     fn choose(&mut self, may: &[ServerId]) -> Option<ServerId> {
         if may.is_empty() {
             return None;
@@ -120,12 +154,8 @@
                 least[self.random.below(least.len())]
             }
             Pick::TwoChoices => {
-                let (a, b) = (may[self.random.below(may.len())], may[self.random.below(may.len())]);
-                if self.load(b) < self.load(a) {
-                    b
-                } else {
-                    a
-                }
+                let (a, b) = (self.random.below(may.len()), self.random.below(may.len()));
+                self.less_loaded(may[a], may[b])
             }
         })
     }
@@ -145,15 +175,20 @@
 
     fn serve(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
         let Some(held) = self.requests.get(&id) else { return };
-        let last = held.attempts.last().map(|a| a.0);
-        let more = held.attempts.len() < self.settings.limits.attempts && now < held.deadline;
-        let may = |s: &&ServerId| self.servers.get(s).is_some_and(|e| self.harmless(held, now, Some(e)));
-        let mut to: Vec<ServerId> =
-            if more { self.up.iter().filter(may).copied().collect() } else { Vec::new() };
-        if to.len() > 1 {
-            to.retain(|s| Some(*s) != last);
-        }
-        let Some(server) = self.choose(&to) else {
+        let server = if held.attempts.is_empty() && now < held.deadline {
+            self.choose_first()
+        } else {
+            let last = held.attempts.last().map(|a| a.0);
+            let more = held.attempts.len() < self.settings.limits.attempts && now < held.deadline;
+            let may = |s: &&ServerId| self.servers.get(s).is_some_and(|e| self.harmless(held, now, Some(e)));
+            let mut to: Vec<ServerId> =
+                if more { self.up.iter().filter(may).copied().collect() } else { Vec::new() };
+            if to.len() > 1 {
+                to.retain(|s| Some(*s) != last);
+            }
+            self.choose(&to)
+        };
+        let Some(server) = server else {
             let refuse = self.requests.remove(&id).is_some_and(|held| self.harmless(&held, now, None));
             actions.push(if refuse { Action::Refuse { id, stay_away: 0.0 } } else { Action::Fail(id) });
             return;
--- a/crates/site/src/virt/shell.rs
+++ b/crates/site/src/virt/shell.rs
@@ -1,7 +1,7 @@
 //! What a node is besides its policy: connections, timers, its view of the list, and the requests that it holds. It
 //! stands for `core` and `http` in virtual time, and decides as little.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 
 use magpietally_policy::{Event, Outcome};
 
@@ -56,7 +56,8 @@
     pub(super) answered: Vec<Option<Micros>>,
     /// Tries that it holds: without an answer, or with attempts out.
     pub(super) open: BTreeSet<TryNo>,
-    kept: HashMap<usize, Vec<Kept>>,
+    /// By box.
+    kept: Vec<Vec<Kept>>,
 }
 
 impl Node {
@@ -76,7 +77,7 @@
             known: vec![None; boxes],
             answered: vec![None; boxes],
             open: BTreeSet::new(),
-            kept: HashMap::new(),
+            kept: vec![Vec::new(); boxes],
         }
     }
 
@@ -104,8 +105,7 @@
         idle_most: Micros,
         closed: &mut usize,
     ) -> bool {
-        let Some(kept) = self.kept.get_mut(&app_box) else { return false };
-        while let Some(last) = kept.pop() {
+        while let Some(last) = self.kept[app_box].pop() {
             if last.life == to.life() && to.up() && now < last.idle_since + idle_most {
                 return true;
             }
@@ -118,22 +118,18 @@
 
     /// Keeps a connection.
     pub(super) fn put(&mut self, now: Micros, app_box: usize, life: u32) {
-        self.kept.entry(app_box).or_default().push(Kept { life, idle_since: now });
+        self.kept[app_box].push(Kept { life, idle_since: now });
     }
 
     /// Closes all kept connections to a box; gives how many led to this life of it.
     pub(super) fn forget(&mut self, app_box: usize, life: u32) -> usize {
-        let kept = self.kept.remove(&app_box).unwrap_or_default();
+        let kept = std::mem::take(&mut self.kept[app_box]);
         kept.iter().filter(|k| k.life == life).count()
     }
 
-    /// Closes all kept connections; how many led to the present life of each box, sorted by box.
+    /// Closes all kept connections; how many led to the present life of each box.
     pub(super) fn forget_all(&mut self, life: impl Fn(usize) -> u32) -> Vec<(usize, usize)> {
-        let of = |(b, kept): (usize, Vec<Kept>)| (b, kept.iter().filter(|k| k.life == life(b)).count());
-        let mut all: Vec<(usize, usize)> = self.kept.drain().map(of).collect();
-        // The map's order must not show.
-        all.sort_unstable();
-        all
+        (0..self.kept.len()).map(|b| (b, self.forget(b, life(b)))).filter(|(_, closed)| *closed > 0).collect()
     }
 }
 
--- a/src/commands/experiment.rs
+++ b/src/commands/experiment.rs
@@ -5,7 +5,7 @@
 
 use clap::Args;
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
-use magpietally_site::experiment::{table, Kept, Line, Plan};
+use magpietally_site::experiment::{table, worst_first, Kept, Line, Plan};
 
 use super::{text_of, wrong, Failure};
 
@@ -20,6 +20,9 @@
     /// Threads; as many as there are cores by default
     #[arg(long)]
     threads: Option<usize>,
+    /// Worst sites first, and then this many of the first variant's worst runs
+    #[arg(long)]
+    worst: Option<usize>,
     /// The comparison as one line of JSON for each row, in place of the table
     #[arg(long)]
     json: bool,
@@ -69,7 +72,10 @@
         }
     });
     bar.finish_and_clear();
-    let rows = plan.compare(&results);
+    let mut rows = plan.compare(&results);
+    if args.worst.is_some() {
+        worst_first(&mut rows);
+    }
     if args.json {
         for row in &rows {
             println!("{}", serde_json::to_string(row).map_err(|e| e.to_string())?);
@@ -77,6 +83,9 @@
     } else {
         println!("{}: {} runs", plan.experiment.name, results.len());
         print!("{}", table(&rows));
+        for (site, seed, goal) in plan.worst(&results, args.worst.unwrap_or(0)) {
+            println!("worst: {goal:.4}  {site} --seed {seed}");
+        }
     }
     trouble.map_or(Ok(()), |words| Err(Failure::Failed(words)))
 }
