Keep the order of turns, the sums and the calm of the subset as state, not by walks

Need: each event walked all servers several times: for the next turn, for when time calls for something, for the sums of sizes, and to drop servers that are gone. A request cost more with each box that the node knows.

Change: turns lie in an ordered structure of their own; the sum of sizes is kept while all are warm, and the walk for ejected and cold servers is made only where one may be; an attempt's end drops its own server alone; second copies are looked for only where they may be sent. Rates, the order and the random numbers move to a pure crate, `structures`, with tests. Decisions do not change.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -7,6 +7,8 @@
 
 use std::collections::BTreeMap;
 
+use magpietally_structures::{mix, ByNumber, Rate, SplitMix, GOLDEN};
+
 use crate::api::*;
 
 /// Consecutive failures that make a server an outlier, where a single one proves nothing.
@@ -78,7 +80,7 @@
 /// The decision module of one node.
 pub struct Balancer {
     set: Settings,
-    random: u64,
+    random: SplitMix,
     now: Millis,
     servers: BTreeMap<ServerId, Server>,
     /// All servers that are up, sorted.
@@ -87,6 +89,12 @@
     order: Vec<ServerId>,
     /// Those that it rotates over, sorted.
     subset: Vec<ServerId>,
+    /// The turns of these, as far as they have one.
+    turns: ByNumber<ServerId>,
+    /// Any of them may be ejected or cold; what is so is looked up only then.
+    restless: bool,
+    /// Their size together, where all of them are warm.
+    warm_size: Option<f64>,
     /// When the subset was last chosen.
     chosen: Millis,
     requests: BTreeMap<RequestId, Request>,
@@ -201,13 +209,6 @@
     refused: Rate,
 }
 
-/// A rate that forgets.
-#[derive(Default)]
-struct Rate {
-    per_s: f64,
-    at: Millis,
-}
-
 /// Worth asked for and served.
 struct Served {
     asked: Rate,
@@ -225,33 +226,12 @@
     AskAt(Millis, u32),
 }
 
-/// The step of SplitMix64's walk.
-const GOLDEN: u64 = 0x9E37_79B9_7F4A_7C15;
-
-/// The mixing of SplitMix64.
-fn mix(mut z: u64) -> u64 {
-    z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-    z ^ (z >> 31)
-}
-
 /// Does this tell that the process is down? A refusal is quick then; where the way is cut it takes the whole
 /// time.
 fn is_down(outcome: Outcome, took: Millis, limits: &Limits) -> bool {
     outcome == Outcome::ConnectFailed && took < 0.9 * limits.connect_timeout
 }
 
-impl Rate {
-    fn add(&mut self, now: Millis, span: Millis, amount: f64) {
-        self.per_s = self.at(now, span) + amount * 1000.0 / span.max(1.0);
-        self.at = now;
-    }
-
-    fn at(&self, now: Millis, span: Millis) -> f64 {
-        self.per_s * (-(now - self.at).max(0.0) / span.max(1.0)).exp()
-    }
-}
-
 impl Server {
     fn listed_up(&self) -> bool {
         self.entry.state == Listed::Up
@@ -345,12 +325,15 @@
         let quotas = settings.tenants.iter().map(|_| (0.0, f64::NEG_INFINITY)).collect();
         Ok(Self {
             set: settings,
-            random: seed,
+            random: SplitMix(seed),
             now: 0.0,
             servers: BTreeMap::new(),
             members: Vec::new(),
             order: Vec::new(),
             subset: Vec::new(),
+            turns: ByNumber::default(),
+            restless: false,
+            warm_size: None,
             chosen: f64::NEG_INFINITY,
             requests: BTreeMap::new(),
             waiting: Vec::new(),
@@ -437,10 +420,9 @@
             Call::Asked(at, _) => at + self.set.rules.ask_within,
         };
         let held = if self.waiting.is_empty() { f64::INFINITY } else { self.swept + self.period() };
-        let mut due = call.min(held);
         let hedge = self.hedges().map(|(_, at)| at.max(self.swept + self.period()));
-        due = hedge.fold(due, f64::min);
-        for server in self.rotated() {
+        let mut due = hedge.fold(call.min(held), f64::min);
+        for server in self.rotated().take_while(|_| self.restless) {
             if let (Some(at), false) = (server.ejected, server.probing) {
                 due = due.min(at);
             }
@@ -463,11 +445,6 @@
         (aim / 20.0).max(self.set.tick).max(1.0)
     }
 
-    fn random(&mut self) -> f64 {
-        self.random = self.random.wrapping_add(GOLDEN);
-        (mix(self.random) >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     // ---- The list of servers ----
 
     fn on_list(&mut self, entries: Vec<Entry>, answer: bool, whole: bool) {
@@ -547,7 +524,7 @@
             // Backoff with jitter, so that nodes cut off together do not come back together; well within the
             // time after which a node that has not asked counts as told.
             let span = (self.set.rules.ask_within / 40.0) * f64::from(1u32 << failures.min(4));
-            self.call = Call::AskAt(self.now + span * (0.5 + 0.5 * self.random()), failures);
+            self.call = Call::AskAt(self.now + span * (0.5 + 0.5 * self.random.part()), failures);
         }
     }
 
@@ -650,6 +627,8 @@
         }
         (self.subset, self.chosen) = (subset, self.now);
         self.place_newcomers();
+        self.turns = self.rotated().map(|s| (s.entry.server, s.turn)).collect();
+        self.note_calm();
     }
 
     // ---- The rotation ----
@@ -668,7 +647,7 @@
             if !self.servers.get(id).is_some_and(|s| s.turn.is_nan()) {
                 continue;
             }
-            let stagger = self.random();
+            let stagger = self.random.part();
             if let Some(server) = self.servers.get_mut(id) {
                 let after = (place + count - cursor_at.unwrap_or(number) % count) % count;
                 let warmth = server.warmth(self.now, &self.set.rules);
@@ -681,27 +660,41 @@
         }
     }
 
+    /// Notes what calm events need not look up.
+    fn note_calm(&mut self) {
+        let cold = |s: &Server| s.warmth(self.now, &self.set.rules) < 1.0;
+        let warm_size = (!self.rotated().any(cold)).then(|| self.rotated().map(|s| s.size).sum());
+        let restless = self.rotated().any(|s| s.ejected.is_some() || s.turn_warmth < 1.0);
+        (self.warm_size, self.restless) = (warm_size, restless);
+    }
+
     /// Takes turns until one falls to a server that `ready` lets through; the others are passed over in
     /// place.
     fn next_turn(&mut self, ready: impl Fn(&Self, &Server) -> bool) -> Option<ServerId> {
         if !self.rotated().any(|s| ready(self, s)) {
             return None;
         }
-        let (now, cursor, rules) = (self.now, self.cursor, &self.set.rules);
-        for id in &self.subset {
+        let (now, cursor, rules, restless) = (self.now, self.cursor, &self.set.rules, self.restless);
+        for id in self.subset.iter().take_while(|_| restless) {
             // As a cold one warms up its turns come closer.
             let Some(server) = self.servers.get_mut(id).filter(|s| s.turn_warmth < 1.0) else { continue };
             let warmth = server.warmth(now, rules);
             server.turn = cursor + (server.turn - cursor) * server.turn_warmth / warmth;
             server.turn_warmth = warmth;
+            self.turns.set(*id, server.turn);
+        }
+        if restless {
+            self.note_calm();
         }
         loop {
-            let id = self.rotated().min_by(|a, b| a.turn.total_cmp(&b.turn))?.entry.server;
+            let id = self.turns.first()?;
             let passes = ready(self, &self.servers[&id]);
             let server = self.servers.get_mut(&id)?;
             (self.cursor, self.cursor_at) = (server.turn, Some(id));
             server.turn_warmth = server.warmth(now, &self.set.rules);
             server.turn += 1.0 / (server.size * server.share * server.turn_warmth);
+            self.restless |= server.turn_warmth < 1.0;
+            self.turns.set(id, server.turn);
             if passes {
                 return Some(id);
             }
@@ -749,7 +742,7 @@
             return true;
         }
         let part = SLOW_START_CAUTION * rules.fall_multiple * warmth;
-        let pace = if self.pace.per_s > 0.0 { self.pace.per_s } else { self.arrivals.per_s };
+        let pace = if self.pace.latest() > 0.0 { self.pace.latest() } else { self.arrivals.latest() };
         let space = 1000.0 / (part * pace * server.size);
         self.now - server.last_sent >= space * server.stagger
     }
@@ -790,7 +783,7 @@
     }
 
     fn on_probed(&mut self, id: ServerId, outcome: Outcome, took: Millis) {
-        let (now, stagger) = (self.now, self.random());
+        let (now, stagger) = (self.now, self.random.part());
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.probing = false;
         if server.ejected.is_none() {
@@ -868,7 +861,8 @@
             return;
         }
         self.retry_budget = (self.retry_budget + RETRY_BUDGET_SHARE).min(RETRY_BUDGET_MAX);
-        let size: f64 = self.rotated().map(|s| s.size * s.warmth(self.now, &self.set.rules)).sum();
+        let walk = || self.rotated().map(|s| s.size * s.warmth(self.now, &self.set.rules)).sum();
+        let size: f64 = self.warm_size.unwrap_or_else(walk);
         self.arrivals.add(self.now, self.set.rules.fall_window, 1.0 / size.max(1.0));
         let tenant = tenant.filter(|t| *t < self.set.tenants.len());
         let in_share = tenant.is_none_or(|t| self.take_quota(t));
@@ -1019,7 +1013,9 @@
         if !hurried {
             self.detect_outlier(server, outcome, took);
         }
-        self.servers.retain(|_, s| s.entry.state != Listed::Gone || !s.out.is_empty());
+        if self.servers.get(&server).is_some_and(|s| s.entry.state == Listed::Gone && s.out.is_empty()) {
+            self.servers.remove(&server);
+        }
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(ended) = request.attempts.get_mut(attempt).filter(|a| a.outcome.is_none()) else { return };
         ended.outcome = Some(outcome);
@@ -1072,7 +1068,8 @@
         let warm = |s: &Server| s.warmth(now, rules) >= 1.0;
         if done && self.servers.get(&id).is_some_and(warm) {
             // Measured on warm servers alone: measured on cold ones too, a cold budget would feed on itself.
-            let size: f64 = self.rotated().filter(|s| warm(s)).map(|s| s.size).sum();
+            let walk = || self.rotated().filter(|s| warm(s)).map(|s| s.size).sum();
+            let size: f64 = self.warm_size.unwrap_or_else(walk);
             self.pace.add(now, rules.fall_window, 1.0 / size.max(f64::MIN_POSITIVE));
         }
         let count = self.set.classes.len();
@@ -1121,7 +1118,7 @@
     /// none is held for load: what is merely heavy would else run twice.
     fn hedges(&self) -> impl Iterator<Item = (RequestId, Millis)> + '_ {
         let may = self.set.limits.second_copies && self.lost > LOST.0 && self.waiting.is_empty();
-        self.requests.iter().filter(move |_| may).filter_map(|(id, r)| {
+        self.requests.iter().take_while(move |_| may).filter_map(|(id, r)| {
             let [Attempt { outcome: None, sent, .. }] = r.attempts.as_slice() else { return None };
             let (class, mean) = (&self.set.classes[r.class], self.classes[r.class].mean);
             let at = sent + MISSED_AFTER * mean;
