--- a/src/commands/demo.rs
+++ b/src/commands/demo.rs
@@ -194,8 +194,10 @@
         }
     }
 
-    fn end(&self) {
-        if let Self::Live { all, .. } = self {
+    /// The course is over: nothing of it may be drawn over what follows.
+    fn end(self) {
+        if let Self::Live { all, course, sums, boxes } = self {
+            [course, sums].iter().chain(&boxes).for_each(ProgressBar::finish_and_clear);
             // A terminal that is gone has nothing to clear.
             let _ = all.clear();
         }
