Let the two drivers of the site share what they both wrote out

Cause: a read of the whole change. The kinds of the boxes, the size that the list tells, the least cold share, the longest warm-up and the longest deadline were each computed in two or three places, and the goal's formula twice; the list kept a time with each change and a look-up that nothing used, and the app box a sum that was always nothing.

Change: each stands once, on the site, the kind or the referee; what was dead is gone. Behaviour is the same.

--- a/crates/site/src/experiment.rs
+++ b/crates/site/src/experiment.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::examples;
+use crate::model::referee::goal;
 use crate::model::spec::Site;
 use crate::virt::{self, Run, Variant};
 
@@ -226,7 +227,7 @@
             };
             let broken = v["broken"].as_object();
             let rules_broken = broken.map_or(0, |b| b.values().filter_map(serde_json::Value::as_u64).sum());
-            let goal = 0.45 * worth + 0.15 * worst_10_s + 0.3 * class + 0.1 * tenant;
+            let goal = goal(worth, worst_10_s, class, tenant);
             kept.insert(digest.to_string(), Kept { goal, worth, worst_10_s, rules_broken });
         }
         kept.retain(|digest, _| self.jobs.iter().any(|j| j.digest == *digest));
--- a/crates/site/src/model/boxes.rs
+++ b/crates/site/src/model/boxes.rs
@@ -171,8 +171,7 @@
 
     /// Work done for nothing, in microseconds of a standard core.
     pub fn wasted(&self) -> f64 {
-        let partly: f64 = self.running.iter().map(|r| r.work - (r.place - self.axis).max(0.0)).sum();
-        self.wasted + if self.up { 0.0 } else { partly }
+        self.wasted
     }
 
     /// What it can do when it is warm, in microseconds of work a microsecond.
@@ -213,7 +212,6 @@
     /// Its process ends, and with it all that it held.
     pub fn stop(&mut self, now: Micros) {
         self.advance_axis(now);
-        self.wasted = self.wasted();
         for r in &self.running {
             self.wasted += r.work - (r.place - self.axis).max(0.0);
         }
@@ -257,7 +255,7 @@
             return;
         }
         if self.running.len() < self.slots {
-            self.begin(now, job);
+            self.begin(job);
             self.set_rate(now);
         } else if self.waiting.len() < self.waiting_most {
             self.waiting.push_back(job);
@@ -350,13 +348,13 @@
             if self.drops_expired && job.deadline <= now {
                 out.push(Finished { id: job.id, word: Word::TurnedAway, ran: false, work: 0.0 });
             } else {
-                self.begin(now, job);
+                self.begin(job);
             }
         }
         self.set_rate(now);
     }
 
-    fn begin(&mut self, _now: Micros, job: Job) {
+    fn begin(&mut self, job: Job) {
         let known = self.keys_kept > 0 && self.keys.contains_key(&job.key);
         let work = job.work * if known { self.known_key_work } else { 1.0 };
         self.running.push(Running { job, place: self.axis + work, work });
--- a/crates/site/src/model/list.rs
+++ b/crates/site/src/model/list.rs
@@ -46,13 +46,6 @@
     }
 }
 
-/// One version of the list and what it changed.
-#[derive(Clone, Copy, Debug)]
-struct Version {
-    at: Micros,
-    entry: Entry,
-}
-
 /// How a call goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Call {
@@ -74,7 +67,8 @@
     stale_for: Micros,
     random: Stream,
     entries: Vec<Entry>,
-    changes: VecDeque<Version>,
+    /// What each of the latest versions changed.
+    changes: VecDeque<Entry>,
     /// The version of the newest change.
     version: u64,
     down: bool,
@@ -111,13 +105,13 @@
     }
 
     /// A change is noticed; its version, or `None` where it is no change.
-    pub fn notice(&mut self, now: Micros, entry: Entry) -> Option<u64> {
+    pub fn notice(&mut self, entry: Entry) -> Option<u64> {
         if self.entries[entry.app_box] == entry {
             return None;
         }
         self.entries[entry.app_box] = entry;
         self.version += 1;
-        self.changes.push_back(Version { at: now, entry });
+        self.changes.push_back(entry);
         if self.changes.len() > REMEMBERED {
             self.changes.pop_front();
         }
@@ -175,7 +169,7 @@
             return None;
         }
         let (from, to) = ((version - oldest) as usize, (newest - oldest) as usize);
-        Some((self.changes.range(from..to).map(|v| v.entry).collect(), newest))
+        Some((self.changes.range(from..to).copied().collect(), newest))
     }
 
     /// The whole list as it tells it at present, and its version.
@@ -186,19 +180,14 @@
         let hidden = (self.version - newest) as usize;
         let known = self.changes.len().saturating_sub(hidden);
         for place in (known..self.changes.len()).rev() {
-            let app_box = self.changes[place].entry.app_box;
-            let before = self.changes.range(..place).rev().find(|v| v.entry.app_box == app_box);
+            let app_box = self.changes[place].app_box;
+            let before = self.changes.range(..place).rev().find(|e| e.app_box == app_box);
             let first = Entry { app_box, state: State::Up, started: None };
-            entries[app_box] = before.map_or(first, |v| v.entry);
+            entries[app_box] = before.copied().unwrap_or(first);
         }
         entries.retain(|e| e.state != State::Gone);
         (entries, newest)
     }
-
-    /// When the newest change of a box was noticed.
-    pub fn noticed(&self, app_box: usize) -> Option<Micros> {
-        self.changes.iter().rev().find(|v| v.entry.app_box == app_box).map(|v| v.at)
-    }
 }
 
 #[cfg(test)]
@@ -227,9 +216,9 @@
     #[test]
     fn back_from_being_down_it_tells_for_a_while_what_it_knew_before() {
         let mut list = list(20.0);
-        assert_eq!(list.notice(1, drains(0)), Some(2));
+        assert_eq!(list.notice(drains(0)), Some(2));
         list.set_down(10, true);
-        assert_eq!(list.notice(20, drains(1)), Some(3));
+        assert_eq!(list.notice(drains(1)), Some(3));
         list.set_down(30, false);
         let (entries, version) = list.whole(40);
         assert_eq!(version, 2);
--- a/crates/site/src/model/referee.rs
+++ b/crates/site/src/model/referee.rs
@@ -191,10 +191,15 @@
 
     /// One figure: the whole, the worst 10 s, the worst class and the worst tenant, weighted as the users do.
     pub fn goal(&self) -> f64 {
-        0.45 * self.worth + 0.15 * self.worst_10_s + 0.3 * self.worst_class + 0.1 * self.worst_tenant
+        goal(self.worth, self.worst_10_s, self.worst_class, self.worst_tenant)
     }
 }
 
+/// The users' figure for the worth of the whole, the worst 10 s, the worst class and the worst tenant.
+pub fn goal(whole: f64, worst_10_s: f64, worst_class: f64, worst_tenant: f64) -> f64 {
+    0.45 * whole + 0.15 * worst_10_s + 0.3 * worst_class + 0.1 * worst_tenant
+}
+
 struct ClassRule {
     name: String,
     worth: f64,
--- a/crates/site/src/model/spec.rs
+++ b/crates/site/src/model/spec.rs
@@ -165,6 +165,17 @@
     pub listed_by_size: bool,
 }
 
+impl BoxKind {
+    /// What the list says of its size.
+    pub fn listed_size(&self) -> f64 {
+        if self.listed_by_size {
+            f64::from(self.cores) * self.speed
+        } else {
+            1.0
+        }
+    }
+}
+
 /// The box list: one service for all nodes.
 #[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
 #[serde(deny_unknown_fields, default)]
@@ -483,6 +494,27 @@
         self.boxes.iter().flat_map(of).collect()
     }
 
+    /// The kind of each box, by its place.
+    pub fn box_kinds(&self) -> Vec<usize> {
+        let of = |(n, k): (usize, &BoxKind)| std::iter::repeat_n(n, k.count);
+        self.boxes.iter().enumerate().flat_map(of).collect()
+    }
+
+    /// The least share of its capacity that a box starts with.
+    pub fn cold_share(&self) -> f64 {
+        self.boxes.iter().map(|k| k.cold_share).fold(f64::INFINITY, f64::min)
+    }
+
+    /// When all boxes are warm at the latest, in milliseconds.
+    pub fn warm_within_ms(&self) -> f64 {
+        self.boxes.iter().map(|k| k.warm_s * 1000.0).fold(0.0, f64::max)
+    }
+
+    /// The longest that a client waits, in milliseconds.
+    pub fn longest_deadline_ms(&self) -> f64 {
+        self.clients.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max)
+    }
+
     /// Mean work of a request, in milliseconds of a standard core.
     pub fn mean_work_ms(&self) -> f64 {
         let shares: f64 = self.clients.classes.iter().map(|c| c.share).sum();
@@ -640,7 +672,6 @@
             },
         };
         let tenant = |t: &Tenant| policy::Tenant { quota_per_s: t.quota_per_s };
-        let least = |of: fn(&BoxKind) -> f64| self.boxes.iter().map(of).fold(f64::INFINITY, f64::min);
         policy::Settings {
             number,
             nodes: n.count,
@@ -658,8 +689,8 @@
             },
             rules: policy::Rules {
                 ask_within: r.ask_within_ms,
-                cold_share: least(|k| k.cold_share),
-                warm_within: self.boxes.iter().map(|k| k.warm_s * 1000.0).fold(0.0, f64::max),
+                cold_share: self.cold_share(),
+                warm_within: self.warm_within_ms(),
                 fall_multiple: r.fall_multiple,
                 fall_window: r.fall_ms,
             },
--- a/crates/site/src/sockets/config.rs
+++ b/crates/site/src/sockets/config.rs
@@ -31,8 +31,6 @@
         })
     };
     let tenant = |t: &Tenant| json!({"Name": t.name, "QuotaPerS": t.quota_per_s, "Share": t.share});
-    let least = site.boxes.iter().map(|k| k.cold_share).fold(f64::INFINITY, f64::min);
-    let warm = site.boxes.iter().map(|k| k.warm_s * 1000.0).fold(0.0, f64::max);
     json!({
         "name": format!("node-{n}"), "listen": "127.0.0.1:0", "discovery": list_at.to_string(),
         "seed": format!("{seed:016x}"),
@@ -43,7 +41,7 @@
             "Customers": site.clients.tenants.iter().map(tenant).collect::<Vec<_>>(),
             "Contract": {
                 "AnswerSlack": rules.answer_slack_ms, "AskWithin": rules.ask_within_ms,
-                "ColdShare": least, "WarmWithin": warm, "DrainGrace": rules.drain_grace_ms,
+                "ColdShare": site.cold_share(), "WarmWithin": site.warm_within_ms(), "DrainGrace": rules.drain_grace_ms,
                 "FallMultiple": rules.fall_multiple, "Fall": rules.fall_ms,
             },
             "Discovery": "subscribe", "Weights": "nominal",
--- a/crates/site/src/sockets/list.rs
+++ b/crates/site/src/sockets/list.rs
@@ -63,7 +63,6 @@
 fn host(stage: &Stage, e: &Entry) -> Value {
     let state = stage.state.borrow();
     let kind = &stage.site.boxes[state.box_kind[e.app_box]];
-    let size = if kind.listed_by_size { f64::from(kind.cores) * kind.speed } else { 1.0 };
     json!({
         "host": stage.box_names[e.app_box],
         "dial": state.box_at[e.app_box].map(|at| at.to_string()),
@@ -75,7 +74,7 @@
             BoxState::Draining => "leaving",
             BoxState::Gone => "left",
         },
-        "share": size,
+        "share": kind.listed_size(),
         "born_ms": e.started.map_or(0.0, |at| stage.unix_ms(at)),
     })
 }
@@ -86,12 +85,11 @@
     let stage = stage.clone();
     spawn_local(async move {
         tokio::time::sleep(span).await;
-        let now = stage.now();
         let changed = {
             let state = &mut *stage.state.borrow_mut();
             let draining = state.active.holds(Effect::Draining(b));
             let truth = Entry::of(b, &state.boxes[b], draining, state.active.clock_off(b));
-            state.list.notice(now, truth).is_some()
+            state.list.notice(truth).is_some()
         };
         if changed {
             stage.news.send_modify(|n| *n += 1);
--- a/crates/site/src/sockets/mod.rs
+++ b/crates/site/src/sockets/mod.rs
@@ -167,7 +167,7 @@
         progress(&stage.progress());
     }
     // All that was asked is answered, or its time is up.
-    let longest = site.clients.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+    let longest = site.longest_deadline_ms();
     tokio::time::sleep(Duration::from_secs_f64((longest + site.rules.answer_slack_ms) / 1000.0)).await;
     clients.abort();
     faults.abort();
--- a/crates/site/src/sockets/nodes.rs
+++ b/crates/site/src/sockets/nodes.rs
@@ -207,7 +207,7 @@
         node.life
     };
     signal(stage, n, Signal::SIGTERM);
-    let longest = stage.site.clients.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+    let longest = stage.site.longest_deadline_ms();
     let patience = Duration::from_secs_f64(longest / 1000.0) + PATIENCE;
     let stage = stage.clone();
     spawn_local(async move {
--- a/crates/site/src/sockets/stage.rs
+++ b/crates/site/src/sockets/stage.rs
@@ -97,10 +97,7 @@
 impl Stage {
     pub(super) fn new(site: &Site, options: &Options) -> Rc<Self> {
         let seed = options.seed;
-        let mut box_kind = Vec::new();
-        for (n, kind) in site.boxes.iter().enumerate() {
-            box_kind.extend(std::iter::repeat_n(n, kind.count));
-        }
+        let box_kind = site.box_kinds();
         let count = box_kind.len();
         let own = |b: usize| Stream::new(seed ^ ((b as u64 + 1) << 20), Purpose::Boxes);
         let boxes = box_kind.iter().enumerate().map(|(b, k)| AppBox::new(&site.boxes[*k], own(b))).collect();
--- a/crates/site/src/virt/listing.rs
+++ b/crates/site/src/virt/listing.rs
@@ -22,7 +22,7 @@
                 State::Draining => Listed::Draining,
                 State::Gone => Listed::Gone,
             },
-            weight: if kind.listed_by_size { f64::from(kind.cores) * kind.speed } else { 1.0 },
+            weight: kind.listed_size(),
             started: e.started.map(millis),
         }
     }
@@ -35,7 +35,7 @@
     pub(super) fn noticed(&mut self, b: usize) {
         let draining = self.active.holds(Effect::Draining(b));
         let truth = list::Entry::of(b, &self.boxes[b], draining, self.active.clock_off(b));
-        if self.list.notice(self.now, truth).is_some() && !self.list.down() {
+        if self.list.notice(truth).is_some() && !self.list.down() {
             self.tell_watchers();
         }
     }
--- a/crates/site/src/virt/world.rs
+++ b/crates/site/src/virt/world.rs
@@ -168,10 +168,7 @@
 impl<'a> World<'a> {
     fn new(site: &'a Site, seed: u64, variant: &'a Variant) -> Self {
         let toggles = schedule(site, seed);
-        let mut kinds = Vec::new();
-        for (n, kind) in site.boxes.iter().enumerate() {
-            kinds.extend(std::iter::repeat_n(n, kind.count));
-        }
+        let kinds = site.box_kinds();
         let count = kinds.len();
         let own = |b: usize| Stream::new(seed ^ ((b as u64 + 1) << 20), Purpose::Boxes);
         let boxes = kinds.iter().enumerate().map(|(b, k)| AppBox::new(&site.boxes[*k], own(b))).collect();
@@ -249,7 +246,7 @@
 
     /// How long a run goes on after its last arrival.
     pub(super) fn rest(&self) -> Micros {
-        let longest = self.site.clients.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+        let longest = self.site.longest_deadline_ms();
         micros(longest) + micros(self.site.rules.answer_slack_ms) + AFTER
     }
 
