--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -22,8 +22,8 @@
 use tokio::time::timeout;
 
 use crate::carrier::Http;
-use crate::message::{end_to_end, Message, Reply, BODY_MOST, REMAINING, SERVICE};
-use crate::sock::{Io, Phase, Sock};
+use crate::message::{keep_end_to_end, Message, Reply, BODY_MOST, REMAINING, SERVICE};
+use crate::sock::{io, Phase, Sock};
 
 type Node = Core<Http>;
 type Asked = magpietally_core::Asked<Message>;
@@ -239,7 +239,7 @@
         let conn = http1::Builder::new()
             .max_buf_size(HEAD_MOST)
             .auto_date_header(false)
-            .serve_connection(Io(client.sock.clone()), service);
+            .serve_connection(io(client.sock.clone()), service);
         tokio::select! {
             // What breaks a client's connection is the client's to see.
             _ = conn => {
@@ -460,7 +460,8 @@
         }
         Err(_) => return Err(Bad { status: StatusCode::BAD_REQUEST, closes: true }),
     };
-    let mut headers = end_to_end(&parts.headers);
+    let mut headers = parts.headers;
+    keep_end_to_end(&mut headers);
     headers.remove(REMAINING);
     if !headers.contains_key(HOST) {
         headers.insert(HOST, SERVICE);
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 use crate::list::listing;
-use crate::sock::{Io, Sock};
+use crate::sock::{io, Sock};
 
 /// The longest line that is taken.
 const LINE_MOST: usize = 4 << 20;
@@ -115,7 +115,7 @@
     let broken = |words: &str| Ended::Broken(words.to_string());
     let stream = timeout(CONNECT, TcpStream::connect(to)).await.map_err(|_| broken("no connection"))?;
     let sock = stream.and_then(Sock::new).map_err(|e| broken(&e.to_string()))?;
-    let (mut send, conn) = http1::handshake(Io(sock)).await?;
+    let (mut send, conn) = http1::handshake(io(sock)).await?;
     let driver = tokio::task::spawn_local(async move {
         // What breaks the connection breaks the call too, and is seen there.
         let _ = conn.await;
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -3,7 +3,10 @@
 use std::fmt;
 
 use bytes::Bytes;
-use hyper::header::{HeaderName, HeaderValue, CONNECTION, HOST};
+use hyper::header::{
+    HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
 use hyper::{HeaderMap, Method, Uri};
 use magpietally_core::{number_of, Payload};
 
@@ -51,27 +54,62 @@
     pub body: Bytes,
 }
 
-/// The headers that are not about one connection alone.
-pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    const HOP: [&str; 10] = [
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
+/// Drops the headers that are about one connection alone, in place.
+pub fn keep_end_to_end(headers: &mut HeaderMap) {
+    const HOP: [HeaderName; 9] = [
+        CONTENT_LENGTH,
+        EXPECT,
+        HeaderName::from_static("keep-alive"),
+        PROXY_AUTHENTICATE,
+        PROXY_AUTHORIZATION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
     ];
-    let named: Vec<String> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    let goes = |name: &HeaderName| !HOP.contains(&name.as_str()) && !named.iter().any(|n| n == name.as_str());
-    headers.iter().filter(|(name, _)| goes(name)).map(|(n, v)| (n.clone(), v.clone())).collect()
+    if headers.contains_key(CONNECTION) {
+        let named: Vec<HeaderName> = headers
+            .get_all(CONNECTION)
+            .iter()
+            .filter_map(|v| v.to_str().ok())
+            .flat_map(|v| v.split(','))
+            .filter_map(|name| name.trim().parse().ok())
+            .collect();
+        for name in named {
+            headers.remove(name);
+        }
+        headers.remove(CONNECTION);
+    }
+    for name in &HOP {
+        headers.remove(name);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_about_one_connection_goes_no_further() {
+        let mut headers = HeaderMap::new();
+        let all = [
+            ("connection", "close, X-Private"),
+            ("connection", "Keep-Alive,, not a name"),
+            ("keep-alive", "timeout=5"),
+            ("x-private", "1"),
+            ("x-private", "2"),
+            ("te", "trailers"),
+            ("content-length", "3"),
+            ("x-txn", "7"),
+            ("cookie", "m=1"),
+            ("cookie", "n=2"),
+        ];
+        for (name, value) in all {
+            headers.append(HeaderName::from_static(name), HeaderValue::from_static(value));
+        }
+        keep_end_to_end(&mut headers);
+        let mut left: Vec<_> = headers.iter().map(|(n, v)| (n.as_str(), v.to_str().unwrap_or("?"))).collect();
+        left.sort_unstable();
+        assert_eq!(left, [("cookie", "m=1"), ("cookie", "n=2"), ("x-txn", "7")]);
+    }
 }
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::sock::{Io, Sock};
+use crate::sock::{io, Io, Sock};
 
 /// The largest head of an answer.
 const HEAD_MOST: usize = 32 * 1024;
@@ -114,14 +114,15 @@
     pub fn sweep(&self) {
         let mut idle = self.idle.borrow_mut();
         for links in idle.values_mut() {
-            links.retain(|l| l.since.elapsed() < self.idle_most && l.sock.quiet());
+            links.retain(|l| l.since.elapsed() < self.idle_most && l.sock.seems_quiet());
         }
         idle.retain(|_, links| !links.is_empty());
     }
 
     /// The connection that was used last, if any still stands. All that a server had open can go silent at once,
-    /// while new ones work: while an attempt has long been unheard, those last used before it are left alone.
-    pub(crate) fn take(&self, server: ServerId) -> Option<Link> {
+    /// while new ones work: while an attempt has long been unheard, those last used before it are left alone. `sure` asks
+    /// the kernel whether it stands, for what must not be sent in vain.
+    pub(crate) fn take(&self, server: ServerId, sure: bool) -> Option<Link> {
         let doubt = self.long_unheard(server);
         let mut idle = self.idle.borrow_mut();
         let links = idle.get_mut(&server)?;
@@ -130,7 +131,8 @@
                 links.push(link);
                 return None;
             }
-            if link.since.elapsed() < self.idle_most && link.sock.quiet() {
+            let quiet = |sock: &Sock| if sure { sock.quiet() } else { sock.seems_quiet() };
+            if link.since.elapsed() < self.idle_most && quiet(&link.sock) {
                 return Some(link);
             }
         }
@@ -209,7 +211,7 @@
         };
         let failed = Outcome::ConnectFailed;
         let sock = Sock::new(stream).map_err(|_| failed)?;
-        let builder = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(Io(sock.clone())).await;
+        let builder = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(io(sock.clone())).await;
         let (send, conn) = builder.map_err(|_| failed)?;
         Ok(Link { sock, send, conn, place, since: Instant::now(), _held: held })
     }
--- a/crates/http/src/sock.rs
+++ b/crates/http/src/sock.rs
@@ -6,15 +6,17 @@
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
-use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::TcpStream;
 
-/// How much one read takes at the most.
-const CHUNK: usize = 16 * 1024;
+/// How much is read at once of what nobody wants.
+const SINK: usize = 16 * 1024;
 
 /// How long a request may take to come whole; that of a new connection counts from the connection's start.
 const REQUEST_WITHIN: Duration = Duration::from_millis(2500);
@@ -37,9 +39,10 @@
         self.any |= !bytes.is_empty();
         let mut rest = bytes;
         while self.left.is_none() {
-            let Some((byte, after)) = rest.split_first() else { return };
-            self.tail = [self.tail[1], self.tail[2], self.tail[3], *byte];
-            rest = after;
+            // A head ends with a line's end: only there the last four bytes are looked at.
+            let Some(end) = rest.iter().position(|b| *b == b'\n') else { return self.keep_tail(rest) };
+            self.keep_tail(&rest[..=end]);
+            rest = &rest[end + 1..];
             if &self.tail == b"\r\n\r\n" {
                 self.left = Some(self.body);
             }
@@ -47,6 +50,13 @@
         self.left = self.left.map(|left| left.saturating_sub(rest.len()));
     }
 
+    /// Notes the last bytes of the head, as it may go out or come in pieces.
+    fn keep_tail(&mut self, bytes: &[u8]) {
+        for byte in &bytes[bytes.len().saturating_sub(4)..] {
+            self.tail = [self.tail[1], self.tail[2], self.tail[3], *byte];
+        }
+    }
+
     fn whole(&self) -> bool {
         self.left == Some(0)
     }
@@ -101,7 +111,11 @@
 
 /// A watched socket.
 pub struct Sock {
-    stream: TcpStream,
+    /// Both ways: this half's reads clear the runtime's word that there is something to read when they come short, so that
+    /// no second read is made only to find nothing.
+    half: RefCell<OwnedReadHalf>,
+    /// The last read took all that there was.
+    drained: Cell<bool>,
     out: RefCell<Progress>,
     /// What came back since the message was begun.
     back: RefCell<Back>,
@@ -146,8 +160,12 @@
     fn open(stream: TcpStream, serves: bool) -> io::Result<Rc<Self>> {
         stream.set_nodelay(true)?;
         let now = Instant::now();
+        let (half, other) = stream.into_split();
+        // Dropped plainly it would end the stream's way out.
+        other.forget();
         Ok(Rc::new(Self {
-            stream,
+            half: RefCell::new(half),
+            drained: Cell::new(true),
             out: RefCell::default(),
             back: RefCell::default(),
             phase: Cell::new(Phase::Idle),
@@ -250,25 +268,36 @@
     /// a turn of its loop old.
     pub fn quiet(&self) -> bool {
         let mut byte = [MaybeUninit::uninit(); 1];
-        let peeked = SockRef::from(&self.stream).peek(&mut byte);
+        let peeked = SockRef::from(self.half.borrow().as_ref()).peek(&mut byte);
         matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// The same by what the runtime knows, which costs no call to the kernel and may be a turn of its loop old.
+    pub fn seems_quiet(&self) -> bool {
+        let mut nobody = Context::from_waker(Waker::noop());
+        let known = self.half.borrow().as_ref().poll_read_ready(&mut nobody);
+        known.is_pending() || self.quiet()
+    }
+
+    /// Nothing behind what was read last: that took all there was, or the kernel is asked.
+    pub fn nothing_behind(&self) -> bool {
+        self.drained.get() || self.quiet()
+    }
+
     /// Says that nothing more will be written, and reads what still comes until the other side closes.
     /// Closing a socket with unread bytes resets it, and the reset can overtake the answer.
     pub async fn linger(&self) {
-        if SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write).is_err() {
+        if SockRef::from(self.half.borrow().as_ref()).shutdown(std::net::Shutdown::Write).is_err() {
             return;
         }
         // Not part of the task, which would be as much larger all its life.
-        let mut sink = vec![0; CHUNK];
-        while self.stream.readable().await.is_ok() {
-            match self.stream.try_read(&mut sink) {
-                Ok(0) => return,
-                Err(e) if e.kind() != io::ErrorKind::WouldBlock => return,
-                _ => {}
-            }
-        }
+        let mut sink = vec![0; SINK];
+        let mut read = |cx: &mut Context<'_>| {
+            let mut buf = ReadBuf::new(&mut sink);
+            let came = ready!(Pin::new(&mut *self.half.borrow_mut()).poll_read(cx, &mut buf));
+            Poll::Ready(came.map(|()| buf.filled().len()))
+        };
+        while std::future::poll_fn(&mut read).await.is_ok_and(|came| came > 0) {}
     }
 
     /// Was what came back one head and a body of this length as it stands, or else chunks up to the last? More
@@ -327,38 +356,36 @@
 }
 
 /// hyper's side of a watched socket.
-pub struct Io(pub Rc<Sock>);
-
-impl Read for Io {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        mut buf: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
+pub type Io = TokioIo<Watched>;
+
+/// What hyper reads and writes, with a look at it.
+pub struct Watched(Rc<Sock>);
+
+/// A socket as hyper takes it.
+pub fn io(sock: Rc<Sock>) -> Io {
+    TokioIo::new(Watched(sock))
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let sock = &self.0;
-        let mut chunk = [0; CHUNK];
-        let want = buf.remaining().min(CHUNK);
-        loop {
-            ready!(sock.stream.poll_read_ready(cx))?;
-            match sock.stream.try_read(&mut chunk[..want]) {
-                Ok(n) => {
-                    sock.read(&chunk[..n]);
-                    buf.put_slice(&chunk[..n]);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
+        let (before, room) = (buf.filled().len(), buf.remaining());
+        ready!(Pin::new(&mut *sock.half.borrow_mut()).poll_read(cx, buf))?;
+        let came = &buf.filled()[before..];
+        sock.drained.set(!came.is_empty() && came.len() < room);
+        sock.read(came);
+        Poll::Ready(Ok(()))
     }
 }
 
-impl Write for Io {
+impl AsyncWrite for Watched {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let sock = &self.0;
+        let half = sock.half.borrow();
+        let stream: &TcpStream = half.as_ref();
         loop {
-            ready!(sock.stream.poll_write_ready(cx))?;
-            match sock.stream.try_write(buf) {
+            ready!(stream.poll_write_ready(cx))?;
+            match stream.try_write(buf) {
                 Ok(n) => {
                     sock.took(&buf[..n]);
                     return Poll::Ready(Ok(n));
@@ -374,6 +401,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
+        let half = self.0.half.borrow();
+        Poll::Ready(SockRef::from(half.as_ref()).shutdown(std::net::Shutdown::Write))
     }
 }
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -12,12 +12,12 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::Connection;
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
-use hyper::{HeaderMap, Request, StatusCode};
+use hyper::{HeaderMap, Method, Request, StatusCode};
 use magpietally_core::{Ended, Place, Target};
 use magpietally_policy::Outcome;
 use tokio::time::timeout_at;
 
-use crate::message::{end_to_end, Message, Reply, BODY_MOST, REMAINING};
+use crate::message::{keep_end_to_end, Message, Reply, BODY_MOST, REMAINING};
 use crate::pool::{unfinished, Link, Pool};
 use crate::sock::Io;
 
@@ -47,7 +47,10 @@
     fresh: bool,
     kept: &Cell<Option<Duration>>,
 ) -> (Outcome, Option<Reply>) {
-    let mut pooled = if fresh { None } else { pool.take(server) };
+    // A request that may run again may be sent on a connection that its server has closed within the last turn of the
+    // runtime's loop; any other would be lost with it.
+    let sure = message.method != Method::GET;
+    let mut pooled = if fresh { None } else { pool.take(server, sure) };
     loop {
         // A drain holds from the moment it is told, also for what waited on a connection until now.
         let Some(place) = now_at() else { return (Outcome::NotSent, None) };
@@ -89,7 +92,7 @@
                 if heard.keep
                     && whole
                     && link.sock.heard_just(heard.reply.body.len(), heard.chunked)
-                    && link.sock.quiet()
+                    && link.sock.nothing_behind()
                     // Busy while its server moved or restarted, it escaped the pool's forgetting.
                     && now_at() == Some(place)
                 {
@@ -182,8 +185,9 @@
     };
     let (parts, body) = drive(conn, talk).await?;
     let closes = parts.headers.get("connection").is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
-    let headers: HeaderMap = end_to_end(&parts.headers);
     let chunked = parts.headers.contains_key(TRANSFER_ENCODING);
+    let mut headers = parts.headers;
+    keep_end_to_end(&mut headers);
     let keep = !closes && !over(conn).await;
     Ok(Heard { status: parts.status, reply: Reply { headers, body }, keep, chunked })
 }
--- /dev/null
+++ b/crates/structures/src/by_number.rs
@@ -0,0 +1,113 @@
+//! Keys in the order of a number.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Keys in the order of a number that each has; of equal numbers the least key comes first. Every call takes a time that
+/// grows with the logarithm of how many there are.
+#[derive(Clone, Debug)]
+pub struct ByNumber<K> {
+    order: BTreeSet<(u64, K)>,
+    of: BTreeMap<K, u64>,
+}
+
+impl<K> Default for ByNumber<K> {
+    fn default() -> Self {
+        Self { order: BTreeSet::new(), of: BTreeMap::new() }
+    }
+}
+
+/// A number whose order as a whole one is that of `f64::total_cmp`.
+pub(crate) fn ordered(number: f64) -> u64 {
+    let bits = number.to_bits();
+    if bits >> 63 == 0 {
+        bits | 1 << 63
+    } else {
+        !bits
+    }
+}
+
+/// The number that was made a whole one.
+pub(crate) fn number(ordered: u64) -> f64 {
+    f64::from_bits(if ordered >> 63 == 1 { ordered & !(1 << 63) } else { !ordered })
+}
+
+impl<K: Copy + Ord> ByNumber<K> {
+    /// Gives a key its number, in place of the one that it had.
+    pub fn set(&mut self, key: K, number: f64) {
+        let number = ordered(number);
+        if let Some(before) = self.of.insert(key, number) {
+            if before == number {
+                return;
+            }
+            self.order.remove(&(before, key));
+        }
+        self.order.insert((number, key));
+    }
+
+    /// Takes a key out; false where it is not there.
+    pub fn remove(&mut self, key: K) -> bool {
+        let number = self.of.remove(&key);
+        number.is_some_and(|number| self.order.remove(&(number, key)))
+    }
+
+    /// The key with the least number.
+    pub fn first(&self) -> Option<K> {
+        self.order.first().map(|(_, key)| *key)
+    }
+
+    /// The least number.
+    pub fn least(&self) -> Option<f64> {
+        self.order.first().map(|(n, _)| number(*n))
+    }
+
+    /// All keys whose numbers are no greater than a bound, by their numbers.
+    pub fn within(&self, bound: f64) -> impl Iterator<Item = K> + '_ {
+        let bound = ordered(bound);
+        self.order.iter().take_while(move |(n, _)| *n <= bound).map(|(_, key)| *key)
+    }
+
+    /// All keys, by their numbers.
+    pub fn iter(&self) -> impl Iterator<Item = K> + '_ {
+        self.order.iter().map(|(_, key)| *key)
+    }
+}
+
+impl<K: Copy + Ord> FromIterator<(K, f64)> for ByNumber<K> {
+    fn from_iter<T: IntoIterator<Item = (K, f64)>>(pairs: T) -> Self {
+        let mut all = Self::default();
+        pairs.into_iter().for_each(|(key, number)| all.set(key, number));
+        all
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{mix, GOLDEN};
+
+    /// Against the walk that it replaces, over numbers that move, meet, have any sign, and go.
+    #[test]
+    fn the_first_is_what_a_walk_over_all_would_find() {
+        let mut numbers = [Some(0.0f64); 17];
+        let mut kept: ByNumber<usize> = (0..17).map(|key| (key, 0.0)).collect();
+        let mut seed = 1u64;
+        for _ in 0..20_000 {
+            seed = seed.wrapping_add(GOLDEN);
+            let (key, number) = ((mix(seed) % 17) as usize, ((mix(seed) >> 32) % 41) as f64 / 4.0 - 5.0);
+            if number < -4.5 {
+                assert_eq!(kept.remove(key), numbers[key].take().is_some());
+            } else {
+                numbers[key] = Some(number);
+                kept.set(key, number);
+            }
+            let of = |key: &usize| numbers[*key];
+            let mut walked: Vec<usize> = (0..17).filter(|key| of(key).is_some()).collect();
+            walked.sort_by(|a, b| of(a).unwrap_or(0.0).total_cmp(&of(b).unwrap_or(0.0)));
+            assert_eq!(kept.first(), walked.first().copied());
+            assert_eq!(kept.least(), walked.first().and_then(of));
+            assert!(kept.iter().eq(walked.iter().copied()), "old numbers are gone");
+            let near: Vec<usize> = kept.within(1.0).collect();
+            assert!(near.iter().eq(walked.iter().filter(|key| of(key) <= Some(1.0))));
+        }
+    }
+}
--- /dev/null
+++ b/crates/structures/src/held.rs
@@ -0,0 +1,190 @@
+//! Things that wait, found by their group, their age and their ends without a walk over all.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::by_number::{number, ordered};
+
+/// How young something is: what came later is greater, of what came together what has the later place.
+pub type Age = (u64, u64);
+
+/// Things that wait, each with its place in a list. Places are those of a vector from which things are taken anywhere: by
+/// [`Held::remove`] the others keep their order, by [`Held::swap_remove`] the last one takes the place that falls free.
+/// Every call, and each step of an iterator, takes a time that grows with the logarithm of how many there are.
+#[derive(Clone, Debug)]
+pub struct Held<G, K> {
+    items: BTreeMap<K, Item<G>>,
+    places: BTreeMap<u64, K>,
+    groups: BTreeMap<G, Group<K>>,
+}
+
+#[derive(Clone, Debug)]
+struct Item<G> {
+    group: G,
+    place: u64,
+    came: u64,
+    ends: [u64; 2],
+}
+
+#[derive(Clone, Debug)]
+struct Group<K> {
+    by_age: BTreeSet<(Age, K)>,
+    by_end: [BTreeSet<(u64, K)>; 2],
+}
+
+impl<G, K> Default for Held<G, K> {
+    fn default() -> Self {
+        Self { items: BTreeMap::new(), places: BTreeMap::new(), groups: BTreeMap::new() }
+    }
+}
+
+impl<G: Copy + Ord, K: Copy + Ord> Held<G, K> {
+    /// Adds a thing at the end of the list. One that is there already stays as it is. Groups are kept when they become
+    /// empty: there should be few.
+    pub fn push(&mut self, key: K, group: G, came: f64, ends: [f64; 2]) {
+        if self.items.contains_key(&key) {
+            return;
+        }
+        let place = self.places.last_key_value().map_or(0, |(place, _)| place + 1);
+        let item = Item { group, place, came: ordered(came), ends: ends.map(ordered) };
+        let all = self
+            .groups
+            .entry(group)
+            .or_insert_with(|| Group { by_age: BTreeSet::new(), by_end: [BTreeSet::new(), BTreeSet::new()] });
+        all.by_age.insert(((item.came, place), key));
+        for (by_end, end) in all.by_end.iter_mut().zip(item.ends) {
+            by_end.insert((end, key));
+        }
+        self.places.insert(place, key);
+        self.items.insert(key, item);
+    }
+
+    /// Takes a thing out; the others keep their order.
+    pub fn remove(&mut self, key: K) {
+        self.take(key);
+    }
+
+    /// Takes a thing out; the last of the list takes its place.
+    pub fn swap_remove(&mut self, key: K) {
+        let Some(place) = self.take(key) else { return };
+        let Some((last, moved)) = self.places.last_key_value().map(|(l, k)| (*l, *k)).filter(|l| l.0 > place)
+        else {
+            return;
+        };
+        self.places.remove(&last);
+        self.places.insert(place, moved);
+        if let Some(item) = self.items.get_mut(&moved) {
+            item.place = place;
+            if let Some(group) = self.groups.get_mut(&item.group) {
+                group.by_age.remove(&((item.came, last), moved));
+                group.by_age.insert(((item.came, place), moved));
+            }
+        }
+    }
+
+    fn take(&mut self, key: K) -> Option<u64> {
+        let item = self.items.remove(&key)?;
+        self.places.remove(&item.place);
+        if let Some(group) = self.groups.get_mut(&item.group) {
+            group.by_age.remove(&((item.came, item.place), key));
+            for (by_end, end) in group.by_end.iter_mut().zip(item.ends) {
+                by_end.remove(&(end, key));
+            }
+        }
+        Some(item.place)
+    }
+
+    /// How many wait.
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Does nothing wait?
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Does this wait?
+    pub fn contains(&self, key: K) -> bool {
+        self.items.contains_key(&key)
+    }
+
+    /// The groups that have ever had anything, in order.
+    pub fn groups(&self) -> impl Iterator<Item = &G> {
+        self.groups.keys()
+    }
+
+    /// A group's, the youngest first.
+    pub fn youngest(&self, group: &G) -> impl Iterator<Item = (Age, K)> + '_ {
+        self.groups.get(group).into_iter().flat_map(|g| g.by_age.iter().rev().copied())
+    }
+
+    /// A group's with the times when they came, the oldest first.
+    pub fn oldest(&self, group: &G) -> impl Iterator<Item = (f64, K)> + '_ {
+        self.groups
+            .get(group)
+            .into_iter()
+            .flat_map(|g| g.by_age.iter().map(|((came, _), k)| (number(*came), *k)))
+    }
+
+    /// A group's by one of their two ends, the earliest first.
+    pub fn ending(&self, group: &G, which: usize) -> impl Iterator<Item = (f64, K)> + '_ {
+        let ends = self.groups.get(group).and_then(|g| g.by_end.get(which));
+        ends.into_iter().flatten().map(|(end, k)| (number(*end), *k))
+    }
+
+    /// Puts keys into the order of the list, each once; those that do not wait are left out.
+    pub fn in_order(&self, keys: impl IntoIterator<Item = K>) -> Vec<K> {
+        let placed = keys.into_iter().filter_map(|key| Some((self.items.get(&key)?.place, key)));
+        let sorted: BTreeMap<u64, K> = placed.collect();
+        sorted.into_values().collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{mix, GOLDEN};
+
+    /// Against a vector and walks over it.
+    #[test]
+    fn it_is_a_list_that_is_searched_without_a_walk() {
+        let mut held: Held<u8, u64> = Held::default();
+        let mut list: Vec<(u64, u8, f64, [f64; 2])> = Vec::new();
+        let mut seed = 7u64;
+        for key in 0..3_000u64 {
+            seed = seed.wrapping_add(GOLDEN);
+            let draw = mix(seed);
+            let part = |shift: u32, of: u64| (draw >> shift) % of;
+            let (group, came) = (part(0, 3) as u8, part(8, 9) as f64);
+            let ends = [part(16, 11) as f64 - 5.0, part(24, 7) as f64];
+            held.push(key, group, came, ends);
+            list.push((key, group, came, ends));
+            for turn in 0..part(32, 5).saturating_sub(2) {
+                let place = part(40 + 4 * turn as u32, list.len().max(1) as u64) as usize;
+                let Some(chosen) = list.get(place).map(|l| l.0) else { continue };
+                if draw >> 63 == turn % 2 {
+                    list.remove(place);
+                    held.remove(chosen);
+                } else {
+                    list.swap_remove(place);
+                    held.swap_remove(chosen);
+                }
+            }
+            assert_eq!(held.len(), list.len());
+            let of = |g: u8| list.iter().filter(move |l| l.1 == g);
+            // `max_by` takes the last of equals, which is the one with the later place.
+            let youngest = of(group).max_by(|a, b| a.2.total_cmp(&b.2)).map(|l| l.0);
+            assert_eq!(held.youngest(&group).next().map(|y| y.1), youngest);
+            assert_eq!(held.oldest(&group).next().map(|o| o.0), of(group).map(|l| l.2).reduce(f64::min));
+            for which in 0..2 {
+                let earliest = of(group).map(|l| l.3[which]).reduce(f64::min);
+                assert_eq!(held.ending(&group, which).next().map(|e| e.0), earliest);
+            }
+            if key % 97 == 0 {
+                let all = held.in_order((0..=key).rev());
+                assert!(all.iter().eq(list.iter().map(|l| &l.0)), "the order of the list");
+            }
+        }
+        assert!(list.len() > 50, "there was something to search");
+    }
+}
--- a/crates/structures/src/lib.rs
+++ b/crates/structures/src/lib.rs
@@ -16,7 +16,11 @@
 //! assert_eq!(rate.at(0.0, 1000.0), 5.0);
 //! ```
 
-use std::collections::{BTreeMap, BTreeSet};
+mod by_number;
+mod held;
+
+pub use by_number::ByNumber;
+pub use held::{Age, Held};
 
 /// The step of SplitMix64's walk (Steele, Lea and Flood, 2014).
 pub const GOLDEN: u64 = 0x9E37_79B9_7F4A_7C15;
@@ -65,54 +69,26 @@
     }
 }
 
-/// Keys in the order of a number that each has; of equal numbers the least key comes first. Every call takes a time that
-/// grows with the logarithm of how many there are.
-#[derive(Clone, Debug)]
-pub struct ByNumber<K> {
-    order: BTreeSet<(u64, K)>,
-    of: BTreeMap<K, u64>,
-}
-
-impl<K> Default for ByNumber<K> {
-    fn default() -> Self {
-        Self { order: BTreeSet::new(), of: BTreeMap::new() }
-    }
-}
-
-/// A number whose order as a whole one is that of `f64::total_cmp`.
-fn ordered(number: f64) -> u64 {
-    let bits = number.to_bits();
-    if bits >> 63 == 0 {
-        bits | 1 << 63
-    } else {
-        !bits
-    }
-}
-
-impl<K: Copy + Ord> ByNumber<K> {
-    /// Gives a key its number, in place of the one that it had.
-    pub fn set(&mut self, key: K, number: f64) {
-        let number = ordered(number);
-        if let Some(before) = self.of.insert(key, number) {
-            if before == number {
-                return;
+/// What two sorted lists have apart: what only the first has, and what only the second.
+pub fn apart<K: Copy + Ord>(first: &[K], second: &[K]) -> (Vec<K>, Vec<K>) {
+    let (mut a, mut b) = (first.iter().peekable(), second.iter().peekable());
+    let (mut only_a, mut only_b) = (Vec::new(), Vec::new());
+    loop {
+        match (a.peek(), b.peek()) {
+            (Some(x), Some(y)) if x == y => {
+                a.next();
+                b.next();
             }
-            self.order.remove(&(before, key));
+            (Some(x), y) if y.is_none_or(|y| x < y) => {
+                only_a.push(**x);
+                a.next();
+            }
+            (_, Some(y)) => {
+                only_b.push(**y);
+                b.next();
+            }
+            _ => return (only_a, only_b),
         }
-        self.order.insert((number, key));
-    }
-
-    /// The key with the least number.
-    pub fn first(&self) -> Option<K> {
-        self.order.first().map(|(_, key)| *key)
-    }
-}
-
-impl<K: Copy + Ord> FromIterator<(K, f64)> for ByNumber<K> {
-    fn from_iter<T: IntoIterator<Item = (K, f64)>>(pairs: T) -> Self {
-        let mut all = Self::default();
-        pairs.into_iter().for_each(|(key, number)| all.set(key, number));
-        all
     }
 }
 
@@ -120,27 +96,17 @@
 mod tests {
     use super::*;
 
-    /// Against the walk that it replaces, over numbers that move, meet, and have any sign.
-    #[test]
-    fn the_first_is_what_a_walk_over_all_would_find() {
-        let mut numbers = [0.0f64; 17];
-        let mut kept: ByNumber<usize> = numbers.iter().copied().enumerate().collect();
-        let mut seed = 1u64;
-        for _ in 0..20_000 {
-            seed = seed.wrapping_add(GOLDEN);
-            let (key, number) = ((mix(seed) % 17) as usize, ((mix(seed) >> 32) % 41) as f64 / 4.0 - 5.0);
-            numbers[key] = number;
-            kept.set(key, number);
-            let walked = (0..17).min_by(|a, b| numbers[*a].total_cmp(&numbers[*b]));
-            assert_eq!(kept.first(), walked);
-        }
-        assert_eq!(kept.order.len(), 17, "old numbers are gone");
-    }
-
     #[test]
     fn a_rate_forgets_by_e_in_its_span() {
         let mut rate = Rate::default();
         rate.add(100.0, 500.0, 1.0);
         assert!((rate.at(600.0, 500.0) - 2.0 / std::f64::consts::E).abs() < 1e-12);
     }
+
+    #[test]
+    fn lists_apart() {
+        assert_eq!(apart(&[1, 2, 4, 9], &[2, 3, 9, 10]), (vec![1, 4], vec![3, 10]));
+        assert_eq!(apart::<u8>(&[], &[1]), (vec![], vec![1]));
+        assert_eq!(apart::<u8>(&[1], &[]), (vec![1], vec![]));
+    }
 }
