--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -6,7 +6,7 @@
 pub type Millis = f64;
 
 /// A server, as the list names it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u64);
 
 /// A client request; never used twice in the life of a node.
@@ -72,7 +72,7 @@
 }
 
 /// What the deployment permits.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Limits {
     /// Attempts for one request.
     pub attempts: usize,
@@ -89,7 +89,7 @@
 }
 
 /// The figures of the four rules.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Rules {
     /// Where the list is asked for: the longest a node may leave off asking.
     pub ask_within: Millis,
@@ -104,18 +104,20 @@
 }
 
 /// How news of the servers arrives.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Discovery {
     /// By itself.
+    #[default]
     Pushed,
     /// Once the node has subscribed or asked.
     Asked,
 }
 
 /// What the listed weights stand for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Weights {
     /// Nothing.
+    #[default]
     None,
     /// The size of the server, exact or nearly so.
     Listed,
@@ -123,8 +125,8 @@
     Live,
 }
 
-/// What a node is told at its start.
-#[derive(Clone, Debug)]
+/// What a node is told at its start. The default is empty, and refused.
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     /// Its own number, from 0.
     pub number: usize,
@@ -221,18 +223,19 @@
 }
 
 /// What the list says of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Listed {
     /// In service.
     Up,
     /// Finishing its work; nothing new may be sent.
     Draining,
     /// Gone.
+    #[default]
     Gone,
 }
 
 /// One entry of the list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Entry {
     /// The server.
     pub server: ServerId,
--- /dev/null
+++ b/crates/policy/src/asking.rs
@@ -0,0 +1,80 @@
+//! When the list of servers is asked for. It names no server and no request: what the list says is the policy's to use.
+
+use magpietally_structures::SplitMix;
+
+use crate::api::{Discovery, Millis};
+
+/// The calls to discovery.
+#[derive(Default)]
+pub(crate) struct Asking {
+    discovery: Discovery,
+    /// The longest a node may leave off asking.
+    within: Millis,
+    call: Call,
+}
+
+/// Where a call stands.
+#[derive(Default)]
+enum Call {
+    /// Not needed, or subscribed.
+    #[default]
+    Settled,
+    /// Asked at this time, after so many failures.
+    Asked(Millis, u32),
+    /// To be asked at this time.
+    AskAt(Millis, u32),
+}
+
+impl Asking {
+    /// At a node's start.
+    pub(crate) fn new(discovery: Discovery, within: Millis) -> Self {
+        let call = match discovery {
+            Discovery::Pushed => Call::Settled,
+            Discovery::Asked => Call::AskAt(f64::NEG_INFINITY, 0),
+        };
+        Self { discovery, within, call }
+    }
+
+    /// A call has been answered.
+    pub(crate) fn answered(&mut self) {
+        self.call = Call::Settled;
+    }
+
+    /// Discovery is elsewhere: whatever backoff the old address had earned, the new one is asked at once.
+    pub(crate) fn moved(&mut self, now: Millis) {
+        self.call = Call::AskAt(now, 0);
+    }
+
+    /// A call has failed. Backoff with jitter, so that nodes cut off together do not come back together; well within
+    /// the time after which a node that has not asked counts as told.
+    pub(crate) fn failed(&mut self, now: Millis, random: &mut SplitMix) {
+        if self.discovery == Discovery::Asked {
+            let failures = if let Call::Asked(_, failures) = self.call { failures + 1 } else { 1 };
+            let span = (self.within / 40.0) * f64::from(1u32 << failures.min(4));
+            self.call = Call::AskAt(now + span * (0.5 + 0.5 * random.part()), failures);
+        }
+    }
+
+    /// When it is to be looked at again.
+    pub(crate) fn due(&self) -> Millis {
+        match self.call {
+            Call::Settled => f64::INFINITY,
+            Call::AskAt(at, _) => at.max(0.0),
+            Call::Asked(at, _) => at + self.within,
+        }
+    }
+
+    /// Is it time to ask?
+    pub(crate) fn look(&mut self, now: Millis, random: &mut SplitMix) -> bool {
+        match self.call {
+            Call::AskAt(at, failures) if now >= at => {
+                self.call = Call::Asked(now, failures);
+                return true;
+            }
+            // No answer at all: taken for a failure.
+            Call::Asked(at, _) if now - at >= self.within => self.failed(now, random),
+            _ => {}
+        }
+        false
+    }
+}
--- /dev/null
+++ b/crates/policy/src/balance/turns.rs
@@ -0,0 +1,180 @@
+//! Whose turn it is, and who is ready for it.
+
+use super::*;
+
+const SLOW_START_CAUTION: f64 = 0.5; // Part of the cold budget used; the rest is for chance and uneven nodes.
+const STUCK: f64 = 0.6; // From this part of the longest aim on what is out takes no place ...
+const STUCK_MOST: f64 = 4.0; // ... and so many times the limit may be out with such.
+const LOOKS_MOST: usize = 64; // How many cold servers, or sizes, one event looks at where it need not.
+const STEPS_MOST: f64 = 4096.0; // How many turns are made up for one by one; more than these are at once.
+const REST_AHEAD: f64 = 1.125; // How far the fleet's factor may rise until a resting server is looked at.
+const ROUNDING: f64 = 1e-6; // How much sooner, in ms or parts, a server is looked at, as sums are rounded.
+
+impl Balancer {
+    /// Takes turns until one falls to a server that `passes`; the others are passed over in place. Servers
+    /// that are full or rest are put aside: nobody looks at them until they may be ready, and the turns that
+    /// they were passed over for are made up for then.
+    pub(super) fn next_turn(&mut self, passes: impl Fn(&Self, &Server) -> bool) -> Option<ServerId> {
+        let fleet = self.fleet.min(1.0);
+        while let Some(id) = self.aside.due(self.now, fleet) {
+            self.wake(id);
+        }
+        let mut id = self.first_that(&passes)?;
+        if !self.cold.is_empty() {
+            self.warm_up();
+            id = self.first_that(&passes)?;
+        }
+        (self.cursor, self.cursor_at) = (self.servers.get(&id)?.turn, Some(id));
+        while let Some(over) = self.turns.first().filter(|over| *over != id) {
+            self.catch_up(over);
+        }
+        self.catch_up(id);
+        Some(id)
+    }
+
+    /// Which server is the next in turn that passes. Those ahead of it that are not ready are put aside, but
+    /// for cold ones, of which it can't be told when they will be.
+    fn first_that(&mut self, passes: &impl Fn(&Self, &Server) -> bool) -> Option<ServerId> {
+        let mut aside = Vec::new();
+        let found = self.turns.iter().find(|id| {
+            let Some(server) = self.servers.get(id) else { return false };
+            let good = passes(self, server);
+            if !good && !self.cold.contains(id) && !self.ready(server) {
+                aside.push((*id, self.ready_from(server)));
+            }
+            good
+        });
+        for (id, (at, fleet)) in aside {
+            self.turns.remove(id);
+            self.aside.set(id, at, fleet);
+        }
+        found
+    }
+
+    /// From when, and from which factor of the fleet on, a server that is not ready may be, at the soonest.
+    fn ready_from(&self, server: &Server) -> (Millis, f64) {
+        if server.ejected.is_some() {
+            return (f64::INFINITY, f64::INFINITY);
+        }
+        if server.out.is_empty() {
+            // It rests, for less the more the fleet's factor rises.
+            let fleet = self.fleet.min(1.0);
+            let rested = |f: f64| server.last_sent + self.rest(server, f) - ROUNDING;
+            let from = |f: f64| (rested(f), f * (1.0 + f64::EPSILON));
+            let ahead = from(fleet * REST_AHEAD);
+            return if ahead.0 > self.now { ahead } else { from(fleet) };
+        }
+        let moving = || server.out.iter().map(|o| o.2).filter(|sent| *sent > self.stuck_from());
+        let oldest = moving().fold(f64::INFINITY, f64::min) + (self.now - self.stuck_from());
+        let room = (moving().count() as f64 + 1.0).max(server.out.len() as f64 / STUCK_MOST);
+        (oldest - ROUNDING, room / server.limit * (1.0 - ROUNDING))
+    }
+
+    /// Looks at a server that was put aside again.
+    pub(super) fn wake(&mut self, id: ServerId) {
+        if self.aside.remove(id) {
+            self.catch_up(id);
+        }
+    }
+
+    /// Takes a server out of the turns.
+    pub(super) fn unplace(&mut self, id: ServerId) {
+        self.turns.remove(id);
+        self.aside.remove(id);
+    }
+
+    /// Passes over a server as often as its turn has come up to the cursor.
+    fn catch_up(&mut self, id: ServerId) {
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        let warmth = server.warmth(self.now, &self.set.rules);
+        let step = (1.0 / (server.size * server.share * warmth)).max(f64::EPSILON * self.cursor.abs());
+        let behind = ((self.cursor - server.turn) / step).floor();
+        if behind > STEPS_MOST {
+            server.turn += behind * step;
+        }
+        while server.turn.total_cmp(&self.cursor).then(Some(id).cmp(&self.cursor_at)).is_le() {
+            server.turn += step;
+            server.turn_warmth = warmth;
+        }
+        self.turns.set(id, server.turn);
+    }
+
+    /// As cold servers warm up their turns come closer; of very many, those of some at a time.
+    fn warm_up(&mut self) {
+        let from = self.warm_next;
+        let round = self.cold.range(from..).chain(self.cold.range(..from));
+        let some: Vec<ServerId> = round.copied().take(LOOKS_MOST).collect();
+        self.warm_next = some.last().map_or(from, |id| ServerId(id.0.wrapping_add(1)));
+        for id in some {
+            if let Some(server) = self.servers.get_mut(&id).filter(|s| s.turn_warmth < 1.0) {
+                let warmth = server.warmth(self.now, &self.set.rules);
+                server.turn = self.cursor + (server.turn - self.cursor) * server.turn_warmth / warmth;
+                server.turn_warmth = warmth;
+                self.turns.set(id, server.turn);
+            }
+            self.note(id);
+        }
+    }
+
+    /// The subset's size as it is now, and that of its warm servers. Of many, with cold ones among them, it
+    /// is added up now and then.
+    pub(super) fn sizes(&mut self) -> (f64, f64) {
+        let lasts = |at: Millis| self.subset.len() > LOOKS_MOST && self.now < at + self.warmth_step();
+        if let Some((_, all, warm)) = self.sizes.filter(|s| self.cold.is_empty() || lasts(s.0)) {
+            return (all, warm);
+        }
+        let warmth = |s: &Server| s.warmth(self.now, &self.set.rules);
+        let all = self.rotated().map(|s| s.size * warmth(s)).sum();
+        let warm = self.rotated().filter(|s| warmth(s) >= 1.0).map(|s| s.size).sum();
+        self.sizes = Some((self.now, all, warm));
+        (all, warm)
+    }
+
+    pub(super) fn ready(&self, server: &Server) -> bool {
+        server.ejected.is_none() && self.within_slow_start(server) && self.has_room(server)
+    }
+
+    /// A server full with our own attempts is passed over: on turns alone a slow one keeps its full turn
+    /// while its queue grows until nothing that it is sent comes in time. What has been out for long takes no
+    /// place, up to a bound: on connections that went dead a few attempts would else keep an idle server full
+    /// until their deadlines. It guards as well against single requests of enormous work; it could overload a
+    /// server that is this slow with everything, whose limit falls with each late answer, though.
+    fn has_room(&self, server: &Server) -> bool {
+        let limit = server.allowed(self.fleet, self.least_limit());
+        if limit >= 1.0 {
+            let moving = server.out.iter().filter(|(_, _, sent)| *sent > self.stuck_from()).count();
+            return (moving as f64) < limit.floor()
+                && (server.out.len() as f64) < STUCK_MOST * self.first_limit().max(limit);
+        }
+        server.out.is_empty() && self.now - server.last_sent >= self.rest(server, self.fleet)
+    }
+
+    /// What was sent by then, and is still out, takes no place.
+    fn stuck_from(&self) -> Millis {
+        self.now - STUCK * self.set.classes.iter().map(|c| c.aim).fold(0.0, f64::max)
+    }
+
+    /// How long a server with a limit below one rests from one send to the next: so long that on average no
+    /// more is out than the limit, but never so long that its recovery would go unseen.
+    pub(super) fn rest(&self, server: &Server, fleet: f64) -> Millis {
+        let most = self.set.classes.iter().map(|c| 2.0 * c.aim).fold(0.0, f64::max);
+        (server.last_took / server.allowed(fleet, self.least_limit())).min(most * self.crowd)
+    }
+
+    /// Rule 4: what all nodes send to a cold server in one window must stay below a multiple of what it can
+    /// do by now. What a warm server of its size is seen to answer is the measure, and each node spaces its
+    /// sends by its own traffic's part: a least of one send a window for each node would by the number of
+    /// nodes alone be more than a cold server can take. Before the first send a random part of the space is
+    /// waited, or all nodes would send at once when they hear of it.
+    fn within_slow_start(&self, server: &Server) -> bool {
+        let rules = &self.set.rules;
+        let warmth = server.warmth(self.now, rules);
+        if warmth >= 1.0 {
+            return true;
+        }
+        let part = SLOW_START_CAUTION * rules.fall_multiple * warmth;
+        let pace = if self.pace.latest() > 0.0 { self.pace.latest() } else { self.arrivals.latest() };
+        let space = 1000.0 / (part * pace * server.size);
+        self.now - server.last_sent >= space * server.stagger
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,6 +36,7 @@
 //! ```
 
 pub mod api;
+mod asking;
 pub mod balance;
 
 pub use api::*;
--- a/crates/structures/src/by_number.rs
+++ b/crates/structures/src/by_number.rs
@@ -80,6 +80,43 @@
     }
 }
 
+/// Keys that are put aside until a time comes or a level is reached, whichever is first.
+#[derive(Clone, Debug)]
+pub struct Aside<K> {
+    until: ByNumber<K>,
+    level: ByNumber<K>,
+}
+
+impl<K> Default for Aside<K> {
+    fn default() -> Self {
+        Self { until: ByNumber::default(), level: ByNumber::default() }
+    }
+}
+
+impl<K: Copy + Ord> Aside<K> {
+    /// Puts a key aside; infinite ones never come.
+    pub fn set(&mut self, key: K, until: f64, level: f64) {
+        self.until.set(key, until);
+        self.level.set(key, level);
+    }
+
+    /// Takes a key back; false where it is not aside.
+    pub fn remove(&mut self, key: K) -> bool {
+        self.level.remove(key);
+        self.until.remove(key)
+    }
+
+    /// One whose time has come or whose level is reached.
+    pub fn due(&self, now: f64, level: f64) -> Option<K> {
+        self.until.within(now).chain(self.level.within(level)).next()
+    }
+
+    /// All that are aside, by their times.
+    pub fn iter(&self) -> impl Iterator<Item = K> + '_ {
+        self.until.iter()
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -110,4 +147,18 @@
             assert!(near.iter().eq(walked.iter().filter(|key| of(key) <= Some(1.0))));
         }
     }
+
+    #[test]
+    fn what_is_aside_comes_back_by_time_or_by_level() {
+        let mut aside = Aside::default();
+        aside.set(1, 100.0, f64::INFINITY);
+        aside.set(2, f64::INFINITY, 0.5);
+        aside.set(3, f64::INFINITY, f64::INFINITY);
+        assert_eq!(aside.due(99.0, 0.4), None);
+        assert_eq!(aside.due(99.0, 0.5), Some(2));
+        assert_eq!(aside.due(100.0, 0.4), Some(1));
+        assert!(aside.remove(1) && !aside.remove(1));
+        assert_eq!(aside.due(f64::MAX, 0.4), None);
+        assert!(aside.iter().eq([2, 3]));
+    }
 }
--- a/crates/structures/src/lib.rs
+++ b/crates/structures/src/lib.rs
@@ -17,10 +17,14 @@
 //! ```
 
 mod by_number;
+mod cover;
 mod held;
+mod served;
 
-pub use by_number::ByNumber;
+pub use by_number::{Aside, ByNumber};
+pub use cover::cover;
 pub use held::{Age, Held};
+pub use served::{Allowance, Served};
 
 /// The step of SplitMix64's walk (Steele, Lea and Flood, 2014).
 pub const GOLDEN: u64 = 0x9E37_79B9_7F4A_7C15;
@@ -33,7 +37,7 @@
 }
 
 /// A generator of random numbers: SplitMix64 from this state.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct SplitMix(pub u64);
 
 impl SplitMix {
--- /dev/null
+++ b/crates/structures/src/served.rs
@@ -0,0 +1,107 @@
+//! How well each of some kinds is served, and how much is left of an allowance.
+
+use crate::Rate;
+
+/// What was asked for and what was served, for each of some kinds, both forgotten by a factor e in each span.
+#[derive(Clone, Debug, Default)]
+pub struct Served {
+    kinds: Vec<(Rate, Rate)>,
+    span: f64,
+}
+
+impl Served {
+    /// Nothing asked for or served yet; the span is in milliseconds.
+    pub fn new(kinds: usize, span: f64) -> Self {
+        Self { kinds: vec![(Rate::default(), Rate::default()); kinds], span }
+    }
+
+    /// So much more of a kind has been asked for.
+    pub fn ask(&mut self, kind: usize, now: f64, amount: f64) {
+        if let Some((asked, _)) = self.kinds.get_mut(kind) {
+            asked.add(now, self.span, amount);
+        }
+    }
+
+    /// So much more of a kind has been served.
+    pub fn serve(&mut self, kind: usize, now: f64, amount: f64) {
+        if let Some((_, served)) = self.kinds.get_mut(kind) {
+            served.add(now, self.span, amount);
+        }
+    }
+
+    /// What is asked for a second, of all kinds.
+    pub fn asked(&self, now: f64) -> f64 {
+        self.kinds.iter().map(|(asked, _)| asked.at(now, self.span)).sum()
+    }
+
+    /// What serving one unit of each kind adds to `goal` times the part of the worst kind that is served: all of it for
+    /// the worst, less by a factor e for each `near` that a kind is above it. Nothing for what nobody asks for.
+    pub fn adds_to_worst(&self, now: f64, goal: f64, near: f64) -> Vec<f64> {
+        let asked: Vec<f64> = self.kinds.iter().map(|(asked, _)| asked.at(now, self.span)).collect();
+        let part = |((_, served), a): (&(Rate, Rate), &f64)| {
+            if *a > 0.0 {
+                served.at(now, self.span) / a
+            } else {
+                1.0
+            }
+        };
+        let parts: Vec<f64> = self.kinds.iter().zip(&asked).map(part).collect();
+        let worst = parts.iter().copied().fold(f64::INFINITY, f64::min);
+        let near: Vec<f64> = parts.iter().map(|p| (-(p - worst) / near).exp()).collect();
+        let sum: f64 = near.iter().sum();
+        let weight = |(n, a): (&f64, &f64)| if *a > 0.0 { goal * n / sum / a } else { 0.0 };
+        near.iter().zip(&asked).map(weight).collect()
+    }
+}
+
+/// An allowance that fills with time, up to what one second brings or one, whichever is more.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowance {
+    left: f64,
+    since: f64,
+}
+
+impl Default for Allowance {
+    fn default() -> Self {
+        Self { left: 0.0, since: f64::NEG_INFINITY }
+    }
+}
+
+impl Allowance {
+    /// Takes one, where one is left; the time is in milliseconds.
+    pub fn take(&mut self, now: f64, per_s: f64) -> bool {
+        let left = (self.left + per_s * (now - self.since) / 1000.0).min(per_s.max(1.0));
+        let within = left >= 1.0;
+        *self = Self { left: if within { left - 1.0 } else { left }, since: now };
+        within
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_worst_served_kind_counts_most_and_what_nobody_asks_for_nothing() {
+        let mut served = Served::new(3, 1000.0);
+        for _ in 0..10 {
+            served.ask(0, 0.0, 1.0);
+            served.ask(1, 0.0, 1.0);
+            served.serve(1, 0.0, 1.0);
+        }
+        served.serve(0, 0.0, 5.0);
+        let adds = served.adds_to_worst(0.0, 1.0, 0.05);
+        assert!(adds[0] > 1000.0 * adds[1] && adds[1] > 0.0 && adds[2] == 0.0, "{adds:?}");
+        assert_eq!(served.asked(0.0), 20.0);
+    }
+
+    #[test]
+    fn an_allowance_fills_up_to_a_second() {
+        let mut allowance = Allowance::default();
+        let taken =
+            |allowance: &mut Allowance, now: f64| (0..10).filter(|_| allowance.take(now, 4.0)).count();
+        assert_eq!(taken(&mut allowance, 0.0), 4, "full at first");
+        assert_eq!(taken(&mut allowance, 500.0), 2);
+        assert_eq!(taken(&mut allowance, 99_500.0), 4);
+    }
+}
