--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 mod members;
 mod node;
 mod sample;
+mod status;
 mod table;
 
 pub use carrier::{Carrier, Ended, Payload, Target};
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -95,10 +95,21 @@
         }
         self.version = Some(listing.version);
         let mut void = Vec::new();
-        let entries =
+        let entries: Vec<Entry> =
             listing.members.into_iter().filter_map(|m| self.enter(m, &started, &mut void)).collect();
-        void.extend(self.known.iter().filter(|(_, k)| k.state == Listed::Gone).map(|(server, _)| *server));
-        self.known.retain(|_, k| k.state != Listed::Gone);
+        if listing.whole {
+            void.extend(
+                self.known.iter().filter(|(_, k)| k.state == Listed::Gone).map(|(server, _)| *server),
+            );
+            self.known.retain(|_, k| k.state != Listed::Gone);
+        } else {
+            // A change costs what it names, however long the list is.
+            for entry in entries.iter().filter(|e| e.state == Listed::Gone) {
+                if self.known.remove(&entry.server).is_some() {
+                    void.push(entry.server);
+                }
+            }
+        }
         (entries, void)
     }
 
@@ -163,4 +174,25 @@
         assert_eq!(take(&mut members, true, vec![]), [one], "what a whole list leaves out is gone");
         assert!(members.is_empty());
     }
+
+    #[test]
+    fn a_change_touches_what_it_names() {
+        let mut members = Members::default();
+        let all = (0..100).map(|n| member(&format!("box-{n}"), 1000 + n, Listed::Up, 0.0));
+        assert!(take(&mut members, true, all.collect()).is_empty());
+        let gone = ServerId(number_of("box-7"));
+        assert_eq!(take(&mut members, false, vec![member("box-7", 0, Listed::Gone, 0.0)]), [gone, gone]);
+        assert_eq!((members.known.len(), members.place(gone)), (99, None));
+        assert!(
+            take(&mut members, false, vec![member("box-7", 0, Listed::Gone, 0.0)]).len() <= 1,
+            "twice is as once"
+        );
+        let renamed = (0..100).map(|n| member(&format!("new-{n}"), 1000 + n, Listed::Up, 0.0));
+        assert_eq!(
+            take(&mut members, true, renamed.collect()).len(),
+            100 - 1 + 1,
+            "a list that renames every box"
+        );
+        assert_eq!(members.known.len(), 100);
+    }
 }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -15,6 +15,7 @@
 use crate::clock::{ms, span, Clock};
 use crate::members::{Listing, Members, Place};
 use crate::sample::Sample;
+use crate::status;
 use crate::table::{story, Answer, Asked, Attempt, Counts, Table};
 
 /// How long the node waits for the list's source before it serves by the saved list.
@@ -145,17 +146,7 @@
         if served + refused + failed + gone == 0 && status.open == 0 {
             return;
         }
-        let mut servers = String::new();
-        for s in &status.servers {
-            let name = state.members.name(s.server).unwrap_or("?");
-            servers += &format!("; {name} out {} limit {:.2} share {:.2}", s.out, s.limit, s.share);
-            if s.warmth < 1.0 {
-                servers += &format!(" warmth {:.2}", s.warmth);
-            }
-            if s.ejected {
-                servers += " ejected";
-            }
-        }
+        let servers = status::servers(&status.servers, |server| state.members.name(server));
         let (held, open, fleet, budget) = (status.held, status.open, status.fleet, status.retry_budget);
         let connections = self.carrier.connections();
         tracing::info!(
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::list::listing;
+use crate::list;
 use crate::sock::{io, Sock};
 
 /// The longest line that is taken.
@@ -95,8 +95,7 @@
 }
 
 fn read(line: &[u8]) -> Result<Listing, Ended> {
-    let value = serde_json::from_slice(line).map_err(|e| Ended::Unreadable(e.to_string()))?;
-    listing(value).map_err(Ended::Unreadable)
+    list::read(line).map_err(Ended::Unreadable)
 }
 
 /// A call's answer; the connection ends with it.
@@ -135,6 +134,8 @@
 #[derive(Default)]
 struct Lines {
     held: Vec<u8>,
+    /// How much of it has no line's end.
+    looked: usize,
 }
 
 impl Lines {
@@ -147,12 +148,38 @@
     }
 
     fn next(&mut self) -> Option<Vec<u8>> {
-        let end = self.held.iter().position(|b| *b == b'\n')?;
-        let rest = self.held.split_off(end + 1);
+        // A long line comes in many pieces: what was looked through is not looked through again with each.
+        let Some(end) = self.held[self.looked..].iter().position(|b| *b == b'\n') else {
+            self.looked = self.held.len();
+            return None;
+        };
+        let rest = self.held.split_off(self.looked + end + 1);
         let mut line = std::mem::replace(&mut self.held, rest);
+        self.looked = 0;
         while line.last().is_some_and(u8::is_ascii_whitespace) {
             line.pop();
         }
         Some(line)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lines_come_out_whole_however_they_came_in() {
+        let text = b"one\r\n\ntwo \nthree";
+        for piece in 1..=text.len() {
+            let (mut lines, mut out) = (Lines::default(), Vec::new());
+            for data in text.chunks(piece) {
+                assert!(lines.push(data).is_ok());
+                out.extend(std::iter::from_fn(|| lines.next()));
+            }
+            assert_eq!(out, [&b"one"[..], b"", b"two"], "in pieces of {piece}");
+        }
+        let mut lines = Lines::default();
+        assert!(lines.push(&vec![b'x'; LINE_MOST]).is_ok());
+        assert!(lines.next().is_none() && lines.push(b"x").is_err(), "a line without an end is bounded");
+    }
+}
--- a/crates/http/src/list.rs
+++ b/crates/http/src/list.rs
@@ -93,7 +93,18 @@
 /// # Errors
 /// Names what is missing or malformed.
 pub fn listing(value: Value) -> Result<Listing, String> {
-    let update: Update = serde_json::from_value(value).map_err(|e| e.to_string())?;
+    checked(serde_json::from_value(value).map_err(|e| e.to_string())?)
+}
+
+/// Reads a line as it came. A list of thousands is read without a tree of values in between.
+///
+/// # Errors
+/// Names what is missing or malformed.
+pub fn read(line: &[u8]) -> Result<Listing, String> {
+    checked(serde_json::from_slice(line).map_err(|e| e.to_string())?)
+}
+
+fn checked(update: Update) -> Result<Listing, String> {
     if let Some(host) = update.hosts.iter().find(|h| h.dial.is_none() && h.health != Health::Left) {
         return Err(format!("{}: dial is missing", host.host));
     }
--- a/crates/policy/tests/size.rs
+++ b/crates/policy/tests/size.rs
@@ -21,7 +21,10 @@
         }
     }
     assert!((300..=1200).contains(&lines), "{lines} lines");
-    assert!(FILES[0].1.lines().next().is_some_and(|l| l.contains("src/api.rs")), "the interface is named first");
+    assert!(
+        FILES[0].1.lines().next().is_some_and(|l| l.contains("src/api.rs")),
+        "the interface is named first"
+    );
 }
 
 /// A file that decides and is not counted would be a way round the cap.
