--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,79 @@
+//! The clients' ids that are open in a process, over all of its workers.
+
+use std::collections::hash_map::RandomState;
+use std::collections::HashSet;
+use std::hash::BuildHasher;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Parts of the set with a lock each, so that workers seldom meet at one.
+const PARTS: usize = 32;
+
+/// The ids of requests that await their answer. Clones share one set: an id that is open at one worker is seen as open at
+/// all others, so that no request runs at two of them.
+#[derive(Clone, Debug, Default)]
+pub struct Ids(Arc<Parts>);
+
+#[derive(Debug)]
+struct Parts {
+    /// Keyed at random: clients choose their ids.
+    hasher: RandomState,
+    parts: Vec<Mutex<HashSet<Box<str>>>>,
+}
+
+impl Default for Parts {
+    fn default() -> Self {
+        Self { hasher: RandomState::new(), parts: (0..PARTS).map(|_| Mutex::default()).collect() }
+    }
+}
+
+impl Ids {
+    fn part(&self, id: &str) -> MutexGuard<'_, HashSet<Box<str>>> {
+        let place = self.0.hasher.hash_one(id) as usize % PARTS;
+        // A worker that panicked while it held the lock left a whole set all the same: one call changes it.
+        self.0.parts[place].lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Opens an id; false where it is open already.
+    pub(crate) fn open(&self, id: &str) -> bool {
+        self.part(id).insert(id.into())
+    }
+
+    /// Closes an id.
+    pub(crate) fn close(&self, id: &str) {
+        self.part(id).remove(id);
+    }
+
+    /// How many are open, at all workers.
+    pub fn len(&self) -> usize {
+        let held =
+            |part: &Mutex<HashSet<Box<str>>>| part.lock().unwrap_or_else(PoisonError::into_inner).len();
+        self.0.parts.iter().map(held).sum()
+    }
+
+    /// Is none open?
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_id_that_is_open_at_one_worker_is_open_at_all() {
+        let ids = Ids::default();
+        let wins: usize = std::thread::scope(|scope| {
+            let workers: Vec<_> = (0..4)
+                .map(|_| {
+                    let ids = ids.clone();
+                    scope.spawn(move || (0..1000).filter(|n| ids.open(&format!("txn-{n}"))).count())
+                })
+                .collect();
+            workers.into_iter().map(|w| w.join().expect("it ends")).sum()
+        });
+        assert_eq!((wins, ids.len()), (1000, 1000), "each id was opened once");
+        (0..1000).for_each(|n| ids.close(&format!("txn-{n}")));
+        assert!(ids.is_empty() && ids.open("txn-1"));
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod carrier;
 mod clock;
+mod ids;
 mod members;
 mod node;
 mod sample;
@@ -17,6 +18,7 @@
 mod table;
 
 pub use carrier::{Carrier, Ended, Payload, Target};
+pub use ids::Ids;
 pub use members::{number_of, Listing, Member, Place};
 pub use node::{Core, Setup};
 pub use sample::Sample;
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -188,11 +188,7 @@
             "twice is as once"
         );
         let renamed = (0..100).map(|n| member(&format!("new-{n}"), 1000 + n, Listed::Up, 0.0));
-        assert_eq!(
-            take(&mut members, true, renamed.collect()).len(),
-            99,
-            "a list that renames every box"
-        );
+        assert_eq!(take(&mut members, true, renamed.collect()).len(), 99, "a list that renames every box");
         assert_eq!(members.known.len(), 100);
     }
 }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -13,6 +13,7 @@
 
 use crate::carrier::{Carrier, Ended, Target};
 use crate::clock::{ms, span, Clock};
+use crate::ids::Ids;
 use crate::members::{Listing, Members, Place};
 use crate::sample::Sample;
 use crate::status;
@@ -38,6 +39,10 @@
     pub open_cap: usize,
     /// The list as last had, perhaps out of date.
     pub known: Option<Listing>,
+    /// The ids that are open in the process.
+    pub ids: Ids,
+    /// What status lines begin with: which worker this is, where there are several.
+    pub label: String,
 }
 
 struct State<C: Carrier> {
@@ -59,6 +64,7 @@
     classes: Vec<String>,
     tenants: Vec<String>,
     open_cap: usize,
+    label: String,
     /// Since when the node is to end: it is not ready any more.
     pub stopping: Cell<Option<Instant>>,
     /// Set shortly before the node ends: answers then close their connections.
@@ -81,7 +87,7 @@
             balancer,
             events: VecDeque::new(),
             feeding: false,
-            table: Table::default(),
+            table: Table::new(setup.ids),
             members: Members::default(),
             timer: None,
             call: None,
@@ -92,6 +98,7 @@
             classes: setup.classes,
             tenants: setup.tenants,
             open_cap: setup.open_cap,
+            label: setup.label,
             stopping: Cell::new(None),
             closing: Cell::new(false),
             sample: Sample::default(),
@@ -148,10 +155,10 @@
         }
         let servers = status::servers(&status.servers, |server| state.members.name(server));
         let (held, open, fleet, budget) = (status.held, status.open, status.fleet, status.retry_budget);
-        let connections = self.carrier.connections();
+        let (connections, label) = (self.carrier.connections(), &self.label);
         tracing::info!(
             target: "status",
-            "served {served} refused {refused} failed {failed} gone {gone}; attempts {attempts:?}; held {held} \
+            "{label}served {served} refused {refused} failed {failed} gone {gone}; attempts {attempts:?}; held {held} \
              open {open} fleet {fleet:.2} budget {budget:.1}; connections {connections}; {dropped} lines \
              dropped{servers}"
         );
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -1,6 +1,6 @@
 //! The requests that are open or have attempts out.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -11,6 +11,7 @@
 
 use crate::carrier::Payload;
 use crate::clock::ms;
+use crate::ids::Ids;
 use crate::members::Members;
 
 /// The final answer of a request.
@@ -100,18 +101,26 @@
 /// All requests of a node.
 pub(crate) struct Table<Request, Reply> {
     open: HashMap<RequestId, Open<Request, Reply>>,
-    /// The clients' ids of those that still await their answer.
-    ids: HashSet<String>,
+    /// The clients' ids of those that still await their answer, here and at other workers.
+    ids: Ids,
     last: u64,
 }
 
-impl<Request, Reply> Default for Table<Request, Reply> {
-    fn default() -> Self {
-        Self { open: HashMap::new(), ids: HashSet::new(), last: 0 }
+/// A worker that dies takes its requests with it: their ids may come again.
+impl<Request, Reply> Drop for Table<Request, Reply> {
+    fn drop(&mut self) {
+        for open in self.open.values().filter(|open| open.answer.is_some()) {
+            self.ids.close(&open.id);
+        }
     }
 }
 
 impl<Request: Payload, Reply> Table<Request, Reply> {
+    /// No requests; the ids may be shared with other tables.
+    pub(crate) fn new(ids: Ids) -> Self {
+        Self { open: HashMap::new(), ids, last: 0 }
+    }
+
     /// Enters a request; `None` where one with its id awaits its answer.
     pub(crate) fn enter(
         &mut self,
@@ -120,7 +129,7 @@
         answer: oneshot::Sender<Answer<Reply>>,
     ) -> Option<RequestId> {
         let Asked { id, class, tenant, request } = asked;
-        if !self.ids.insert(id.clone()) {
+        if !self.ids.open(&id) {
             return None;
         }
         self.last += 1;
@@ -144,7 +153,7 @@
     pub(crate) fn close(&mut self, id: RequestId) -> Option<oneshot::Sender<Answer<Reply>>> {
         let open = self.open.get_mut(&id)?;
         let to = open.answer.take()?;
-        self.ids.remove(&open.id);
+        self.ids.close(&open.id);
         Some(to)
     }
 
--- a/crates/http/src/config.rs
+++ b/crates/http/src/config.rs
@@ -9,6 +9,7 @@
 use crate::list::listing;
 
 /// The node's configuration.
+#[derive(Clone)]
 pub struct Config {
     /// The node's name.
     pub name: String,
@@ -44,6 +45,32 @@
 const MEMORY_LEAST: u64 = 8;
 
 impl Config {
+    /// A worker's part of what the process may hold, with its own number among all nodes' workers: in the policy's eyes
+    /// each is a node, so that what holds for all nodes together holds for all workers together.
+    ///
+    /// # Errors
+    /// Where a worker's part is too small to do anything with; names the limit.
+    pub fn part(&self, worker: usize, workers: usize) -> Result<Self, String> {
+        let mut part = self.clone();
+        (part.sockets, part.memory_mb) = (self.sockets / workers, self.memory_mb / workers);
+        for (name, own, least) in
+            [("sockets", part.sockets, SOCKETS_LEAST), ("memory_mb", part.memory_mb, MEMORY_LEAST)]
+        {
+            if (own as u64) < least {
+                return Err(format!(
+                    "limits.{name}: {own} for each of {workers} workers, {least} are needed at least"
+                ));
+            }
+        }
+        part.told.open_cap = (self.told.open_cap / workers).max(1);
+        let settings = &mut part.told.settings;
+        settings.number = settings.number * workers + worker;
+        settings.nodes *= workers;
+        // Far apart, as the seeds of nodes are.
+        part.seed = self.seed.wrapping_add((worker as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15));
+        Ok(part)
+    }
+
     /// How many connections of clients there may be: half of what the process itself does not need, within what
     /// memory can bear.
     pub fn clients_most(&self) -> usize {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,7 +1,8 @@
 //! The platform's protocol round the core: HTTP/1.1 clients and servers, discovery, and a node as a process.
 //!
-//! Sockets in, sockets out, no decisions. [`config`] reads what the platform tells a node, [`run`] runs it. Below
-//! that, arrows run one way: `service` → `clients` → `carrier` → `upstream`, `discovery` → `pool` → `sock`.
+//! Sockets in, sockets out, no decisions. [`config`] reads what the platform tells a node, [`run`] runs it, [`run_workers`] on several
+//! cores. Below
+//! that, arrows run one way: `workers` → `service` → `clients` → `carrier` → `upstream`, `discovery` → `pool` → `sock`.
 
 mod carrier;
 mod clients;
@@ -13,5 +14,7 @@
 mod service;
 mod sock;
 mod upstream;
+mod workers;
 
 pub use service::run;
+pub use workers::{note_panic, run_workers};
--- a/crates/http/src/service.rs
+++ b/crates/http/src/service.rs
@@ -1,17 +1,20 @@
 //! One node as a process: its listener, its signals, and how it ends.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use magpietally_core::{Core, Setup};
+use magpietally_core::{Core, Ids, Setup};
 use magpietally_policy::SettingsError;
-use tokio::net::{TcpListener, TcpSocket};
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 
 use crate::carrier::Http;
 use crate::clients::Clients;
 use crate::config::{self, Config};
+use crate::workers;
 
 type Node = Core<Http>;
 
@@ -27,32 +30,60 @@
 /// How often the node looks whether it can end.
 const LOOK: Duration = Duration::from_millis(5);
 /// Connections that the kernel may hold until they are accepted.
-const BACKLOG: u32 = 1024;
+const BACKLOG: i32 = 1024;
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(200);
 /// How often the log says how the node fares.
 const STATUS: Duration = Duration::from_secs(1);
 
+/// What a worker is told besides the configuration.
+pub(crate) struct Part {
+    /// Where it accepts; its own, or one of several at the same address.
+    pub(crate) listener: std::net::TcpListener,
+    /// The ids that are open in the process.
+    pub(crate) ids: Ids,
+    /// What its status lines begin with.
+    pub(crate) label: String,
+}
+
 /// Runs one node until a signal ends it. `lost_lines` counts the lines that the log has dropped so far, for the status
 /// lines.
 ///
 /// # Errors
 /// What could not be set up, in one line: the runtime, the listener, a signal or the policy's settings.
 pub fn run(config: Config, lost_lines: impl Fn() -> u64 + 'static) -> Result<(), String> {
+    let listener = listen(config.listen, false).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
+    let name = config.name.clone();
+    let part = Part { listener, ids: Ids::default(), label: String::new() };
+    work(config, part, || tracing::info!(target: "node", "{name} listens at {address}"), lost_lines)
+}
+
+/// Runs a worker until a signal ends it or its thread has panicked. `begun` is called once it accepts.
+pub(crate) fn work(
+    config: Config,
+    part: Part,
+    begun: impl FnOnce(),
+    lost_lines: impl Fn() -> u64 + 'static,
+) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, serve(config, lost_lines))
+    LocalSet::new().block_on(&runtime, serve(config, part, begun, lost_lines))
 }
 
-fn listen(config: &Config) -> std::io::Result<TcpListener> {
-    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    socket.bind(config.listen)?;
-    socket.listen(BACKLOG)
+/// A listener; `shared` lets others listen at the same address, between which the kernel spreads connections.
+pub(crate) fn listen(at: SocketAddr, shared: bool) -> std::io::Result<std::net::TcpListener> {
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(shared)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
 }
 
 /// A core with HTTP for its carrier.
-fn start(mut config: Config) -> Result<Rc<Node>, SettingsError> {
+fn start(mut config: Config, ids: Ids, label: String) -> Result<Rc<Node>, SettingsError> {
     let told = &config.told;
     let setup = Setup {
         settings: told.settings.clone(),
@@ -61,20 +92,25 @@
         tenants: told.tenants.clone(),
         open_cap: told.open_cap,
         known: config.known.take(),
+        ids,
+        label,
     };
     Core::new(setup, Http::new(config))
 }
 
-async fn serve(config: Config, lost_lines: impl Fn() -> u64 + 'static) -> Result<(), String> {
+async fn serve(
+    config: Config,
+    part: Part,
+    begun: impl FnOnce(),
+    lost_lines: impl Fn() -> u64 + 'static,
+) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signal: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signal: {e}"))?;
     // Without a handler SIGHUP ends the process, and with it all that it has taken.
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signal: {e}"))?;
-    let listener = listen(&config).map_err(|e| format!("listen: {}: {e}", config.listen))?;
-    let name = config.name.clone();
-    let node = start(config).map_err(|e| format!("settings: {e}"))?;
-    let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
-    tracing::info!(target: "node", "{name} listens at {address}");
+    let listener = TcpListener::from_std(part.listener).map_err(|e| format!("listen: {e}"))?;
+    let node = start(config, part.ids, part.label).map_err(|e| format!("settings: {e}"))?;
+    begun();
     let clients = Clients::new(node.clone());
     spawn_local(node.clone().run_timer());
     spawn_local(sweep(node.clone(), clients.clone()));
@@ -84,9 +120,12 @@
         () = clients.accept(&listener) => {}
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        () = workers::panicked() => return Err("panicked".to_string()),
+    }
+    tokio::select! {
+        () = stop(&node, &clients, listener) => Ok(()),
+        () = workers::panicked() => Err("panicked".to_string()),
     }
-    stop(&node, &clients, listener).await;
-    Ok(())
 }
 
 /// Takes over what a new configuration says of discovery, also while the node stops. A file that can't be read
--- /dev/null
+++ b/crates/policy/examples/lists.rs
@@ -0,0 +1,159 @@
+//! Lists at size: a whole list, one that renames every box, changes of one box, and an hour of a release that replaces 1%
+//! of the boxes each second, while requests come. Prints the time of each and what is held of memory.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use magpietally_policy::{
+    Action, Balancer, Class, Discovery, Effect, Entry, Event, Goal, Limits, Listed, Outcome, RequestId,
+    Rules, ServerId, Settings, Weights,
+};
+
+const BOXES: u64 = 5_000;
+
+fn settings(number: usize, nodes: usize) -> Settings {
+    Settings {
+        number,
+        nodes,
+        classes: vec![Class { aim: 400.0, worth: 1.0, late_worth: 0.0, effect: Effect::Safe }],
+        tenants: Vec::new(),
+        over_share_worth: 1.0,
+        goal: Goal { worth: 1.0, ..Goal::default() },
+        limits: Limits {
+            attempts: 3,
+            second_copies: true,
+            cancel: true,
+            probes: true,
+            connect_timeout: 150.0,
+            max_retry_after: 0.0,
+        },
+        rules: Rules {
+            ask_within: 10_000.0,
+            cold_share: 0.2,
+            warm_within: 20_000.0,
+            fall_multiple: 3.0,
+            fall_window: 1_000.0,
+        },
+        discovery: Discovery::Pushed,
+        weights: Weights::Listed,
+        tick: 1.0,
+    }
+}
+
+fn entry(n: u64, state: Listed, started: Option<f64>) -> Entry {
+    let server = ServerId(n.wrapping_mul(0x9E37_79B9_7F4A_7C15));
+    Entry { server, zone: n % 3, cell: 0, kind: 0, state, weight: 1.0, started }
+}
+
+struct Node {
+    balancer: Balancer,
+    now: f64,
+    asked: u64,
+    served: u64,
+    actions: Vec<Action>,
+    out: VecDeque<(f64, RequestId, usize, ServerId)>,
+}
+
+impl Node {
+    fn new(nodes: usize) -> Result<Self, Box<dyn std::error::Error>> {
+        let balancer = Balancer::new(settings(0, nodes), 7)?;
+        Ok(Self { balancer, now: 1.0, asked: 0, served: 0, actions: Vec::new(), out: VecDeque::new() })
+    }
+
+    /// Feeds an event, and the end of each attempt 20 ms after its send; probes succeed at once.
+    fn feed(&mut self, event: Event) -> Duration {
+        let began = Instant::now();
+        self.balancer.handle(self.now, event, &mut self.actions);
+        let spent = began.elapsed();
+        let mut probes = Vec::new();
+        for action in self.actions.drain(..) {
+            match action {
+                Action::Send { id, server, .. } => self.out.push_back((self.now, id, 0, server)),
+                Action::Probe(server) => probes.push(server),
+                _ => {}
+            }
+        }
+        for server in probes {
+            self.feed(Event::Probed { server, outcome: Outcome::Done, took: 1.0 });
+        }
+        spent
+    }
+
+    fn ask(&mut self) -> Duration {
+        self.asked += 1;
+        let (id, deadline) = (RequestId(self.asked), self.now + 1000.0);
+        self.feed(Event::Request { id, class: 0, tenant: None, deadline })
+    }
+
+    fn answers(&mut self) {
+        while let Some((at, id, attempt, server)) =
+            self.out.front().copied().filter(|o| o.0 + 20.0 <= self.now)
+        {
+            self.out.pop_front();
+            self.served += 1;
+            let (outcome, took) = (Outcome::Done, self.now - at);
+            self.feed(Event::Ended { id, attempt, server, outcome, took, finished: true });
+        }
+    }
+}
+
+/// What the process holds of memory, in KiB.
+fn memory() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    println!("{BOXES} boxes; milliseconds, but for memory");
+    for nodes in [1, 20, 200] {
+        let mut node = Node::new(nodes)?;
+        let all =
+            |from: u64| -> Vec<Entry> { (from..from + BOXES).map(|n| entry(n, Listed::Up, None)).collect() };
+        let before = memory();
+        let ms = |spent: Duration| spent.as_secs_f64() * 1e3;
+        let whole = ms(node.feed(Event::List { entries: all(0), saved: false }));
+        let per_box = (memory() - before) as f64 * 1024.0 / BOXES as f64;
+        let renamed = ms(node.feed(Event::List { entries: all(BOXES), saved: false }));
+        let one = |node: &mut Node, state| {
+            let spans =
+                (0..200).map(|n| ms(node.feed(Event::ListChange(vec![entry(BOXES + 25 * n, state, None)]))));
+            spans.sum::<f64>() / 200.0
+        };
+        let (leaves, comes) = (one(&mut node, Listed::Draining), one(&mut node, Listed::Up));
+        println!(
+            "{nodes:>4} nodes: whole list {whole:.2}, all renamed {renamed:.2}, one box leaves {leaves:.3}, one comes \
+             {comes:.3}; {per_box:.0} bytes a box"
+        );
+    }
+    // An hour: each second 1% of the boxes are replaced by new ones, cold at first; 200 requests a second come.
+    let mut node = Node::new(20)?;
+    let first: Vec<Entry> = (0..BOXES).map(|n| entry(n, Listed::Up, None)).collect();
+    node.feed(Event::List { entries: first, saved: false });
+    let (mut oldest, mut worst_list, mut worst_ask) = (0, Duration::ZERO, Duration::ZERO);
+    let began = Instant::now();
+    let hour = std::env::args().nth(1).map_or(Ok(3600u64), |w| w.parse())?;
+    for second in 0..hour {
+        let (count, now) = (BOXES / 100, node.now);
+        let gone = (oldest..oldest + count).map(|n| entry(n, Listed::Gone, None));
+        let new = (oldest + BOXES..oldest + BOXES + count).map(|n| entry(n, Listed::Up, Some(now)));
+        let change: Vec<Entry> = gone.chain(new).collect();
+        oldest += count;
+        worst_list = worst_list.max(node.feed(Event::ListChange(change)));
+        for _ in 0..200 {
+            node.now += 5.0;
+            node.answers();
+            worst_ask = worst_ask.max(node.ask());
+        }
+        if second % (hour / 6).max(1) == 0 || second + 1 == hour {
+            println!("{second:>5} s: {} KiB, {} served of {}", memory(), node.served, node.asked);
+        }
+    }
+    let each = began.elapsed().as_secs_f64() * 1e6 / node.asked as f64;
+    println!(
+        "worst change {:.2} ms, worst request {:.3} ms, {each:.2} us a request with its answer",
+        worst_list.as_secs_f64() * 1e3,
+        worst_ask.as_secs_f64() * 1e3
+    );
+    Ok(())
+}
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -38,19 +38,18 @@
     random: SplitMix,
     now: Millis,
     servers: BTreeMap<ServerId, Server>,
-    members: Vec<ServerId>,            // All servers that are up, sorted.
-    order: Vec<ServerId>,              // The same, in the order in which this node would rather use them.
-    subset: Vec<ServerId>,             // Those that it rotates over, sorted.
-    reordered: bool,                   // The order was made anew since.
-    newcomers: Vec<ServerId>,          // Those that have no turn yet.
-    turns: ByNumber<ServerId>,         // The turns of those that may be ready.
-    aside: Aside<ServerId>, // The others: from when, or from which factor of the fleet on, each may be.
+    ring: Vec<(u64, ServerId)>, // All servers that are up, by a hash that is the same at all nodes.
+    subset: Vec<ServerId>,      // Those that it rotates over, sorted.
+    reordered: bool,            // The ring has changed since.
+    newcomers: Vec<ServerId>,   // Those that have no turn yet.
+    turns: ByNumber<ServerId>,  // The turns of those that may be ready.
+    aside: Aside<ServerId>,     // The others: from when, or from which factor of the fleet on, each may be.
     ejected: BTreeSet<ServerId>, // Of the subset, those that are ejected.
-    looks: ByNumber<ServerId>, // When these are looked at again, but for those that are being probed.
-    cold: BTreeSet<ServerId>, // Of the subset, those that are cold, or were when their turn was set.
-    warm_next: ServerId,    // From which of these on turns come closer next.
+    looks: ByNumber<ServerId>,  // When these are looked at again, but for those that are being probed.
+    cold: BTreeSet<ServerId>,   // Of the subset, those that are cold, or were when their turn was set.
+    warm_next: ServerId,        // From which of these on turns come closer next.
     sizes: Option<(Millis, f64, f64)>, // When added up last, the subset's size, and that of its warm ones.
-    chosen: Millis,         // When the subset was last chosen.
+    chosen: Millis,             // When the subset was last chosen.
     requests: BTreeMap<RequestId, Request>,
     waiting: Held<Kind, RequestId>, // Requests held at the node.
     left: Vec<RequestId>,           // Of these, those that are over.
--- a/crates/policy/src/balance/list.rs
+++ b/crates/policy/src/balance/list.rs
@@ -1,6 +1,6 @@
 //! The list of servers, and which of them this node rotates over.
 
-use magpietally_structures::{apart, cover, mix};
+use magpietally_structures::{apart, mix};
 
 use super::*;
 
@@ -76,31 +76,31 @@
         server.entry = entry;
     }
 
-    /// Keeps the sorted members and their order by preference. Of a change only what it names is looked at.
+    /// Keeps the ring of those that are up. Of a change only what it names is looked at.
     fn note_members(&mut self, touched: &[ServerId], whole: bool) {
-        let mut members = std::mem::take(&mut self.members);
         let mut changed = false;
         if whole {
-            let now: Vec<ServerId> = self.up().map(|s| s.entry.server).collect();
-            (changed, members) = (now != members, now);
+            let mut ring: Vec<_> = self.up().map(|s| (mix(s.entry.server.0), s.entry.server)).collect();
+            ring.sort_unstable();
+            (changed, self.ring) = (ring != self.ring, ring);
         } else {
             for id in touched {
-                match (members.binary_search(id), self.servers.get(id).is_some_and(Server::listed_up)) {
-                    (Ok(at), false) => drop(members.remove(at)),
-                    (Err(at), true) => members.insert(at, *id),
+                let (key, up) = ((mix(id.0), *id), self.servers.get(id).is_some_and(Server::listed_up));
+                match (self.ring.binary_search(&key), up) {
+                    (Ok(at), false) => drop(self.ring.remove(at)),
+                    (Err(at), true) => self.ring.insert(at, key),
                     _ => continue,
                 }
                 changed = true;
             }
         }
         if changed {
-            (self.order, self.reordered) = (self.preference(&members), true);
+            self.reordered = true;
             // Limits and rests go by how many there are.
             for id in self.aside.iter().collect::<Vec<ServerId>>() {
                 self.wake(id);
             }
         }
-        self.members = members;
     }
 
     /// How many warm servers a node rotates over. All of them, until that would be more nodes to a server
@@ -111,27 +111,24 @@
 
     /// How many nodes send to a server.
     pub(super) fn sharing(&self) -> f64 {
-        let up = self.members.len().max(1);
+        let up = self.ring.len().max(1);
         (self.set.nodes * self.subset_size(up)) as f64 / up as f64
     }
 
-    /// The order in which this node prefers the sorted `members`; all nodes' first parts cover them evenly.
-    fn preference(&self, members: &[ServerId]) -> Vec<ServerId> {
-        if self.subset_size(members.len()) == members.len() {
-            return members.to_vec();
-        }
-        let starts: Vec<u64> = members.iter().map(|id| mix(id.0)).collect();
-        let order = cover(&starts, self.set.nodes, self.set.number, SUBSET_LEAST);
-        order.into_iter().map(|place| members[place]).collect()
+    /// Which server this node would rather use than all but so many. Nodes stand at even places on the ring
+    /// and prefer what follows their own: first parts cover the fleet evenly, though no node knows another.
+    fn preferred(&self, place: usize) -> ServerId {
+        let count = self.ring.len();
+        self.ring[(self.set.number * count / self.set.nodes + place) % count].1
     }
 
-    /// Takes servers from the order until those that are not ejected make up enough warm ones: a subset of
-    /// which many are down or cold widens, so that its node's traffic does not fall on the few others.
+    /// Takes servers as preferred until those not ejected make up enough warm ones: a subset of which
+    /// many are down or cold widens, so that its node's traffic does not fall on the few others.
     pub(super) fn choose_subset(&mut self) {
-        let count = self.order.len();
+        let count = self.ring.len();
         let wanted = self.subset_size(count) as f64;
         let part = |place: usize| {
-            let server = self.order.get(place).and_then(|id| self.servers.get(id));
+            let server = self.servers.get(&self.preferred(place));
             server.filter(|s| s.ejected.is_none()).map_or(0.0, |s| s.warmth(self.now, &self.set.rules))
         };
         // Where none is cold each is a whole one, and the sum is known without a walk.
@@ -150,7 +147,7 @@
             taken += 1;
         }
         if self.reordered || taken != self.subset.len() {
-            let mut subset = self.order[..taken].to_vec();
+            let mut subset: Vec<ServerId> = (0..taken).map(|place| self.preferred(place)).collect();
             subset.sort_unstable();
             let (leaving, coming) = apart(&self.subset, &subset);
             (self.subset, self.reordered, self.sizes) = (subset, false, None);
--- a/crates/site/examples/path.rs
+++ b/crates/site/examples/path.rs
@@ -33,23 +33,28 @@
 
 fn main() -> Result<(), Failure> {
     let mut sizes = vec![10, 100, 400];
-    let (mut programs, mut strace) = (Vec::new(), false);
+    let (mut programs, mut strace, mut workers) = (Vec::new(), false, vec![1]);
     for word in std::env::args().skip(1) {
         match word.strip_prefix("--") {
             Some("strace") => strace = true,
+            Some(other) if other.starts_with("workers=") => {
+                let list = other.trim_start_matches("workers=");
+                workers = list.split(',').map(str::parse).collect::<Result<_, _>>()?;
+            }
             Some(other) => match other.strip_prefix("boxes=") {
                 Some(list) => sizes = list.split(',').map(str::parse).collect::<Result<_, _>>()?,
                 None => {
-                    return Err(
-                        format!("--{other}: unknown; PROGRAM... [--boxes=10,100,400] [--strace]").into()
+                    return Err(format!(
+                        "--{other}: unknown; PROGRAM... [--boxes=10,100,400] [--workers=1,2] [--strace]"
                     )
+                    .into())
                 }
             },
             None => programs.push(PathBuf::from(word)),
         }
     }
     if programs.is_empty() {
-        return Err("no program; PROGRAM... [--boxes=10,100,400] [--strace]".into());
+        return Err("no program; PROGRAM... [--boxes=10,100,400] [--workers=1,2] [--strace]".into());
     }
     println!(
         "{:<28} {:>5} {:>9} {:>9} {:>8} {:>9} {:>9} {:>9} {:>9} {:>8}",
@@ -62,7 +67,9 @@
         let half = on_runtime(|| load(at.clone(), Some(rate)))?;
         row("straight to the boxes", boxes, &straight, &half, None, None);
         for program in &programs {
-            on_runtime(|| measure(program, at.clone(), strace))?;
+            for count in &workers {
+                on_runtime(|| measure(program, *count, at.clone(), strace))?;
+            }
         }
     }
     Ok(())
@@ -227,13 +234,13 @@
     }
 }
 
-async fn measure(program: &Path, at: Rc<[SocketAddr]>, strace: bool) -> Result<(), Failure> {
+async fn measure(program: &Path, workers: usize, at: Rc<[SocketAddr]>, strace: bool) -> Result<(), Failure> {
     let list = serve_list(at.clone()).await?;
     let folder = std::env::temp_dir().join(format!("path-{}", std::process::id()));
     std::fs::create_dir_all(&folder)?;
     let file = folder.join("node.json");
     std::fs::write(&file, config(list, &at).to_string())?;
-    let (mut node, to) = start(program, &file).await?;
+    let (mut node, to) = start(program, workers, &file).await?;
     let pid = node.id().ok_or("the node ended at once")?;
     let to: Rc<[SocketAddr]> = Rc::from([to]);
     let before = Box::pin(async {
@@ -248,8 +255,8 @@
     let half = load(to.clone(), Some(full.per_s() / 2.0)).await?;
     let calls = if strace { Some(count_calls(pid, to, &folder, full.per_s() / 8.0).await?) } else { None };
     let name = program.display().to_string();
-    let name = &name[name.len().saturating_sub(28)..];
-    row(name, at.len(), &full, &half, Some((cpu_us, ended.1)), calls.as_ref().map(|c| c.0));
+    let name = format!("{} x{workers}", &name[name.len().saturating_sub(24)..]);
+    row(&name, at.len(), &full, &half, Some((cpu_us, ended.1)), calls.as_ref().map(|c| c.0));
     if let Some((_, names)) = calls {
         println!("  {names}");
     }
@@ -311,12 +318,14 @@
     (spent, memory.unwrap_or(0.0) / 1024.0)
 }
 
-/// Starts a node on the first core; where it listens.
-async fn start(program: &Path, config: &Path) -> Result<(Child, SocketAddr), Failure> {
+/// Starts a node on the first core, or the first ones, one for each worker; where it listens.
+async fn start(program: &Path, workers: usize, config: &Path) -> Result<(Child, SocketAddr), Failure> {
     let mut node = Command::new("taskset")
-        .args(["-c", "0"])
+        .args(["-c", &format!("0-{}", workers - 1)])
         .arg(program)
         .arg("node")
+        // A program from before there were workers knows no such argument.
+        .args(if workers > 1 { vec!["--workers".to_string(), workers.to_string()] } else { Vec::new() })
         .env("BALANCER_CONFIG", config)
         .stdout(Stdio::null())
         .stderr(Stdio::piped())
--- a/crates/structures/src/lib.rs
+++ b/crates/structures/src/lib.rs
@@ -17,12 +17,10 @@
 //! ```
 
 mod by_number;
-mod cover;
 mod held;
 mod served;
 
 pub use by_number::{Aside, ByNumber};
-pub use cover::cover;
 pub use held::{Age, Held};
 pub use served::{Allowance, Served};
 
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -53,7 +53,7 @@
 
 impl Log {
     /// How many lines have been dropped so far, as a count that can be kept.
-    pub fn lost_lines(&self) -> impl Fn() -> u64 + 'static {
+    pub fn lost_lines(&self) -> impl Fn() -> u64 + Clone + Send + 'static {
         let dropped = self.dropped.clone();
         move || dropped.dropped_lines() as u64
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -40,6 +40,9 @@
     /// How log lines look on standard error
     #[arg(long, value_enum, default_value_t = Format::Text)]
     log: Format,
+    /// How many cores to use: each worker is a node of its own in the policy's eyes, at the same address
+    #[arg(long, value_name = "N", default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=64))]
+    workers: u8,
 }
 
 fn main() -> ExitCode {
@@ -66,14 +69,20 @@
     let config = magpietally_http::config::load()?;
     let log = logging::open(args.log)?;
     // A task that panics leaves what it held unanswered, and perhaps the policy half changed. A node that
-    // ends is started again; one that is half dead is not.
+    // ends is started again; one that is half dead is not. Of several workers only the one that panicked ends.
     std::panic::set_hook(Box::new(|fault| {
         tracing::error!(target: "panic", "{fault}");
+        if magpietally_http::note_panic() {
+            return;
+        }
         // Time for the line; a full pipe must not hold up the end.
         std::thread::sleep(std::time::Duration::from_millis(50));
         std::process::exit(101);
     }));
-    let ended = magpietally_http::run(config, log.lost_lines());
+    let ended = match usize::from(args.workers) {
+        1 => magpietally_http::run(config, log.lost_lines()),
+        workers => magpietally_http::run_workers(config, workers, log.lost_lines()),
+    };
     log.close();
     ended
 }
