--- a/crates/site/src/sockets/mod.rs
+++ b/crates/site/src/sockets/mod.rs
@@ -38,6 +38,8 @@
     pub seed: u64,
     /// Part of the requests that go straight to a box, to compare with.
     pub direct: f64,
+    /// How many workers each node has.
+    pub workers: u8,
 }
 
 /// Why a run could not be made.
--- a/crates/site/src/sockets/nodes.rs
+++ b/crates/site/src/sockets/nodes.rs
@@ -34,7 +34,8 @@
 pub(super) fn start(stage: &Rc<Stage>, n: usize) -> Result<(), SocketError> {
     write_config(stage, n)?;
     let mut command = Command::new(&stage.program);
-    command.arg("node").stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
+    command.arg("node").arg("--workers").arg(stage.workers.to_string());
+    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
     for name in ["NAME", "LISTEN", "DISCOVERY"] {
         command.env_remove(format!("BALANCER_{name}"));
     }
--- a/src/commands/demo.rs
+++ b/src/commands/demo.rs
@@ -29,6 +29,9 @@
     /// Part of the requests that go straight to a box, to compare the latency with; 0 to 1
     #[arg(long, default_value_t = 0.0)]
     straight: f64,
+    /// How many workers each node has
+    #[arg(long, value_name = "N", default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=64))]
+    workers: u8,
     /// One object with the result, and nothing else on standard output
     #[arg(long)]
     json: bool,
@@ -74,7 +77,8 @@
     site.check().map_err(|lines| wrong(name, &lines))?;
     let folder = Folder::new().map_err(|e| format!("temporary folder: {e}"))?;
     let program = std::env::current_exe().map_err(|e| format!("this program: {e}"))?;
-    let options = Options { program, folder: folder.0.clone(), seed: args.seed, direct: args.straight };
+    let (workers, direct) = (args.workers, args.straight);
+    let options = Options { program, folder: folder.0.clone(), seed: args.seed, direct, workers };
     let show = Show::new(args.json, args.seconds, &site.box_names());
     if !args.json {
         println!(
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -349,6 +349,15 @@
         Self::start(command(config, descriptors))
     }
 
+    /// Starts a node with so many workers and waits until one of them is ready.
+    pub fn with_workers(config: &Value, workers: usize) -> Self {
+        let (mut command, file) = command(config, None);
+        command.arg("--workers").arg(workers.to_string());
+        let node = Self::start((command, file));
+        node.wait_ready();
+        node
+    }
+
     /// Starts a node whose environment names discovery too, and waits until it is ready.
     pub fn ready_with_discovery(config: &Value, discovery: SocketAddr) -> Self {
         let (mut command, file) = command(config, None);
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -55,6 +55,29 @@
     assert_eq!(node.exit_code(), Some(0));
 }
 
+/// All workers follow a list that moves, serve at one address, and end together.
+#[test]
+fn workers_share_an_address_and_signals_reach_all_of_them() {
+    let (a, b) = (Peer::good("a"), Peer::good("b"));
+    let [at_a, at_b] = [a.address, b.address].map(|at| [host("s0", at, "active", 1)]);
+    let (old, new) = (Registry::new(&at_a), Registry::new(&at_b));
+    let told = config(old.address);
+    let mut node = Node::with_workers(&told, 3);
+    until("all follow the list", || old.watches() == 3);
+    // Of 24 connections each worker has some, but for once in five thousand times.
+    let answers = |node: &Node| -> Vec<Vec<u8>> {
+        (0..24).map(|n| Client::to(node).ask(&request("look", &format!("t{n}"), 15_000)).body).collect()
+    };
+    assert!(answers(&node).iter().all(|body| body == b"a"));
+    let mut moved = told.clone();
+    moved["discovery"] = json!(new.address.to_string());
+    node.reload(&moved.to_string());
+    until("all follow the new list", || new.watches() == 3);
+    until("the new list counts at all", || answers(&node).iter().all(|body| body == b"b"));
+    node.terminate();
+    assert_eq!(node.exit_code(), Some(0));
+}
+
 /// A connection that was busy while its server moved does not come back into use: it leads to the old place.
 #[test]
 fn a_connection_that_was_busy_while_its_server_moved_is_not_kept() {
