--- a/crates/site/src/sockets/clients.rs
+++ b/crates/site/src/sockets/clients.rs
@@ -220,8 +220,9 @@
         }
     }
 
-    /// One request on a connection that is kept or new. One that its node closed while it was idle, as the request went
-    /// out, is tried once more on a new one.
+    /// One request on a connection that is kept or new. One that its node closed while it was idle is tried once more on a
+    /// new one where nothing was written, or where it may run again: a signup in the hands of a node that was killed may
+    /// have run.
     async fn exchange(
         &self,
         to: (SocketAddr, u32),
@@ -231,6 +232,7 @@
         of: Option<TryNo>,
     ) -> Heard {
         let end = self.stage.instant(arrival.deadline);
+        let safe = self.stage.site.clients.classes[arrival.class].effect == Effect::Safe;
         let mut kept = self.pool.take(to);
         loop {
             let reused = kept.is_some();
@@ -263,7 +265,7 @@
                     return Heard::Answer(parts.status, away.map(|s| micros(1000.0 * s)), body);
                 }
                 Ok(Ok((_, Err(_)))) => return Heard::Broken,
-                Ok(Err(_)) if reused => {}
+                Ok(Err(error)) if reused && (error.is_canceled() || safe) => {}
                 Ok(Err(_)) => return Heard::Broken,
             }
         }
