--- a/crates/policy/examples/decision.rs
+++ b/crates/policy/examples/decision.rs
@@ -1,7 +1,7 @@
 //! The cost of a decision against the number of servers and of held requests: one request that comes and one answer, with
 //! every server full and so many requests waiting (with 0: with room everywhere).
 //!
-//! `decision BOXES HELD PAIRS` prints the nanoseconds of a pair; under callgrind two runs with different PAIRS give the
+//! `decision BOXES HELD PAIRS` prints the nanoseconds of a pair, and what an open request holds of memory on standard error; under callgrind two runs with different PAIRS give the
 //! instructions of one. `docs/measurements/decision.sh` does both.
 
 use std::collections::VecDeque;
@@ -90,6 +90,13 @@
     }
 }
 
+/// What the process holds of memory, in KiB; 0 where the system does not tell.
+fn memory() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let numbers: Vec<u64> = std::env::args().skip(1).map(|w| w.parse()).collect::<Result<_, _>>()?;
     let [boxes, held, pairs] = numbers[..] else { return Err("BOXES HELD PAIRS".into()) };
@@ -105,6 +112,7 @@
         started: None,
     };
     node.feed(Event::List { entries: (1..=boxes).map(entry).collect(), saved: false });
+    let before = memory();
     if held > 0 {
         // Until nothing is sent any more every server is full; then so many more are held.
         loop {
@@ -120,6 +128,7 @@
     if waiting != held {
         return Err(format!("{waiting} requests are held, not {held}").into());
     }
+    let grown = memory().saturating_sub(before);
     let began = Instant::now();
     for _ in 0..pairs {
         node.ask();
@@ -130,6 +139,8 @@
     if waiting != held {
         return Err(format!("{waiting} requests are held in the end, not {held}").into());
     }
+    let open = node.balancer.status().open.max(1) as f64;
+    eprintln!("{open} open requests, {:.0} bytes each", grown as f64 * 1024.0 / open);
     println!("{boxes} {held} {pairs} {:.0}", spent.as_nanos() as f64 / pairs.max(1) as f64);
     Ok(())
 }
