--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -51,10 +51,11 @@
     sizes: Option<(Millis, f64, f64)>, // When added up last, the subset's size, and that of its warm ones.
     chosen: Millis,             // When the subset was last chosen.
     requests: BTreeMap<RequestId, Request>,
-    waiting: Held<Kind, RequestId>, // Requests held at the node.
-    left: Vec<RequestId>,           // Of these, those that are over.
-    cursor: f64,                    // The turn that was taken last.
-    cursor_at: Option<ServerId>,    // The server that it fell to.
+    waiting: Held<Kind, RequestId>,    // Requests held at the node.
+    singles: Vec<ByNumber<RequestId>>, // By class, when each was first sent that may have a second copy.
+    left: Vec<RequestId>,              // Of these, those that are over.
+    cursor: f64,                       // The turn that was taken last.
+    cursor_at: Option<ServerId>,       // The server that it fell to.
     crowd: f64, // How many times more nodes share a server than wanted: a subset can be too small to.
     held_since: Option<Millis>, // Since when some have been held without a break.
     classes: Vec<ClassStats>,
@@ -198,6 +199,7 @@
             fleet: 1.0,
             class_served: Served::new(settings.classes.len(), MEMORY),
             tenant_served: Served::new(settings.tenants.len(), MEMORY),
+            singles: vec![ByNumber::default(); settings.classes.len()],
             quotas: vec![Allowance::default(); settings.tenants.len()],
             retry_budget: RETRY_BUDGET_MAX,
             timer_due: f64::INFINITY,
@@ -262,9 +264,9 @@
     fn next_due(&self) -> Millis {
         let call = self.asking.due();
         let held = if self.waiting.is_empty() { f64::INFINITY } else { self.swept + self.period() };
-        let hedge = self.hedges().map(|(_, at)| at.max(self.swept + self.period()));
-        let mut due = hedge.fold(call.min(held), f64::min);
-        due = due.min(self.looks.least().unwrap_or(f64::INFINITY));
+        let hedge = (0..self.classes.len()).filter_map(|class| self.hedges(class).next());
+        let soonest = call.min(held).min(self.looks.least().unwrap_or(f64::INFINITY));
+        let mut due = hedge.fold(soonest, |due, (_, at)| due.min(at.max(self.swept + self.period())));
         if self.any_cold_turn() {
             due = due.min(self.chosen + self.warmth_step());
         }
@@ -276,8 +278,7 @@
         self.set.rules.warm_within / WARMTH_STEPS
     }
 
-    /// How often requests that wait are looked at: far below every aim, and often enough that an answer at
-    /// the deadline comes within its slack.
+    /// How often what waits is looked at: far below all aims, and for answers within a deadline's slack.
     fn period(&self) -> Millis {
         let aim = self.set.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
         (aim / 20.0).max(self.set.tick).max(1.0)
@@ -316,7 +317,8 @@
                 self.on_probed(id, Outcome::Done, 0.0);
             }
         }
-        let missed: Vec<RequestId> = self.hedges().filter(|(_, at)| now >= *at).map(|(id, _)| id).collect();
+        let missed = (0..self.classes.len()).flat_map(|c| self.hedges(c).take_while(|(_, at)| now >= *at));
+        let missed: BTreeSet<RequestId> = missed.map(|(id, _)| id).collect();
         for id in missed {
             if let Some(server) = self.next_turn(|b, s| b.ready(s) && b.may_go(id, s)) {
                 self.send(id, server, actions);
--- a/crates/policy/src/balance/overload.rs
+++ b/crates/policy/src/balance/overload.rs
@@ -10,8 +10,7 @@
     pub(super) fn on_request(&mut self, event: Event, actions: &mut Vec<Action>) {
         let Event::Request { id, class, tenant, deadline } = event else { return };
         if self.requests.contains_key(&id) {
-            // An id never comes twice. To answer the repeat would be to answer the first, which is still
-            // owed, and to send for it afterwards.
+            // To answer a repeat would be to answer the first, which is still owed, and to send for it then.
             return;
         }
         if class >= self.set.classes.len() {
@@ -191,6 +190,9 @@
             if allowed < 1.0 { rested <= 2.0 * rest } else { 2.0 * server.out.len() as f64 >= allowed };
         let attempt = Attempt { server: to, zone, cell, sent: self.now, at_limit, alone, outcome: None };
         request.attempts.push(attempt);
+        if self.set.limits.second_copies && request.attempts.len() == 1 {
+            self.singles[request.class].set(id, self.now);
+        }
         actions.push(Action::Send { id, server: to, timeout: Some(timeout.max(0.001)) });
     }
 
--- a/crates/policy/src/balance/repeats.rs
+++ b/crates/policy/src/balance/repeats.rs
@@ -105,16 +105,17 @@
         self.serve_waiting(actions);
     }
 
-    /// What a second copy could still serve, and when its answer is missed. Only where answers get lost, and
-    /// none is held for load: what is merely heavy would else run twice.
-    pub(super) fn hedges(&self) -> impl Iterator<Item = (RequestId, Millis)> + '_ {
+    /// What a second copy could still serve of a class, and when its answer is missed, in the order of both.
+    /// Only where answers get lost, and none is held for load: what is merely heavy would else run twice.
+    pub(super) fn hedges(&self, class: usize) -> impl Iterator<Item = (RequestId, Millis)> + '_ {
         let may = self.set.limits.second_copies && self.lost > LOST.0 && self.waiting.is_empty();
-        self.requests.iter().take_while(move |_| may).filter_map(|(id, r)| {
+        let may = may && self.set.classes[class].effect != Effect::Unsafe;
+        self.singles[class].iter().take_while(move |_| may).filter_map(move |id| {
+            let (r, mean) = (self.requests.get(&id)?, self.classes[class].mean);
             let [Attempt { outcome: None, sent, .. }] = r.attempts.as_slice() else { return None };
-            let (class, mean) = (&self.set.classes[r.class], self.classes[r.class].mean);
             let at = sent + MISSED_AFTER * mean;
             let of_use = at.max(self.now) + mean < self.useful_until(r);
-            (of_use && !r.streaming && class.effect != Effect::Unsafe).then_some((*id, at))
+            (of_use && !r.streaming).then_some((id, at))
         })
     }
 
@@ -154,6 +155,7 @@
     /// Drops a request that is over; attempts that are still out are of no use any more.
     pub(super) fn forget(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         if let Some(request) = self.requests.remove(&id) {
+            self.singles[request.class].remove(id);
             if self.waiting.contains(id) {
                 self.left.push(id);
             }
