--- a/docs/measurements/decision.sh
+++ b/docs/measurements/decision.sh
@@ -16,7 +16,7 @@
     local less more
     less=$(count "$1" "$2" 10)
     more=$(count "$1" "$2" $((pairs + 10)))
-    echo "$1 $2 $(((more - less) / pairs)) $("$program" "$1" "$2" 20000 | cut -d' ' -f4)" > "$folder/$1-$2"
+    echo "$1 $2 $(((more - less) / pairs)) $("$program" "$1" "$2" 20000 2> /dev/null | cut -d' ' -f4)" > "$folder/$1-$2"
 }
 export -f cell count
 export program pairs folder
@@ -26,6 +26,6 @@
 printf '%6s %6s %13s %8s\n' boxes held instructions ns
 cat "$folder"/* | sort -k2n -k1n | awk '{
     printf "%6d %6d %13d %8d  ", $1, $2, $3, $4
-    for (i = 0; i < $3 / 250; i++) printf i < 100 ? "#" : ""
+    for (i = 0; i < $3 / 700; i++) printf "#"
     print ""
 }'
