--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -42,18 +42,6 @@
     pub(crate) fn close(&self, id: &str) {
         self.part(id).remove(id);
     }
-
-    /// How many are open, at all workers.
-    pub fn len(&self) -> usize {
-        let held =
-            |part: &Mutex<HashSet<Box<str>>>| part.lock().unwrap_or_else(PoisonError::into_inner).len();
-        self.0.parts.iter().map(held).sum()
-    }
-
-    /// Is none open?
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
 }
 
 #[cfg(test)]
@@ -72,8 +60,9 @@
                 .collect();
             workers.into_iter().map(|w| w.join().expect("it ends")).sum()
         });
-        assert_eq!((wins, ids.len()), (1000, 1000), "each id was opened once");
+        let open = || ids.0.parts.iter().map(|part| part.lock().expect("no thread panicked").len()).sum();
+        assert_eq!((wins, open()), (1000, 1000usize), "each id was opened once");
         (0..1000).for_each(|n| ids.close(&format!("txn-{n}")));
-        assert!(ids.is_empty() && ids.open("txn-1"));
+        assert!(open() == 0 && ids.open("txn-1"));
     }
 }
--- a/crates/http/src/config.rs
+++ b/crates/http/src/config.rs
@@ -4,6 +4,7 @@
 
 use magpietally_core::Listing;
 use magpietally_settings::{told, Told};
+use magpietally_structures::GOLDEN;
 use serde_json::Value;
 
 use crate::list::listing;
@@ -67,7 +68,7 @@
         settings.number = settings.number * workers + worker;
         settings.nodes *= workers;
         // Far apart, as the seeds of nodes are.
-        part.seed = self.seed.wrapping_add((worker as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15));
+        part.seed = self.seed.wrapping_add((worker as u64).wrapping_mul(GOLDEN));
         Ok(part)
     }
 
--- a/crates/http/src/service.rs
+++ b/crates/http/src/service.rs
@@ -116,14 +116,16 @@
     spawn_local(sweep(node.clone(), clients.clone()));
     spawn_local(log_status(node.clone(), lost_lines));
     spawn_local(reload(node.clone(), hangup));
+    let life = async {
+        tokio::select! {
+            () = clients.accept(&listener) => {}
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        stop(&node, &clients, listener).await;
+    };
     tokio::select! {
-        () = clients.accept(&listener) => {}
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        () = workers::panicked() => return Err("panicked".to_string()),
-    }
-    tokio::select! {
-        () = stop(&node, &clients, listener) => Ok(()),
+        () = life => Ok(()),
         () = workers::panicked() => Err("panicked".to_string()),
     }
 }
--- a/crates/http/src/workers.rs
+++ b/crates/http/src/workers.rs
@@ -111,15 +111,11 @@
     while left > 0 {
         // This side keeps a sender, so the channel never ends.
         let Ok((worker, end)) = ends.recv() else { return Err("workers: no word of them".into()) };
-        let Err(words) = end else {
+        // Where one has ended as it was told to the process ends: nothing is started again.
+        let Some(words) = end.err().filter(|_| left == count) else {
             left -= 1;
             continue;
         };
-        if left < count {
-            // The process ends: nothing is started again.
-            left -= 1;
-            continue;
-        }
         tracing::error!(target: "worker", "{worker} ended: {words}");
         deaths.push_back(Instant::now());
         while deaths.front().is_some_and(|at| at.elapsed() > DEATHS_MOST.1) {
--- /dev/null
+++ b/crates/policy/examples/common/mod.rs
@@ -0,0 +1,49 @@
+//! What the measurements share: a node's settings, its boxes, and what the process holds of memory.
+
+use magpietally_policy::{
+    Class, Discovery, Entry, Goal, Limits, Listed, Millis, Rules, ServerId, Settings, Weights,
+};
+use magpietally_structures::GOLDEN;
+
+/// The first of so many nodes, with the platform's usual rules.
+pub fn settings(nodes: usize, classes: Vec<Class>) -> Settings {
+    Settings {
+        number: 0,
+        nodes,
+        classes,
+        tenants: Vec::new(),
+        over_share_worth: 0.5,
+        goal: Goal { worth: 0.6, worst_class: 0.3, worst_tenant: 0.1 },
+        limits: Limits {
+            attempts: 3,
+            second_copies: false,
+            cancel: true,
+            probes: true,
+            connect_timeout: 150.0,
+            max_retry_after: 1000.0,
+        },
+        rules: Rules {
+            ask_within: 10_000.0,
+            cold_share: 0.2,
+            warm_within: 20_000.0,
+            fall_multiple: 3.0,
+            fall_window: 1000.0,
+        },
+        discovery: Discovery::Pushed,
+        weights: Weights::Listed,
+        tick: 1.0,
+    }
+}
+
+/// A box by its number; their ids are in no order.
+pub fn entry(n: u64, state: Listed, started: Option<Millis>) -> Entry {
+    let server = ServerId(n.wrapping_mul(GOLDEN));
+    Entry { server, zone: n % 3, cell: n % 3, kind: 0, state, weight: 1.0, started }
+}
+
+/// What the process holds of memory, in KiB; 0 where the system does not tell.
+pub fn memory() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
--- a/crates/policy/examples/decision.rs
+++ b/crates/policy/examples/decision.rs
@@ -4,12 +4,14 @@
 //! `decision BOXES HELD PAIRS` prints the nanoseconds of a pair, and what an open request holds of memory on standard error; under callgrind two runs with different PAIRS give the
 //! instructions of one. `docs/measurements/decision.sh` does both.
 
+mod common;
+
 use std::collections::VecDeque;
 use std::time::Instant;
 
+use common::{entry, memory, settings};
 use magpietally_policy::{
-    Action, Balancer, Class, Discovery, Effect, Entry, Event, Goal, Group, Limits, Listed, Outcome,
-    RequestId, Rules, ServerId, Settings, Tenant, Weights,
+    Action, Balancer, Class, Effect, Event, Group, Listed, Outcome, RequestId, ServerId, Settings, Tenant,
 };
 
 /// Long aims, so that what is held stays held while it is measured.
@@ -56,62 +58,24 @@
     }
 }
 
-fn settings() -> Settings {
+/// A class of each right to run again, and two tenants.
+fn node_settings() -> Settings {
     let class = |effect| Class { aim: AIM, worth: 1.0, late_worth: 0.0, effect };
-    Settings {
-        number: 0,
-        nodes: 1,
-        classes: vec![
-            class(Effect::Safe),
-            class(Effect::Unsafe),
-            class(Effect::Keyed { group: Group::Zone, memory: AIM }),
-        ],
-        tenants: vec![Tenant { quota_per_s: 1e9 }, Tenant { quota_per_s: 1e9 }],
-        over_share_worth: 0.5,
-        goal: Goal { worth: 0.6, worst_class: 0.3, worst_tenant: 0.1 },
-        limits: Limits {
-            attempts: 3,
-            second_copies: false,
-            cancel: true,
-            probes: true,
-            connect_timeout: 150.0,
-            max_retry_after: 1000.0,
-        },
-        rules: Rules {
-            ask_within: 10_000.0,
-            cold_share: 0.2,
-            warm_within: 20_000.0,
-            fall_multiple: 3.0,
-            fall_window: 1000.0,
-        },
-        discovery: Discovery::Pushed,
-        weights: Weights::Listed,
-        tick: 1.0,
-    }
-}
-
-/// What the process holds of memory, in KiB; 0 where the system does not tell.
-fn memory() -> u64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-    line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    let keyed = Effect::Keyed { group: Group::Zone, memory: AIM };
+    let classes = vec![class(Effect::Safe), class(Effect::Unsafe), class(keyed)];
+    let tenants = vec![Tenant { quota_per_s: 1e9 }, Tenant { quota_per_s: 1e9 }];
+    Settings { tenants, ..settings(1, classes) }
 }
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let numbers: Vec<u64> = std::env::args().skip(1).map(|w| w.parse()).collect::<Result<_, _>>()?;
     let [boxes, held, pairs] = numbers[..] else { return Err("BOXES HELD PAIRS".into()) };
-    let balancer = Balancer::new(settings(), 7)?;
+    let balancer = Balancer::new(node_settings(), 7)?;
     let mut node = Node { balancer, now: 1.0, asked: 0, actions: Vec::new(), out: VecDeque::new() };
-    let entry = |n: u64| Entry {
-        server: ServerId(n.wrapping_mul(0x9E37_79B9_7F4A_7C15)),
-        zone: n % 3,
-        cell: n % 3,
-        kind: 0,
-        state: Listed::Up,
-        weight: 1.0,
-        started: None,
-    };
-    node.feed(Event::List { entries: (1..=boxes).map(entry).collect(), saved: false });
+    node.feed(Event::List {
+        entries: (1..=boxes).map(|n| entry(n, Listed::Up, None)).collect(),
+        saved: false,
+    });
     let before = memory();
     if held > 0 {
         // Until nothing is sent any more every server is full; then so many more are held.
--- a/crates/policy/examples/lists.rs
+++ b/crates/policy/examples/lists.rs
@@ -1,50 +1,18 @@
 //! Lists at size: a whole list, one that renames every box, changes of one box, and an hour of a release that replaces 1%
 //! of the boxes each second, while requests come. Prints the time of each and what is held of memory.
 
+mod common;
+
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use common::{entry, memory, settings};
 use magpietally_policy::{
-    Action, Balancer, Class, Discovery, Effect, Entry, Event, Goal, Limits, Listed, Outcome, RequestId,
-    Rules, ServerId, Settings, Weights,
+    Action, Balancer, Class, Effect, Entry, Event, Limits, Listed, Outcome, RequestId, ServerId, Settings,
 };
 
 const BOXES: u64 = 5_000;
 
-fn settings(number: usize, nodes: usize) -> Settings {
-    Settings {
-        number,
-        nodes,
-        classes: vec![Class { aim: 400.0, worth: 1.0, late_worth: 0.0, effect: Effect::Safe }],
-        tenants: Vec::new(),
-        over_share_worth: 1.0,
-        goal: Goal { worth: 1.0, ..Goal::default() },
-        limits: Limits {
-            attempts: 3,
-            second_copies: true,
-            cancel: true,
-            probes: true,
-            connect_timeout: 150.0,
-            max_retry_after: 0.0,
-        },
-        rules: Rules {
-            ask_within: 10_000.0,
-            cold_share: 0.2,
-            warm_within: 20_000.0,
-            fall_multiple: 3.0,
-            fall_window: 1_000.0,
-        },
-        discovery: Discovery::Pushed,
-        weights: Weights::Listed,
-        tick: 1.0,
-    }
-}
-
-fn entry(n: u64, state: Listed, started: Option<f64>) -> Entry {
-    let server = ServerId(n.wrapping_mul(0x9E37_79B9_7F4A_7C15));
-    Entry { server, zone: n % 3, cell: 0, kind: 0, state, weight: 1.0, started }
-}
-
 struct Node {
     balancer: Balancer,
     now: f64,
@@ -56,7 +24,10 @@
 
 impl Node {
     fn new(nodes: usize) -> Result<Self, Box<dyn std::error::Error>> {
-        let balancer = Balancer::new(settings(0, nodes), 7)?;
+        let class = Class { aim: 400.0, worth: 1.0, late_worth: 0.0, effect: Effect::Safe };
+        let settings = settings(nodes, vec![class]);
+        let limits = Limits { second_copies: true, ..settings.limits };
+        let balancer = Balancer::new(Settings { limits, ..settings }, 7)?;
         Ok(Self { balancer, now: 1.0, asked: 0, served: 0, actions: Vec::new(), out: VecDeque::new() })
     }
 
@@ -97,13 +68,6 @@
     }
 }
 
-/// What the process holds of memory, in KiB.
-fn memory() -> u64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-    line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0)
-}
-
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     println!("{BOXES} boxes; milliseconds, but for memory");
     for nodes in [1, 20, 200] {
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -129,6 +129,11 @@
     refused: Rate,     // Refusals whose clients may yet come back.
 }
 
+/// For how long a server, or one class at it, is left alone that has failed so many times.
+fn backoff(set: &Settings, times: u32) -> Millis {
+    (4.0 * set.limits.connect_timeout * f64::from(1u32 << times.min(10))).min(set.rules.ask_within / 4.0)
+}
+
 impl Server {
     fn new(entry: Entry, classes: usize) -> Self {
         Self {
@@ -150,8 +155,8 @@
     }
 
     /// A server may turn one class away and serve the rest, as a bad release does: that class goes elsewhere
-    /// for a while that grows from `base` to `most`.
-    fn note_class(&mut self, class: usize, outcome: Outcome, now: Millis, (base, most): (Millis, Millis)) {
+    /// for a while that grows.
+    fn note_class(&mut self, class: usize, outcome: Outcome, now: Millis, set: &Settings) {
         let (failures, until) = &mut self.class_failures[class];
         match outcome {
             Outcome::Done => *failures = 0,
@@ -159,7 +164,7 @@
             Outcome::Full | Outcome::Error if now >= *until => {
                 *failures += 1;
                 if let Some(more) = failures.checked_sub(OUTLIER_FAILURES) {
-                    *until = now + (base * f64::from(1u32 << more.min(10))).min(most);
+                    *until = now + backoff(set, more);
                 }
             }
             _ => {}
@@ -264,7 +269,7 @@
     fn next_due(&self) -> Millis {
         let call = self.asking.due();
         let held = if self.waiting.is_empty() { f64::INFINITY } else { self.swept + self.period() };
-        let hedge = (0..self.classes.len()).filter_map(|class| self.hedges(class).next());
+        let hedge = self.hedged().filter_map(|class| self.hedges(class).next());
         let soonest = call.min(held).min(self.looks.least().unwrap_or(f64::INFINITY));
         let mut due = hedge.fold(soonest, |due, (_, at)| due.min(at.max(self.swept + self.period())));
         if self.any_cold_turn() {
@@ -289,12 +294,12 @@
         self.cold.iter().any(|id| self.servers.get(id).is_some_and(|s| s.turn_warmth < 1.0))
     }
 
-    fn up(&self) -> impl Iterator<Item = &Server> + Clone {
+    fn up(&self) -> impl Iterator<Item = &Server> {
         self.servers.values().filter(|s| s.listed_up())
     }
 
     /// The servers of the subset.
-    fn rotated(&self) -> impl Iterator<Item = &Server> + Clone {
+    fn rotated(&self) -> impl Iterator<Item = &Server> {
         self.subset.iter().filter_map(|id| self.servers.get(id))
     }
 
@@ -317,7 +322,7 @@
                 self.on_probed(id, Outcome::Done, 0.0);
             }
         }
-        let missed = (0..self.classes.len()).flat_map(|c| self.hedges(c).take_while(|(_, at)| now >= *at));
+        let missed = self.hedged().flat_map(|class| self.hedges(class).take_while(|(_, at)| now >= *at));
         let missed: BTreeSet<RequestId> = missed.map(|(id, _)| id).collect();
         for id in missed {
             if let Some(server) = self.next_turn(|b, s| b.ready(s) && b.may_go(id, s)) {
--- a/crates/policy/src/balance/ejection.rs
+++ b/crates/policy/src/balance/ejection.rs
@@ -12,15 +12,12 @@
 impl Balancer {
     fn eject(&mut self, id: ServerId, sure: bool) {
         let too_many = (self.ejected.len() + 1) as f64 > EJECT_AT_MOST * self.subset.len() as f64;
-        let (now, base, most) =
-            (self.now, 4.0 * self.set.limits.connect_timeout, self.set.rules.ask_within / 4.0);
         if let Some(server) = self.servers.get_mut(&id) {
             if server.ejected.is_none() && too_many && !sure {
                 return;
             }
             server.ejections += 1;
-            let span = (base * f64::from(1u32 << server.ejections.min(10))).min(most);
-            server.ejected = Some(now + span);
+            server.ejected = Some(self.now + backoff(&self.set, server.ejections));
         }
         self.note(id);
         self.choose_subset();
--- a/crates/policy/src/balance/list.rs
+++ b/crates/policy/src/balance/list.rs
@@ -155,7 +155,8 @@
                 if let Some(server) = self.servers.get_mut(id) {
                     (server.rotated, server.turn) = (!server.rotated, f64::NAN);
                 }
-                self.unplace(*id);
+                self.turns.remove(*id);
+                self.aside.remove(*id);
                 self.note(*id);
             }
             self.newcomers.extend(coming);
@@ -186,9 +187,8 @@
             let p = if warmth < 1.0 { stagger } else { after as f64 / count as f64 };
             (server.turn, server.turn_warmth) = (self.cursor + p / (server.size * warmth), warmth);
             (server.stagger, server.last_sent) = (stagger, server.last_sent.max(self.now));
-            let turn = server.turn;
-            self.unplace(id);
-            self.turns.set(id, turn);
+            self.turns.set(id, server.turn);
+            self.aside.remove(id);
             self.note(id);
         }
     }
--- a/crates/policy/src/balance/overload.rs
+++ b/crates/policy/src/balance/overload.rs
@@ -174,8 +174,9 @@
 
     pub(super) fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
-        let late = self.set.classes[request.class].late_worth > 0.0;
-        let timeout = if late { request.deadline } else { self.useful_until(request) } - self.now;
+        let class = &self.set.classes[request.class];
+        let timeout =
+            if class.late_worth > 0.0 { request.deadline } else { self.useful_until(request) } - self.now;
         let so_far = |s: &Server| (self.rest(s, self.fleet), s.allowed(self.fleet, self.least_limit()));
         let (rest, allowed) = self.servers.get(&to).map_or((0.0, 0.0), so_far);
         let (Some(request), Some(server)) = (self.requests.get_mut(&id), self.servers.get_mut(&to)) else {
@@ -190,7 +191,7 @@
             if allowed < 1.0 { rested <= 2.0 * rest } else { 2.0 * server.out.len() as f64 >= allowed };
         let attempt = Attempt { server: to, zone, cell, sent: self.now, at_limit, alone, outcome: None };
         request.attempts.push(attempt);
-        if self.set.limits.second_copies && request.attempts.len() == 1 {
+        if self.set.limits.second_copies && class.effect != Effect::Unsafe && request.attempts.len() == 1 {
             self.singles[request.class].set(id, self.now);
         }
         actions.push(Action::Send { id, server: to, timeout: Some(timeout.max(0.001)) });
--- a/crates/policy/src/balance/repeats.rs
+++ b/crates/policy/src/balance/repeats.rs
@@ -65,7 +65,6 @@
     /// An attempt has ended.
     pub(super) fn on_ended(&mut self, event: Event, actions: &mut Vec<Action>) {
         let Event::Ended { id, attempt, server, outcome, took, finished } = event else { return };
-        let now = self.now;
         self.wake(server);
         let took = if took.is_finite() { took.max(0.0) } else { 0.0 };
         if let Some(s) = self.servers.get_mut(&server) {
@@ -84,14 +83,13 @@
         let Some(ended) = request.attempts.get_mut(attempt).filter(|a| a.outcome.is_none()) else { return };
         ended.outcome = Some(outcome);
         let (class, ended, kind) = (request.class, *ended, (request.class, request.tenant, request.in_share));
-        let in_time = now - request.asked <= self.set.classes[class].aim;
+        let in_time = self.now - request.asked <= self.set.classes[class].aim;
         let open = request.pending() || request.streaming;
         if !hurried && matches!(outcome, Outcome::Done | Outcome::TimedOut | Outcome::Unheard) {
             self.lost += (if outcome == Outcome::Done { 0.0 } else { 1.0 } - self.lost) * LOST.1;
         }
-        let spans = (4.0 * self.set.limits.connect_timeout, self.set.rules.ask_within / 4.0);
         if let Some(s) = self.servers.get_mut(&server) {
-            s.note_class(class, outcome, now, spans);
+            s.note_class(class, outcome, self.now, &self.set);
         }
         self.learn(class, &ended, outcome, took);
         if finished {
@@ -105,12 +103,16 @@
         self.serve_waiting(actions);
     }
 
+    /// The classes of which a missed answer may have a second copy: all or none. Only where answers get lost,
+    /// and none is held for load: what is merely heavy would else run twice.
+    pub(super) fn hedged(&self) -> std::ops::Range<usize> {
+        let may = self.set.limits.second_copies && self.lost > LOST.0 && self.waiting.is_empty();
+        0..if may { self.classes.len() } else { 0 }
+    }
+
     /// What a second copy could still serve of a class, and when its answer is missed, in the order of both.
-    /// Only where answers get lost, and none is held for load: what is merely heavy would else run twice.
     pub(super) fn hedges(&self, class: usize) -> impl Iterator<Item = (RequestId, Millis)> + '_ {
-        let may = self.set.limits.second_copies && self.lost > LOST.0 && self.waiting.is_empty();
-        let may = may && self.set.classes[class].effect != Effect::Unsafe;
-        self.singles[class].iter().take_while(move |_| may).filter_map(move |id| {
+        self.singles[class].iter().filter_map(move |id| {
             let (r, mean) = (self.requests.get(&id)?, self.classes[class].mean);
             let [Attempt { outcome: None, sent, .. }] = r.attempts.as_slice() else { return None };
             let at = sent + MISSED_AFTER * mean;
--- a/crates/policy/src/balance/turns.rs
+++ b/crates/policy/src/balance/turns.rs
@@ -15,8 +15,7 @@
     /// that are full or rest are put aside: nobody looks at them until they may be ready, and the turns that
     /// they were passed over for are made up for then.
     pub(super) fn next_turn(&mut self, passes: impl Fn(&Self, &Server) -> bool) -> Option<ServerId> {
-        let fleet = self.fleet.min(1.0);
-        while let Some(id) = self.aside.due(self.now, fleet) {
+        while let Some(id) = self.aside.due(self.now, self.fleet.min(1.0)) {
             self.wake(id);
         }
         let mut id = self.first_that(&passes)?;
@@ -77,12 +76,6 @@
         }
     }
 
-    /// Takes a server out of the turns.
-    pub(super) fn unplace(&mut self, id: ServerId) {
-        self.turns.remove(id);
-        self.aside.remove(id);
-    }
-
     /// Passes over a server as often as its turn has come up to the cursor.
     fn catch_up(&mut self, id: ServerId) {
         let Some(server) = self.servers.get_mut(&id) else { return };
--- a/crates/policy/tests/at_size.rs
+++ b/crates/policy/tests/at_size.rs
@@ -1,71 +1,22 @@
 //! The hard cases of many servers and many held requests.
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet};
 
+use common::{entry, settings, Node};
 use magpietally_policy::*;
 
-struct Node {
-    balancer: Balancer,
-    now: Millis,
-    asked: u64,
-}
-
-fn entry(n: u64, weight: f64) -> Entry {
-    Entry { server: ServerId(n), zone: 0, cell: 0, kind: 0, state: Listed::Up, weight, started: None }
+/// One of so many nodes with one class, of which all may run again.
+fn node(nodes: usize, entries: Vec<Entry>) -> Node {
+    let classes = vec![Class { aim: 1000.0, worth: 1.0, late_worth: 0.0, effect: Effect::Safe }];
+    let limits = Limits { second_copies: false, connect_timeout: 100.0, ..settings().limits };
+    Node::new_seeded(Settings { nodes, classes, limits, ..settings() }, entries, 3)
 }
 
-impl Node {
-    fn new(nodes: usize, entries: Vec<Entry>) -> Self {
-        let settings = Settings {
-            number: 0,
-            nodes,
-            classes: vec![Class { aim: 1000.0, worth: 1.0, late_worth: 0.0, effect: Effect::Safe }],
-            over_share_worth: 1.0,
-            goal: Goal { worth: 1.0, ..Goal::default() },
-            limits: Limits {
-                attempts: 3,
-                cancel: true,
-                probes: true,
-                connect_timeout: 100.0,
-                max_retry_after: 500.0,
-                ..Limits::default()
-            },
-            rules: Rules {
-                ask_within: 10_000.0,
-                cold_share: 0.2,
-                warm_within: 20_000.0,
-                fall_multiple: 3.0,
-                fall_window: 1000.0,
-            },
-            discovery: Discovery::Pushed,
-            weights: Weights::Listed,
-            tick: 1.0,
-            ..Settings::default()
-        };
-        let mut node =
-            Self { balancer: Balancer::new(settings, 3).expect("good settings"), now: 1.0, asked: 0 };
-        node.feed(Event::List { entries, saved: false });
-        node
-    }
-
-    fn feed(&mut self, event: Event) -> Vec<Action> {
-        let mut actions = Vec::new();
-        self.balancer.handle(self.now, event, &mut actions);
-        actions
-    }
-
-    /// Asks for something with a second's time; where it is sent.
-    fn ask(&mut self) -> Option<(RequestId, ServerId)> {
-        self.asked += 1;
-        let id = RequestId(self.asked);
-        let deadline = self.now + 1000.0;
-        sends(&self.feed(Event::Request { id, class: 0, tenant: None, deadline })).first().copied()
-    }
-
-    fn end(&mut self, (id, server): (RequestId, ServerId), outcome: Outcome, took: Millis) -> Vec<Action> {
-        let finished = outcome == Outcome::Done;
-        self.feed(Event::Ended { id, attempt: 0, server, outcome, took, finished })
-    }
+/// Asks for something with a second's time; where something is sent.
+fn ask(node: &mut Node) -> Option<(RequestId, ServerId)> {
+    sends(&node.ask_with(0, None, 1000.0).1).first().copied()
 }
 
 fn sends(actions: &[Action]) -> Vec<(RequestId, ServerId)> {
@@ -76,19 +27,19 @@
 #[test]
 fn all_boxes_are_ejected_at_once_and_return_at_once() {
     let count = 2_000;
-    let mut node = Node::new(1, (0..count).map(|n| entry(n, 1.0)).collect());
-    let out: Vec<_> = (0..count).filter_map(|_| node.ask()).collect();
+    let mut node = node(1, (0..count).map(|n| entry(n, 1.0)).collect());
+    let out: Vec<_> = (0..count).filter_map(|_| ask(&mut node)).collect();
     assert_eq!(out.iter().map(|o| o.1).collect::<BTreeSet<_>>().len(), count as usize, "each has one");
     let mut probed = BTreeSet::new();
     let mut sent_again = Vec::new();
     for refused in out {
-        let actions = node.end(refused, Outcome::ConnectFailed, 1.0);
+        let actions = node.end_after(refused.0, Outcome::ConnectFailed, 1.0);
         sent_again.extend(sends(&actions));
         probed.extend(actions.iter().filter_map(|a| if let Action::Probe(s) = a { Some(*s) } else { None }));
     }
     // A box that one attempt found down gets nothing more before its probe has come back.
     node.now += 1.0;
-    probed.extend(node.feed(Event::Timer).iter().filter_map(|a| {
+    probed.extend(node.event(Event::Timer).iter().filter_map(|a| {
         if let Action::Probe(s) = a {
             Some(*s)
         } else {
@@ -96,17 +47,17 @@
         }
     }));
     assert_eq!(probed.len(), count as usize, "all are asked after");
-    assert_eq!(node.ask(), None, "there is nobody to send to");
+    assert_eq!(ask(&mut node), None, "there is nobody to send to");
     for server in probed {
-        node.feed(Event::Probed { server, outcome: Outcome::Done, took: 1.0 });
+        node.event(Event::Probed { server, outcome: Outcome::Done, took: 1.0 });
     }
     assert!(node.balancer.status().servers.iter().all(|s| !s.ejected));
     let mut served = BTreeSet::new();
     for _ in 0..4 * count {
         node.now += 1.0;
-        if let Some(sent) = node.ask() {
+        if let Some(sent) = ask(&mut node) {
             served.insert(sent.1);
-            node.end(sent, Outcome::Done, 10.0);
+            node.end_after(sent.0, Outcome::Done, 10.0);
         }
     }
     assert!(served.len() as u64 > count * 9 / 10, "{} of them have their turns again", served.len());
@@ -114,14 +65,14 @@
 
 #[test]
 fn weights_from_a_thousandth_to_a_thousand_have_their_turns() {
-    let mut node = Node::new(1, vec![entry(1, 0.001), entry(2, 1.0), entry(3, 1000.0), entry(4, f64::MAX)]);
-    node.feed(Event::ListChange(vec![Entry { state: Listed::Gone, ..entry(4, 1.0) }]));
+    let mut node = node(1, vec![entry(1, 0.001), entry(2, 1.0), entry(3, 1000.0), entry(4, f64::MAX)]);
+    node.event(Event::ListChange(vec![Entry { state: Listed::Gone, ..entry(4, 1.0) }]));
     let mut turns: BTreeMap<ServerId, u64> = BTreeMap::new();
     for _ in 0..200_200 {
         node.now += 1.0;
-        let sent = node.ask().expect("all are idle");
+        let sent = ask(&mut node).expect("all are idle");
         *turns.entry(sent.1).or_default() += 1;
-        node.end(sent, Outcome::Done, 1.0);
+        node.end_after(sent.0, Outcome::Done, 1.0);
     }
     let of = |n| turns.get(&ServerId(n)).copied().unwrap_or(0);
     assert!((195..=205).contains(&of(2)), "one in a thousand: {turns:?}");
@@ -130,9 +81,9 @@
 
 #[test]
 fn of_five_thousand_boxes_three_are_ready() {
-    let mut node = Node::new(1, (0..5_000).map(|n| entry(n, 1.0)).collect());
+    let mut node = node(1, (0..5_000).map(|n| entry(n, 1.0)).collect());
     let mut out = Vec::new();
-    while let Some(sent) = node.ask() {
+    while let Some(sent) = ask(&mut node) {
         out.push(sent);
     }
     let three = [ServerId(17), ServerId(2_500), ServerId(4_999)];
@@ -141,8 +92,8 @@
     let mut held = free.into_iter().collect::<std::collections::VecDeque<_>>();
     for _ in 0..3_000 {
         let ended = held.pop_front().expect("three boxes are at work");
-        let mut now_sent = sends(&node.end(ended, Outcome::Done, 350.0));
-        now_sent.extend(node.ask());
+        let mut now_sent = sends(&node.end_after(ended.0, Outcome::Done, 350.0));
+        now_sent.extend(ask(&mut node));
         for sent in now_sent {
             assert!(three.contains(&sent.1), "a full box was sent to");
             *turns.entry(sent.1).or_default() += 1;
@@ -155,53 +106,53 @@
 
 #[test]
 fn the_cursor_goes_on_where_its_box_leaves() {
-    let mut node = Node::new(1, (0..6).map(|n| entry(n, 1.0)).collect());
-    let order: Vec<_> = (0..6).filter_map(|_| node.ask()).map(|s| s.1 .0).collect();
+    let mut node = node(1, (0..6).map(|n| entry(n, 1.0)).collect());
+    let order: Vec<_> = (0..6).filter_map(|_| ask(&mut node)).map(|s| s.1 .0).collect();
     assert_eq!(order, [0, 1, 2, 3, 4, 5]);
-    assert_eq!(node.ask().map(|s| s.1), Some(ServerId(0)));
-    assert_eq!(node.ask().map(|s| s.1), Some(ServerId(1)));
-    node.feed(Event::ListChange(vec![Entry { state: Listed::Draining, ..entry(1, 1.0) }]));
-    let after: Vec<_> = (0..6).filter_map(|_| node.ask()).map(|s| s.1 .0).collect();
+    assert_eq!(ask(&mut node).map(|s| s.1), Some(ServerId(0)));
+    assert_eq!(ask(&mut node).map(|s| s.1), Some(ServerId(1)));
+    node.event(Event::ListChange(vec![Entry { state: Listed::Draining, ..entry(1, 1.0) }]));
+    let after: Vec<_> = (0..6).filter_map(|_| ask(&mut node)).map(|s| s.1 .0).collect();
     assert_eq!(after, [2, 3, 4, 5, 0, 2], "nobody is passed over, nobody has two turns");
 }
 
 #[test]
 fn a_subset_whose_boxes_all_drain_is_replaced_at_once() {
-    let mut node = Node::new(40, (0..100).map(|n| entry(n, 1.0)).collect());
+    let mut node = node(40, (0..100).map(|n| entry(n, 1.0)).collect());
     let mut subset = BTreeSet::new();
     for _ in 0..200 {
         node.now += 50.0;
-        let sent = node.ask().expect("somebody is ready");
+        let sent = ask(&mut node).expect("somebody is ready");
         subset.insert(sent.1);
-        node.end(sent, Outcome::Done, 10.0);
+        node.end_after(sent.0, Outcome::Done, 10.0);
     }
     assert_eq!(subset.len(), 20, "eight nodes a box");
     let draining = subset.iter().map(|s| Entry { state: Listed::Draining, ..entry(s.0, 1.0) });
-    node.feed(Event::ListChange(draining.collect()));
+    node.event(Event::ListChange(draining.collect()));
     let mut after = BTreeSet::new();
     for _ in 0..200 {
         node.now += 50.0;
-        let sent = node.ask().expect("others are ready");
+        let sent = ask(&mut node).expect("others are ready");
         after.insert(sent.1);
-        node.end(sent, Outcome::Done, 10.0);
+        node.end_after(sent.0, Outcome::Done, 10.0);
     }
     assert!(after.is_disjoint(&subset) && after.len() >= 16, "{} others", after.len());
 }
 
 #[test]
 fn ten_thousand_that_wait_for_the_same_instant_are_each_answered_once() {
-    let mut node = Node::new(1, vec![entry(1, 1.0)]);
+    let mut node = node(1, vec![entry(1, 1.0)]);
     let mut answers: BTreeMap<u64, u32> = BTreeMap::new();
     let mut sent = 0;
     for _ in 0..10_000 {
         // All at the same instant, with equal deadlines.
-        sent += u64::from(node.ask().is_some());
+        sent += u64::from(ask(&mut node).is_some());
     }
     let mut steps = 0;
     while node.balancer.status().held > 0 {
         node.now += 50.0;
         steps += 1;
-        for action in node.feed(Event::Timer) {
+        for action in node.event(Event::Timer) {
             match action {
                 Action::Refuse { id, .. } | Action::Fail(id) => *answers.entry(id.0).or_default() += 1,
                 _ => {}
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -113,10 +113,15 @@
 
     /// Ends the request's newest attempt.
     pub fn end(&mut self, id: RequestId, outcome: Outcome) -> Vec<Action> {
+        let took = self.now - self.attempts[&id].last().map_or(self.now, |(_, at)| *at);
+        self.end_after(id, outcome, took)
+    }
+
+    /// The same with a time of its own, though no time passes.
+    pub fn end_after(&mut self, id: RequestId, outcome: Outcome, took: f64) -> Vec<Action> {
         let sent = &self.attempts[&id];
         let attempt = sent.len() - 1;
-        let (server, at) = sent[attempt];
-        let took = self.now - at;
+        let (server, _) = sent[attempt];
         let finished = outcome == Outcome::Done;
         self.event(Event::Ended { id, attempt, server, outcome, took, finished })
     }
