Policy: what is out for long takes a place again; the exception for it was idle

Need: attempts that had been out for six tenths of the longest aim took no place at their server (balance/turns.rs: STUCK, STUCK_MOST, stuck_from, a count and a minimum over all attempts with each look). All tests pass without it, also the one that it was kept for (attempts on dead connections): kept connections are distrusted, and dead attempts told from slow ones, at the pool. Change: it goes, with the time that each attempt out was noted with.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -77,13 +77,13 @@
 #[derive(Default)]
 struct Server {
     entry: Entry,
-    rotated: bool,                        // It is in the subset.
-    size: f64,                            // Its size as far as the list tells.
-    share: f64,                           // Learned factor to its size.
-    turn: f64,                            // When its next turn comes; the rotation takes the least.
-    turn_warmth: f64,                     // Its warmth when the turn was set.
-    out: Vec<(RequestId, usize, Millis)>, // Own attempts that are out: request, attempt, time of the send.
-    limit: f64, // How many own attempts may be out while the fleet as a whole is not slow.
+    rotated: bool,                // It is in the subset.
+    size: f64,                    // Its size as far as the list tells.
+    share: f64,                   // Learned factor to its size.
+    turn: f64,                    // When its next turn comes; the rotation takes the least.
+    turn_warmth: f64,             // Its warmth when the turn was set.
+    out: Vec<(RequestId, usize)>, // Own attempts that are out: request, attempt.
+    limit: f64,                   // How many own attempts may be out while the fleet as a whole is not slow.
     last_sent: Millis,
     last_took: Millis,                  // How long its last answer took.
     consecutive_failures: u32,          // Failures in a row.
--- a/crates/policy/src/balance/overload.rs
+++ b/crates/policy/src/balance/overload.rs
@@ -183,7 +183,7 @@
             return;
         };
         let (zone, cell) = (server.entry.zone, server.entry.cell);
-        server.out.push((id, request.attempts.len(), self.now));
+        server.out.push((id, request.attempts.len()));
         let rested = self.now - server.last_sent;
         (server.last_sent, server.stagger) = (self.now, 1.0);
         let alone = server.out.len() == 1;
--- a/crates/policy/src/balance/repeats.rs
+++ b/crates/policy/src/balance/repeats.rs
@@ -68,7 +68,7 @@
         self.wake(server);
         let took = if took.is_finite() { took.max(0.0) } else { 0.0 };
         if let Some(s) = self.servers.get_mut(&server) {
-            s.out.retain(|o| (o.0, o.1) != (id, attempt));
+            s.out.retain(|o| *o != (id, attempt));
         }
         // One that its client gave less than half its aim says little of its server.
         let half = |r: &Request| 0.5 * self.set.classes[r.class].aim;
--- a/crates/policy/src/balance/turns.rs
+++ b/crates/policy/src/balance/turns.rs
@@ -3,8 +3,6 @@
 use super::*;
 
 const SLOW_START_CAUTION: f64 = 0.5; // Part of the cold budget used; the rest is for chance and uneven nodes.
-const STUCK: f64 = 0.6; // From this part of the longest aim on what is out takes no place ...
-const STUCK_MOST: f64 = 4.0; // ... and so many times the limit may be out with such.
 const LOOKS_MOST: usize = 64; // How many cold servers, or sizes, one event looks at where it need not.
 const STEPS_MOST: f64 = 4096.0; // How many turns are made up for one by one; more than these are at once.
 const REST_AHEAD: f64 = 1.125; // How far the fleet's factor may rise until a resting server is looked at.
@@ -63,10 +61,9 @@
             let ahead = from(fleet * REST_AHEAD);
             return if ahead.0 > self.now { ahead } else { from(fleet) };
         }
-        let moving = || server.out.iter().map(|o| o.2).filter(|sent| *sent > self.stuck_from());
-        let oldest = moving().fold(f64::INFINITY, f64::min) + (self.now - self.stuck_from());
-        let room = (moving().count() as f64 + 1.0).max(server.out.len() as f64 / STUCK_MOST);
-        (oldest - ROUNDING, room / server.limit * (1.0 - ROUNDING))
+        // It is full: an end of an attempt wakes it, or more room.
+        let room = server.out.len() as f64 + 1.0;
+        (f64::INFINITY, room / server.limit * (1.0 - ROUNDING))
     }
 
     /// Looks at a server that was put aside again.
@@ -128,25 +125,15 @@
     }
 
     /// A server full with our own attempts is passed over: on turns alone a slow one keeps its full turn
-    /// while its queue grows until nothing that it is sent comes in time. What has been out for long takes no
-    /// place, up to a bound: on connections that went dead a few attempts would else keep an idle server full
-    /// until their deadlines. It guards as well against single requests of enormous work; it could overload a
-    /// server that is this slow with everything, whose limit falls with each late answer, though.
+    /// while its queue grows until nothing that it is sent comes in time.
     fn has_room(&self, server: &Server) -> bool {
         let limit = server.allowed(self.fleet, self.least_limit());
         if limit >= 1.0 {
-            let moving = server.out.iter().filter(|(_, _, sent)| *sent > self.stuck_from()).count();
-            return (moving as f64) < limit.floor()
-                && (server.out.len() as f64) < STUCK_MOST * self.first_limit().max(limit);
+            return (server.out.len() as f64) < limit.floor();
         }
         server.out.is_empty() && self.now - server.last_sent >= self.rest(server, self.fleet)
     }
 
-    /// What was sent by then, and is still out, takes no place.
-    fn stuck_from(&self) -> Millis {
-        self.now - STUCK * self.set.classes.iter().map(|c| c.aim).fold(0.0, f64::max)
-    }
-
     /// How long a server with a limit below one rests from one send to the next: so long that on average no
     /// more is out than the limit, but never so long that its recovery would go unseen.
     pub(super) fn rest(&self, server: &Server, fleet: f64) -> Millis {
