Policy: a cold share of 0 no longer hangs the node at its first cold server

Seen: settings with ColdShare 0 are taken (a share of 0 to 1 is allowed), and with the first server that starts the policy never returns: its turn lies at infinity, warming it up gives NaN, and next_turn() passes over it for ever (balance/turns.rs, warm_up and the loop over turns.first(); balance.rs, Server::warmth). Ruled out: the steps of catch_up, which are bounded by STEPS_MOST; they never get past a turn that is not a number. Change: the warmth that is reckoned with is a thousandth at the least.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -24,6 +24,7 @@
 const RETRY_BUDGET_MAX: f64 = 10.0; // The retry budget that may be saved up, in attempts.
 
 const MEMORY: Millis = 60_000.0; // Over which time it is counted who is served how well.
+const WARMTH_LEAST: f64 = 1e-3; // With none at all a turn would be put off for good.
 const WARMTH_STEPS: f64 = 32.0; // In how many steps the subset follows the warmth of its servers.
 
 const STAY_AWAY: f64 = 0.25; // Part of its aim that the client of a refused request should stay away.
@@ -183,7 +184,7 @@
         if age >= rules.warm_within {
             return 1.0;
         }
-        rules.cold_share + (1.0 - rules.cold_share) * age / rules.warm_within
+        (rules.cold_share + (1.0 - rules.cold_share) * age / rules.warm_within).max(WARMTH_LEAST)
     }
 }
 
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -772,3 +772,19 @@
     let actions = node.end(id, Outcome::Error);
     assert_eq!(to(&actions), Some(first));
 }
+
+/// A process that has nothing at its start still grows warm, and has its turns by then.
+#[test]
+fn a_server_that_starts_with_nothing_has_its_turns_once_it_is_warm() {
+    let mut set = settings();
+    set.rules.cold_share = 0.0;
+    let mut node = Node::fleet(set.clone(), 2);
+    let started = Some(node.now);
+    node.event(Event::ListChange(vec![Entry { started, ..entry(2, 1.0) }]));
+    for _ in 0..100 {
+        node.now += set.rules.warm_within / 50.0;
+        node.serve(SAFE, 1.0);
+    }
+    let sent = (0..30).filter(|_| node.serve(SAFE, 1.0) == Some(ServerId(2))).count();
+    assert_eq!(sent, 10, "of 30");
+}
