Policy: a whole list keeps the turns of the servers that it names again

Seen: with a whole list before each request a server of three times the weight got 20 of 40 turns, not 30, and a cold one none of 300. Watched files and a discovery that is asked anew bring whole lists. Lines at fault: balance/list.rs, on_list: all servers were marked as gone before the entries were read, so each of them came back as a newcomer, with a new place in the round, a new stagger and a new rest. Ruled out: place_newcomers, which is right for those that are new; a change of one box (ListChange) was not concerned. Change: only those that the list leaves out are marked as gone. Measured: the new test fails at (20 of 40) and passes.

--- a/crates/policy/src/balance/list.rs
+++ b/crates/policy/src/balance/list.rs
@@ -16,9 +16,11 @@
         }
         let mut touched: Vec<ServerId> = entries.iter().map(|e| e.server).collect();
         if whole {
-            touched.extend(self.servers.keys());
-            for server in self.servers.values_mut() {
+            // Those that it names keep their state until it is read: to be named again is no return.
+            let named: BTreeSet<ServerId> = touched.iter().copied().collect();
+            for (id, server) in self.servers.iter_mut().filter(|(id, _)| !named.contains(id)) {
                 server.entry.state = Listed::Gone;
+                touched.push(*id);
             }
         }
         touched.sort_unstable();
--- a/crates/policy/tests/rotation.rs
+++ b/crates/policy/tests/rotation.rs
@@ -164,3 +164,26 @@
     }
     assert!(served >= 38, "{served} of 40");
 }
+
+/// A file that is replaced under load, or a source that is asked anew, brings the whole list each time.
+#[test]
+fn whole_lists_that_come_often_keep_weights_and_the_turns_of_cold_servers() {
+    let weighted = || vec![entry(0, 3.0), entry(1, 1.0)];
+    let mut node = Node::new(settings(), weighted());
+    let mut first = 0;
+    for _ in 0..40 {
+        node.event(Event::List { entries: weighted(), saved: false });
+        first += usize::from(turns(&mut node, 1) == [0]);
+    }
+    assert_eq!(first, 30, "of 40 with three times the weight");
+
+    let cold = |started| vec![entry(0, 1.0), Entry { started: Some(started), ..entry(1, 1.0) }];
+    let mut node = Node::fleet(settings(), 1);
+    let started = node.now;
+    let mut sent = 0;
+    for _ in 0..300 {
+        node.event(Event::List { entries: cold(started), saved: false });
+        sent += usize::from(turns(&mut node, 1) == [1]);
+    }
+    assert!(sent > 3, "{sent} of 300 went to the cold one");
+}
