Policy: a keyed repeat leaves time for its connection within the span of its key

Seen: a repeat was decided on up to the last millisecond of the key's span, and then may wait for a connection for as long as a connect may take (150 ms on the platform) before it is written: servers have forgotten the key by then and run it again. Lines at fault: balance/repeats.rs, Request::may_repeat. Ruled out: on the platform as it is (span 1,200 ms, deadline 600 ms) no repeat comes that late; the rule is broken where the span is shorter than the time that a request has. Change: the time to connect is taken off the span.

--- a/crates/policy/src/balance/repeats.rs
+++ b/crates/policy/src/balance/repeats.rs
@@ -25,7 +25,8 @@
                         Group::Zone => a.zone == entry.zone,
                         Group::Cell => a.cell == entry.cell,
                     };
-                    known && now - a.sent < memory
+                    // It may be that long until a connection stands and the repeat is written.
+                    known && now + limits.connect_timeout - a.sent < memory
                 }
             }),
         }
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -788,3 +788,19 @@
     let sent = (0..30).filter(|_| node.serve(SAFE, 1.0) == Some(ServerId(2))).count();
     assert_eq!(sent, 10, "of 30");
 }
+
+/// A connection may take all of its time before a repeat is written: the servers must still know its key by then.
+#[test]
+fn a_keyed_repeat_leaves_time_for_its_connection() {
+    for (took, again) in [(40.0, true), (60.0, false)] {
+        let mut set = settings();
+        set.classes[KEYED].aim = 2000.0;
+        set.classes[KEYED].effect = Effect::Keyed { group: Group::All, memory: 100.0 };
+        assert_eq!(set.limits.connect_timeout, 50.0);
+        let mut node = Node::fleet(set, 4);
+        let (id, _) = node.ask(KEYED);
+        node.now += took;
+        let actions = node.end(id, Outcome::Error);
+        assert_eq!(sent_to(&actions).is_some(), again, "failed after {took} ms: {actions:?}");
+    }
+}
