Policy: a server that dies a second time is cold a second time

Seen: where the list does not tell of starts, or not yet, a process that refused connections was held for cold at its first return alone. Lines at fault: balance/ejection.rs, on_probed: `server.returned.is_none()`. Ruled out: the list's own word, which resets `returned` (take_entry) and is not concerned. Change: each return after a refused connection is a start.

--- a/crates/policy/src/balance/ejection.rs
+++ b/crates/policy/src/balance/ejection.rs
@@ -53,7 +53,8 @@
         if outcome == Outcome::Done {
             // Only a process that was down is cold. To take one that was merely slow for cold would put the
             // whole fleet on cold budgets in a jam that ejects each server once.
-            if server.down && server.returned.is_none() {
+            // As often as that, as the list may tell late of each start or never.
+            if server.down {
                 (server.returned, server.last_sent, server.stagger) = (Some(now), now, stagger);
             }
             (server.ejected, server.consecutive_failures, server.down) = (None, 0, false);
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -804,3 +804,30 @@
         assert_eq!(sent_to(&actions).is_some(), again, "failed after {took} ms: {actions:?}");
     }
 }
+
+/// Where the list does not tell when processes start, each death that a node sees for itself is followed by a cold start.
+#[test]
+fn a_server_that_dies_a_second_time_is_cold_a_second_time() {
+    let mut set = settings();
+    set.limits.probes = false;
+    let mut node = Node::fleet(set.clone(), 4);
+    let die = |node: &mut Node| {
+        let (mut id, mut actions) = node.ask(SAFE);
+        while sent_to(&actions) != Some(ServerId(2)) {
+            node.end(id, Outcome::Done);
+            node.now += 5.0;
+            (id, actions) = node.ask(SAFE);
+        }
+        node.end(id, Outcome::ConnectFailed);
+        node.end(id, Outcome::Done);
+        node.wait(1000.0);
+        node.balancer.status().servers[2].warmth
+    };
+    assert!(die(&mut node) < 0.5);
+    for _ in 0..200 {
+        node.now += set.rules.warm_within / 100.0;
+        node.serve(SAFE, 5.0);
+    }
+    assert!(node.balancer.status().servers[2].warmth >= 1.0, "warm again");
+    assert!(die(&mut node) < 0.5, "its second start is as cold as its first");
+}
