Policy: an attempt that ends twice is one failure of its server

Seen: the end of one attempt, told three times, ejected its server. Lines at fault: balance/repeats.rs, on_ended: the failure was counted before it was known whether the attempt was out. Ruled out: the core, which gives each attempt one outcome (node.rs, end); so it shows on other carriers and on the wire. Change: only what was out at the server counts.

--- a/crates/policy/src/balance/repeats.rs
+++ b/crates/policy/src/balance/repeats.rs
@@ -68,13 +68,14 @@
         let Event::Ended { id, attempt, server, outcome, took, finished } = event else { return };
         self.wake(server);
         let took = if took.is_finite() { took.max(0.0) } else { 0.0 };
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.out.retain(|o| *o != (id, attempt));
-        }
+        let place = |s: &Server| s.out.iter().position(|o| *o == (id, attempt));
+        let was_out =
+            self.servers.get_mut(&server).is_some_and(|s| place(s).map(|p| s.out.remove(p)).is_some());
         // One that its client gave less than half its aim says little of its server.
         let half = |r: &Request| 0.5 * self.set.classes[r.class].aim;
         let hurried = outcome == Outcome::TimedOut && self.requests.get(&id).is_some_and(|r| took < half(r));
-        if !hurried {
+        // An end that is told again, or of what was never sent there, counts for nothing.
+        if was_out && !hurried {
             self.detect_outlier(server, outcome, took);
         }
         if self.servers.get(&server).is_some_and(|s| s.entry.state == Listed::Gone && s.out.is_empty()) {
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -831,3 +831,39 @@
     assert!(node.balancer.status().servers[2].warmth >= 1.0, "warm again");
     assert!(die(&mut node) < 0.5, "its second start is as cold as its first");
 }
+
+/// The end of one attempt, told three times, is one failure: a server is not ejected for it.
+#[test]
+fn an_end_that_is_told_again_is_no_further_failure() {
+    let mut node = Node::fleet(settings(), 4);
+    let (id, actions) = node.ask(UNSAFE);
+    let server = sent_to(&actions).expect("sent");
+    for _ in 0..3 {
+        let outcome = Outcome::Error;
+        node.event(Event::Ended { id, attempt: 0, server, outcome, took: 5.0, finished: false });
+    }
+    assert!(node.balancer.status().servers.iter().all(|s| !s.ejected));
+}
+
+/// The client leaves in the very event that sends, or as its answer comes: the attempts end, and a server holds nothing of ours.
+#[test]
+fn what_crosses_the_clients_leaving_counts_once_and_leaves_nothing() {
+    let mut node = Node::fleet(settings(), 2);
+    for round in 0..20 {
+        let (id, actions) = node.ask(if round % 2 == 0 { UNSAFE } else { SAFE });
+        let server = sent_to(&actions).expect("sent");
+        let gone = node.event(Event::ClientGone(id));
+        assert_eq!(gone[0], Action::Cancel { id, attempt: 0 });
+        assert!(node.event(Event::ClientGone(id)).iter().all(|a| matches!(a, Action::SetTimer(_))));
+        // The cancel crosses the answer, or does what it says.
+        let outcome = if round % 4 < 2 { Outcome::Done } else { Outcome::Cancelled };
+        for _ in 0..2 {
+            node.event(Event::Ended { id, attempt: 0, server, outcome, took: 5.0, finished: true });
+        }
+        let status = node.balancer.status();
+        assert_eq!((status.open, status.held), (0, 0));
+        assert!(status.servers.iter().all(|s| s.out == 0 && !s.ejected), "{status:?}");
+    }
+    let turns: Vec<_> = (0..4).filter_map(|_| node.serve(SAFE, 5.0)).collect();
+    assert!(turns[0] == turns[2] && turns[1] == turns[3] && turns[0] != turns[1], "{turns:?}");
+}
