--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -38,7 +38,7 @@
     slow.classes[KEYED].aim = 2000.0;
     slow.classes[KEYED].effect = Effect::Keyed { group: Group::All, memory: 5.0 };
     let mut node = Node::fleet(slow, 4);
-    let (id, _) = node.ask(KEYED);
+    let (id, _) = node.ask_with(KEYED, None, 2000.0);
     node.now += 6.0;
     let actions = node.end(id, Outcome::Error);
     assert!(sent_to(&actions).is_none() && refused(&actions, id), "group `all` may be refused: {actions:?}");
@@ -798,7 +798,7 @@
         set.classes[KEYED].effect = Effect::Keyed { group: Group::All, memory: 100.0 };
         assert_eq!(set.limits.connect_timeout, 50.0);
         let mut node = Node::fleet(set, 4);
-        let (id, _) = node.ask(KEYED);
+        let (id, _) = node.ask_with(KEYED, None, 2000.0);
         node.now += took;
         let actions = node.end(id, Outcome::Error);
         assert_eq!(sent_to(&actions).is_some(), again, "failed after {took} ms: {actions:?}");
