Core: a change that names a server as gone and as back leaves it in place

Seen: a line of discovery that tells a restart as two entries, `left` and `active` of one host, took the server out of the table while the policy went by the second: each attempt at it ended as not sent, for good. Lines at fault: crates/core/src/members.rs, take: servers were removed by each entry that said gone, after all were entered. Ruled out: whole lists, which go by the state that is left; the policy, which goes by the last entry. Change: what is removed is what is gone after the last entry.

--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -108,9 +108,11 @@
             );
             self.known.retain(|_, k| k.state != Listed::Gone);
         } else {
-            // A change costs what it names, however long the list is.
-            for entry in entries.iter().filter(|e| e.state == Listed::Gone) {
-                if self.known.remove(&entry.server).is_some() {
+            // A change costs what it names, however long the list is. One that names a server twice, as gone and as back,
+            // leaves what it says last.
+            for entry in &entries {
+                if self.known.get(&entry.server).is_some_and(|k| k.state == Listed::Gone) {
+                    self.known.remove(&entry.server);
                     void.push(entry.server);
                 }
             }
@@ -180,6 +182,21 @@
         assert!(members.is_empty());
     }
 
+    /// A restart that discovery tells in one line. The policy goes by what is said last, and so must the table: it would
+    /// else send to a server that has no place.
+    #[test]
+    fn a_change_that_names_a_server_as_gone_and_as_back_leaves_it_in_place() {
+        let mut members = Members::default();
+        let one = ServerId(number_of("one"));
+        take(&mut members, true, vec![member("one", 1, Listed::Up, 0.0)]);
+        let gone = member("one", 1, Listed::Gone, 0.0);
+        let void = take(&mut members, false, vec![gone.clone(), member("one", 2, Listed::Up, 5.0)]);
+        assert!(void.contains(&one), "the old process's connections are void");
+        assert_eq!(members.place(one).map(|p| p.dial.port()), Some(2));
+        take(&mut members, false, vec![member("one", 2, Listed::Up, 5.0), gone]);
+        assert_eq!((members.place(one), members.is_empty()), (None, true));
+    }
+
     #[test]
     fn a_change_touches_what_it_names() {
         let mut members = Members::default();
