Pool: what a server answered last is kept only while an attempt there is unheard

Seen: an attempt that was answered after the list had dropped its server left an entry in Pool::answered that nothing ever removed: with 1,000 servers in turn 1,000 entries stayed. A release of boxes leaves one for each that was busy. Lines at fault: crates/http/src/pool.rs, heard and forget: forget removes, and heard comes behind it. Ruled out: idle links (put asks for the place first) and unheard attempts (Expected removes its own). Change: an entry is of use only to an attempt that was sent before and is still unheard, so it goes with the last of these.

--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -60,6 +60,8 @@
             attempts.retain(|(number, _)| *number != self.number);
             if attempts.is_empty() {
                 unheard.remove(&self.server);
+                // Nobody is left whom an answer could have overtaken; a server that is gone has no other end.
+                self.pool.answered.borrow_mut().remove(&self.server);
             }
         }
     }
@@ -70,7 +72,7 @@
     idle: RefCell<HashMap<ServerId, Vec<Link>>>,
     /// When each attempt was written to which no byte has come back.
     unheard: RefCell<HashMap<ServerId, Vec<(u64, Instant)>>>,
-    /// When the latest of the attempts was sent that a server has answered.
+    /// When the latest of the attempts was sent that a server has answered, while others there are unheard.
     answered: RefCell<HashMap<ServerId, Instant>>,
     last: Cell<u64>,
     held: Rc<Cell<usize>>,
@@ -155,6 +157,9 @@
 
     /// A server has answered what was sent then.
     pub(crate) fn heard(&self, server: ServerId, sent: Instant) {
+        if !self.unheard.borrow().contains_key(&server) {
+            return;
+        }
         let mut answered = self.answered.borrow_mut();
         let last = answered.entry(server).or_insert(sent);
         *last = sent.max(*last);
@@ -249,6 +254,25 @@
         assert!(Outcome::Unwritten.never_ran());
     }
 
+    /// A release of many servers, each of which answers when the list has dropped it, must not leave an entry for each.
+    #[test]
+    fn what_a_server_answered_last_is_kept_while_an_attempt_there_is_unheard() {
+        let pool = Rc::new(Pool::new(8, 1000.0, 100.0));
+        let sent = Instant::now();
+        let later = sent + Duration::from_millis(1);
+        let first = pool.expect(ServerId(0));
+        for server in 0..1000 {
+            let expected = pool.expect(ServerId(server));
+            pool.forget(ServerId(server));
+            drop(expected);
+            pool.heard(ServerId(server), later);
+        }
+        assert_eq!(pool.answered.borrow().len(), 1);
+        assert!(pool.overtaken(ServerId(0), sent), "the attempt that is still out is overtaken");
+        drop(first);
+        assert!(pool.answered.borrow().is_empty() && pool.unheard.borrow().is_empty());
+    }
+
     /// Guards days on which machines went silent: their attempts ended unsent, which tells nothing, and went on coming.
     #[test]
     fn a_connect_that_had_its_time_tells_of_its_server() {
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -77,6 +77,7 @@
         link.sock.begin(message.body.len());
         let request = request(message, end);
         let ended = timeout_at(end.into(), converse(&mut link, request)).await;
+        let overtaken = ended.is_err() && pool.overtaken(server, sent);
         drop(expected);
         let (any, whole) = (link.sock.any(), link.sock.whole());
         if ended.is_err() && whole && !link.sock.heard_any() {
@@ -105,9 +106,7 @@
             Ok(Err(_)) => return (Outcome::Unwritten, None),
             // A connection that is dead, or an answer that was lost, must not pass for a slow server: that would eject it,
             // and lower its limit, for each. One that is slow with all it has is not overtaken.
-            Err(_) if whole && !link.sock.heard_any() && pool.overtaken(server, sent) => {
-                return (Outcome::Unheard, None)
-            }
+            Err(_) if whole && !link.sock.heard_any() && overtaken => return (Outcome::Unheard, None),
             Err(_) if whole => return (Outcome::TimedOut, None),
             Err(_) => return (Outcome::NotSent, None),
         }
