Files are read within bounds, and no pipe in their place holds a node up

Seen: a pipe that nobody writes to in the place of the configuration stopped the node for good at SIGHUP, with all requests in its hands; in the place of a watched list it stopped the looking, so that no later list was ever seen; in the place of the configuration or the operators file a start never ended. A device or a file without an end filled the memory until the process was killed: configuration, operators file, site, experiment and list files, and a line of the boxes records. Lines at fault: std::fs::read_to_string and read in http/config.rs, commands/mod.rs, operators.rs and commands/boxes.rs; File::open before the look whether it is a file in config/watch.rs; BufRead::lines in commands/ledger.rs. Ruled out: deep nesting (the parsers have limits of their own) and directories (named before, too). Change: crates/config/src/file.rs reads up to a bound, and opens for nodes only what is a file. Commands still take pipes.

--- /dev/null
+++ b/crates/config/src/file.rs
@@ -0,0 +1,39 @@
+//! Reading files that somebody else writes, within bounds.
+
+use std::fs::File;
+use std::io::{self, Read};
+use std::path::Path;
+
+/// Reads a file to its end, `most` bytes at the most.
+///
+/// # Errors
+/// The system's, and a word where there is more than that: a device has no end.
+pub fn read(path: &Path, most: usize) -> io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    // One more than may be read, so that what is too long is seen to be.
+    File::open(path)?.take(most as u64 + 1).read_to_end(&mut bytes)?;
+    if bytes.len() > most {
+        return Err(io::Error::other(format!("longer than {most} bytes")));
+    }
+    Ok(bytes)
+}
+
+/// Opens a file for a process that serves: a pipe without a writer in its place would hold it up for good.
+///
+/// # Errors
+/// The system's, and a word where it is no plain file.
+pub fn open_plain(path: &Path) -> io::Result<File> {
+    if !std::fs::metadata(path)?.is_file() {
+        return Err(io::Error::other("not a file"));
+    }
+    File::open(path)
+}
+
+/// The same, read to its end: text of `most` bytes at the most.
+///
+/// # Errors
+/// Those of both, and a word where it is not UTF-8.
+pub fn read_plain(path: &Path, most: usize) -> io::Result<String> {
+    open_plain(path)?;
+    String::from_utf8(read(path, most)?).map_err(|e| io::Error::other(format!("not UTF-8: {e}")))
+}
--- a/crates/config/src/watch.rs
+++ b/crates/config/src/watch.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use crate::boxes::{BoxList, FILE_MOST};
+use crate::file::open_plain;
 use crate::keeper::{Keeper, Look, Rules, Step};
 
 /// How often the file is looked at. Twice this, and the time that a file must stand still, is within what a drain allows.
@@ -171,7 +172,7 @@
 
     /// The file's content, where it may differ from what was seen.
     fn read(&self) -> std::io::Result<Option<(Stamp, Vec<u8>)>> {
-        let file = File::open(&self.path)?;
+        let file = open_plain(&self.path)?;
         let stamp = stamp_of(&file)?;
         let fresh = stamp.modified.and_then(|m| m.elapsed().ok()).is_none_or(|age| age < STAMPS_APART);
         if self.seen.as_ref().is_some_and(|(seen, _)| *seen == stamp) && !fresh {
@@ -187,9 +188,6 @@
 
 fn stamp_of(file: &File) -> std::io::Result<Stamp> {
     let data = file.metadata()?;
-    if !data.is_file() {
-        return Err(std::io::Error::other("not a file"));
-    }
     Ok(Stamp {
         device: data.dev(),
         node: data.ino(),
--- a/crates/config/tests/boxes.rs
+++ b/crates/config/tests/boxes.rs
@@ -233,3 +233,25 @@
         }
     }
 }
+
+/// A pipe that nobody writes to would hold up the looking for good, and all lists that come later with it.
+#[test]
+fn a_pipe_in_the_place_of_the_list_is_named_and_the_next_list_is_seen() {
+    let path = std::env::temp_dir().join(format!("magpietally-pipe-{}", std::process::id()));
+    // An earlier run's may be there.
+    let _ = std::fs::remove_file(&path);
+    assert!(std::process::Command::new("mkfifo").arg(&path).status().expect("mkfifo runs").success());
+    let (tell, told) = std::sync::mpsc::channel();
+    let look = path.clone();
+    std::thread::spawn(move || {
+        let mut eye = Eye::new(look.clone());
+        tell.send(eye.look()).expect("the test waits");
+        std::fs::remove_file(&look).expect("it is there");
+        std::fs::write(&look, list(&["a"])).expect("a file");
+        tell.send(eye.look()).expect("the test waits");
+    });
+    let wait = Duration::from_secs(20);
+    assert_eq!(told.recv_timeout(wait), Ok(Look::Gone("can't be read: not a file".into())));
+    assert!(matches!(told.recv_timeout(wait), Ok(Look::Written(bytes)) if bytes == list(&["a"]).as_bytes()));
+    std::fs::remove_file(&path).expect("it was there");
+}
--- a/crates/http/src/config.rs
+++ b/crates/http/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use magpietally_config::file::read_plain;
 use magpietally_core::Listing;
 use magpietally_settings::{told, Told};
 use magpietally_structures::GOLDEN;
@@ -30,6 +31,8 @@
     pub told: Told,
 }
 
+/// The largest configuration that is read, in bytes: a list of thousands of servers is a tenth of it.
+const FILE_MOST: usize = 8 << 20;
 /// Descriptors where the configuration names no limit.
 const SOCKETS: u64 = 1024;
 /// The fewest that a node can do anything with.
@@ -103,7 +106,7 @@
 
 fn file() -> Result<Value, String> {
     let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG: not set".to_string())?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))?;
+    let text = read_plain(path.as_ref(), FILE_MOST).map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))?;
     serde_json::from_str(&text).map_err(|e| format!("BALANCER_CONFIG: not JSON: {e}"))
 }
 
--- a/src/commands/boxes.rs
+++ b/src/commands/boxes.rs
@@ -3,7 +3,8 @@
 use std::path::PathBuf;
 
 use clap::{Args, Subcommand};
-use magpietally_config::boxes::{read, right_sum};
+use magpietally_config::boxes::{read, right_sum, FILE_MOST};
+use magpietally_config::file::read as read_file;
 use magpietally_config::{Problem, State};
 use serde_json::json;
 
@@ -37,7 +38,7 @@
         BoxesCommand::Sum { file } => file,
     };
     let name = file.display().to_string();
-    let bytes = std::fs::read(file).map_err(|e| Failure::Wrong(format!("{name}: {e}")))?;
+    let bytes = read_file(file, FILE_MOST).map_err(|e| Failure::Wrong(format!("{name}: {e}")))?;
     let args = match command {
         BoxesCommand::Check(args) => args,
         BoxesCommand::Sum { .. } => {
--- a/src/commands/ledger.rs
+++ b/src/commands/ledger.rs
@@ -1,6 +1,6 @@
 //! `magpietally ledger`: what a node's ledger holds, and whether it agrees with the app boxes' own records.
 
-use std::io::{BufRead, BufReader, BufWriter, ErrorKind, IsTerminal, Write};
+use std::io::{BufRead, BufReader, BufWriter, ErrorKind, IsTerminal, Read, Write};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -19,6 +19,8 @@
 
 /// What recovery may hold here, where there is a whole machine's memory.
 const BOUNDS: Bounds = Bounds { open: 1 << 20, findings: 10_000 };
+/// The longest line of the boxes' records, in bytes.
+const LINE_MOST: u64 = 1 << 20;
 /// How often a follower looks.
 const LOOK: Duration = Duration::from_millis(200);
 
@@ -333,11 +335,21 @@
     for file in files {
         let name = file.display();
         let open = std::fs::File::open(file).map_err(|e| Failure::Wrong(format!("{name}: {e}")))?;
-        for (n, line) in (1..).zip(BufReader::new(open).lines()) {
+        let mut from = BufReader::new(open);
+        for n in 1.. {
             let bad = |words: String| Failure::Wrong(format!("{name}: line {n}: {words}"));
-            let line = line.map_err(|e| bad(e.to_string()))?;
-            if !line.trim().is_empty() {
-                all.push(serde_json::from_str(&line).map_err(|e| bad(e.to_string()))?);
+            let mut line = Vec::new();
+            // A file that is no file of lines, as a device, must not fill the memory with its first.
+            let read = from.by_ref().take(LINE_MOST + 1).read_until(b'\n', &mut line);
+            let length = read.map_err(|e| bad(e.to_string()))? as u64;
+            if length == 0 {
+                break;
+            }
+            if length > LINE_MOST {
+                return Err(bad(format!("longer than {LINE_MOST} bytes")));
+            }
+            if !line.trim_ascii().is_empty() {
+                all.push(serde_json::from_slice(&line).map_err(|e| bad(e.to_string()))?);
             }
         }
     }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -6,6 +6,8 @@
 pub mod ledger;
 pub mod site;
 
+use magpietally_config::file::read;
+
 /// How a subcommand ends: well, failed, or used wrongly.
 #[derive(Debug)]
 pub enum Failure {
@@ -26,10 +28,14 @@
     Failure::Wrong(lines.iter().map(|l| format!("{file}: {l}")).collect::<Vec<_>>().join("\n"))
 }
 
+/// The largest text that is read, in bytes.
+const TEXT_MOST: usize = 256 << 20;
+
 /// The text of a file.
 ///
 /// # Errors
 /// Names the file and why it can't be read.
 pub fn text_of(file: &str) -> Result<String, String> {
-    std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))
+    let bytes = read(file.as_ref(), TEXT_MOST).map_err(|e| format!("{file}: {e}"))?;
+    String::from_utf8(bytes).map_err(|e| format!("{file}: not UTF-8: {e}"))
 }
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -1,13 +1,16 @@
 //! The operators' file: what installations may switch on beside the platform's configuration.
 
+use magpietally_config::file::read_plain;
 use magpietally_config::WatchOptions;
 use magpietally_ledger::recover::Finding;
 use magpietally_ledger::settings::LedgerSettings;
 use magpietally_ledger::{Ledger, Options, Running};
 use serde::Deserialize;
 
-use crate::commands::{text_of, wrong, Failure};
+use crate::commands::{wrong, Failure};
 
+/// The largest file that is read, in bytes.
+const FILE_MOST: usize = 1 << 20;
 /// Open intents of earlier lives that the log names one by one.
 const NAMED: usize = 32;
 
@@ -32,7 +35,7 @@
 /// # Errors
 /// One line that names the file, and the line or the field.
 pub fn read(file: &str) -> Result<Operators, Failure> {
-    let text = text_of(file).map_err(Failure::Wrong)?;
+    let text = read_plain(file.as_ref(), FILE_MOST).map_err(|e| wrong(file, &[e.to_string()]))?;
     let parsed: File = toml::from_str(&text).map_err(|error| {
         let line =
             error.span().map_or(1, |span| 1 + text[..span.start.min(text.len())].matches('\n').count());
--- /dev/null
+++ b/tests/input.rs
@@ -0,0 +1,60 @@
+//! Bad input at the program's ports and files, and what is seen of it.
+
+mod peers;
+
+use peers::*;
+
+/// A directory, a pipe that nobody writes to and a device without an end in the place of each file that is read at a start:
+/// one line that names the file, an exit code, and no memory filled.
+#[test]
+fn what_stands_in_the_place_of_a_file_is_named() {
+    let made = folder("in-place");
+    std::fs::create_dir_all(&made).expect("a directory");
+    let (made, fifo) = (made.display().to_string(), made.join("fifo").display().to_string());
+    pipe(&fifo);
+    let good = format!("{made}/config.json");
+    let told = config("127.0.0.1:1".parse().expect("an address"));
+    std::fs::write(&good, told.to_string()).expect("a file");
+    for odd in [made.as_str(), &fifo, "/dev/zero"] {
+        for (args, config, code) in
+            [(&["node"][..], odd, 1), (&["node", "--operators", odd], good.as_str(), 2)]
+        {
+            let (ended, words) = run_small(args, config);
+            assert_eq!(ended, Some(code), "{args:?} {config}: {words}");
+            assert!(words.contains(odd) && words.lines().count() == 1, "{args:?} {config}: {words}");
+        }
+    }
+    // What people give a command may be a pipe.
+    for odd in [made.as_str(), "/dev/zero"] {
+        for args in [
+            &["site", "check", odd][..],
+            &["experiment", odd],
+            &["boxes", "check", odd],
+            &["boxes", "sum", odd],
+            &["ledger", "reconcile", &made, "--boxes", odd],
+        ] {
+            let (ended, words) = run_small(args, &good);
+            assert_eq!(ended, Some(2), "{args:?}: {words}");
+            assert!(words.contains(odd) && words.lines().count() == 1, "{args:?}: {words}");
+        }
+    }
+}
+
+/// The same at a reload: the node goes on by what it has.
+#[test]
+fn a_pipe_in_the_place_of_the_configuration_holds_up_no_request() {
+    let server = Peer::good("a");
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let told = config(registry.address);
+    let mut node = Node::ready(&told);
+    node.reload_from(pipe);
+    until("the node says so", || node.logged("not a file; the old configuration stays"));
+    for odd in ["{", "[[[[[[[[[[[[[[[[[[[[[[[[[[", "\u{0}"] {
+        node.reload(odd);
+        assert_eq!(Client::to(&node).ask(&request("look", "t1", 15_000)).status(), 200);
+    }
+    node.reload(&"[".repeat(100_000));
+    until("the node says so, too", || node.logged("not JSON: recursion limit exceeded"));
+    node.terminate();
+    assert_eq!(node.exit_code(), Some(0));
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -357,6 +357,38 @@
     (command, file)
 }
 
+/// Makes a pipe that nobody writes to.
+pub fn pipe(at: &str) {
+    // One of an earlier run's may be there.
+    let _ = std::fs::remove_file(at);
+    assert!(Command::new("mkfifo").arg(at).status().expect("mkfifo runs").success());
+}
+
+/// Runs the program with little memory, and with this for its configuration; its exit code and what it says. It must end
+/// by itself.
+pub fn run_small(args: &[&str], config: &str) -> (Option<i32>, String) {
+    let program = env!("CARGO_BIN_EXE_magpietally");
+    let mut child = Command::new("sh")
+        .args(["-c", "ulimit -v 1500000; exec \"$0\" \"$@\"", program])
+        .args(args)
+        .env("BALANCER_CONFIG", config)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let start = Instant::now();
+    while child.try_wait().expect("a child").is_none() {
+        if start.elapsed() > PATIENCE {
+            child.kill().expect("it runs");
+            panic!("{args:?} with {config} does not end");
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let out = child.wait_with_output().expect("it ended");
+    (out.status.code(), text(&out.stderr))
+}
+
 /// Runs a node that should not come up: its exit code and what it says.
 pub fn run(config: &Value) -> (Option<i32>, String) {
     run_with(config, &[])
@@ -446,8 +478,13 @@
 
     /// Replaces the file of the configuration, as a whole, and tells the node.
     pub fn reload(&self, words: &str) {
+        self.reload_from(|next| std::fs::write(next, words).expect("a file"));
+    }
+
+    /// The same with whatever is made in the file's place.
+    pub fn reload_from(&self, make: impl FnOnce(&str)) {
         let next = format!("{}.next", self.file);
-        std::fs::write(&next, words).expect("a file");
+        make(&next);
         std::fs::rename(&next, &self.file).expect("the same folder");
         self.signal("-HUP");
     }
@@ -457,6 +494,13 @@
         assert!(sent.expect("kill runs").success());
     }
 
+    /// How much memory the node holds.
+    pub fn memory_kib(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).expect("there is such a line");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     /// How many file descriptors the node holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
