Settings: negative and huge numbers end the start with the name of their field

Seen: OpenCap -1 was taken for 0, and the node refused every request; negative Deadline and Keepalive were taken as they came; with PeersTotal the products with the number of nodes overflow (a panic in a checked build, any share of the fleet in the release). Lines at fault: crates/settings/src/lib.rs, told and class; crates/policy/src/api.rs, Settings::check. Ruled out: fractions where whole numbers are due, and numbers that are none (refused before, too). Change: each is refused by name; a million nodes are the most.

--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -152,6 +152,9 @@
     pub tick: Millis,
 }
 
+/// The most nodes that are believed: what is shared out among them is counted in products with their number.
+const NODES_MOST: usize = 1_000_000;
+
 /// Why settings were refused.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsError(pub String);
@@ -175,6 +178,9 @@
         if self.classes.is_empty() {
             return fail("classes: no classes, one is needed at least".into());
         }
+        if self.nodes > NODES_MOST {
+            return fail(format!("nodes: {} is more than {NODES_MOST}", self.nodes));
+        }
         if self.number >= self.nodes {
             return fail("number: own number must be below the count of nodes".into());
         }
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -616,7 +616,8 @@
 #[test]
 fn settings_that_make_no_sense_are_refused() {
     type Spoil = fn(&mut Settings);
-    let cases: [(&str, Spoil); 5] = [
+    let cases: [(&str, Spoil); 6] = [
+        ("nodes: ", |s| s.nodes = usize::MAX),
         ("no classes", |s| s.classes.clear()),
         ("own number", |s| s.number = s.nodes),
         ("negative", |s| s.rules.fall_window = -1.0),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -101,6 +101,18 @@
         self.get(key).map_or(Ok(default), |v| number(v, key))
     }
 
+    /// A number that is not negative, or its default.
+    ///
+    /// # Errors
+    /// Names the field, and what was expected.
+    pub fn amount_or(&self, key: &str, default: f64) -> Result<f64, WireError> {
+        let value = self.number_or(key, default)?;
+        if value < 0.0 {
+            return Err(format!("{key}: {value} is negative"));
+        }
+        Ok(value)
+    }
+
     /// A flag, or its default.
     ///
     /// # Errors
@@ -140,7 +152,7 @@
         late_worth: f.number_or("LateValue", 0.0)?,
         effect,
     };
-    Ok((text(f.need("Name")?, "Name")?.to_string(), class, f.number_or("Deadline", f64::INFINITY)?))
+    Ok((text(f.need("Name")?, "Name")?.to_string(), class, f.amount_or("Deadline", f64::INFINITY)?))
 }
 
 /// What the settings object says: the module's part, and what only a node on sockets needs.
@@ -223,12 +235,16 @@
         },
         tick: f.number_or("Tick", 1.0)?,
     };
+    let open_cap = l.amount_or("OpenCap", 20_000.0)? as usize;
+    if open_cap == 0 {
+        return Err("OpenCap: room for one request is needed at least".to_string());
+    }
     Ok(Told {
         settings,
         classes: class_names,
         tenants: tenant_names,
         longest_deadline,
-        keepalive: l.number_or("Keepalive", 15_000.0)?,
-        open_cap: l.number_or("OpenCap", 20_000.0)? as usize,
+        keepalive: l.amount_or("Keepalive", 15_000.0)?,
+        open_cap,
     })
 }
