Discovery: a watch that brings bytes and no line is given up as silent

Seen: a watch that sent a byte each 100 ms and never ended a line was followed for ever: what discovery had to tell, drains among it, waited behind it. A whole list that trickled went on for as long. Lines at fault: crates/http/src/discovery.rs, watch and whole: the wait began anew with each piece. Ruled out: the policy's own time for a call, which ends with the first list.

--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -11,7 +11,7 @@
 use hyper::{Request, Response, StatusCode};
 use magpietally_core::{Carrier, Core, Listing};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::list;
 use crate::sock::{io, Sock};
@@ -60,14 +60,15 @@
     };
     let mut body = call(to, &format!("/v1/endpoints?watch=1&from={version}")).await?;
     let mut lines = Lines::default();
-    let mut wait = FIRST;
+    let mut due = Instant::now() + FIRST;
     loop {
-        let frame = timeout(wait, body.answer.frame()).await;
+        let frame = timeout_at(due, body.answer.frame()).await;
         let Some(frame) = frame.map_err(|_| Ended::Broken("silent watch".into()))? else { return Ok(()) };
-        wait = SILENCE;
         let Ok(data) = frame?.into_data() else { continue };
         lines.push(&data)?;
         while let Some(line) = lines.next() {
+            // Bytes that make no line are no sign of life: news waits behind them.
+            due = Instant::now() + SILENCE;
             if line.is_empty() {
                 core.list_alive();
             } else {
@@ -81,8 +82,9 @@
 async fn whole<C: Carrier>(core: &Rc<Core<C>>, to: SocketAddr) -> Result<u64, Ended> {
     let mut body = call(to, "/v1/endpoints").await?;
     let mut text = Lines::default();
+    let due = Instant::now() + FIRST;
     loop {
-        let frame = timeout(FIRST, body.answer.frame()).await;
+        let frame = timeout_at(due, body.answer.frame()).await;
         let Some(frame) = frame.map_err(|_| Ended::Broken("silent list".into()))? else { break };
         if let Ok(data) = frame?.into_data() {
             text.push(&data)?;
--- a/tests/input.rs
+++ b/tests/input.rs
@@ -2,6 +2,10 @@
 
 mod peers;
 
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::time::Duration;
+
 use peers::*;
 use serde_json::{json, Value};
 
@@ -92,3 +96,34 @@
         assert!(told.contains(words) && told.lines().count() == 1, "{words}: {told}");
     }
 }
+
+/// Bytes that never make a line are no sign of life: what has to be told waits behind them.
+#[test]
+fn a_watch_that_trickles_without_a_line_is_given_up() {
+    let server = Peer::good("a");
+    let source = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = source.local_addr().expect("bound");
+    let list = line(1, true, &[host("s0", server.address, "active", 1)]);
+    let (again, calls) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        for stream in source.incoming().flatten() {
+            let (list, again) = (list.clone(), again.clone());
+            std::thread::spawn(move || -> std::io::Result<()> {
+                let mut stream = stream;
+                let _ = stream.read(&mut [0; 4096])?;
+                // Nobody counts any more once the test is over.
+                let _ = again.send(());
+                write!(stream, "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+                write!(stream, "{:x}\r\n{list}\n\r\n", list.len() + 1)?;
+                loop {
+                    std::thread::sleep(Duration::from_millis(100));
+                    stream.write_all(b"1\r\n{\r\n")?;
+                }
+            });
+        }
+    });
+    let node = Node::ready(&config(at));
+    calls.recv_timeout(PATIENCE).expect("the first call");
+    calls.recv_timeout(PATIENCE).expect("a second call");
+    assert_eq!(Client::to(&node).ask(&request("look", "t1", 15_000)).status(), 200);
+}
