Discovery: changes of an older version than the node has are not followed

Seen: a line of changes with seq 3 behind one with seq 7 was taken as news, and a server that had begun to drain at 7 was sent to again. Lines at fault: crates/http/src/discovery.rs, watch: the version was noted and never compared. Ruled out: leaps forward, which are legal; whole lists, which say all there is and are taken with any version.

--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -72,12 +72,25 @@
             if line.is_empty() {
                 core.list_alive();
             } else {
-                core.listed(read(&line)?);
+                follow_on(core, read(&line)?)?;
             }
         }
     }
 }
 
+/// Takes a line of a watch. Changes of an older version than the node has would bring back what has been told to be over.
+fn follow_on<C: Carrier>(core: &Rc<Core<C>>, listing: Listing) -> Result<(), Ended> {
+    match core.version() {
+        Some(had) if !listing.whole && listing.version < had => {
+            Err(Ended::Unreadable(format!("seq: {} after {had}", listing.version)))
+        }
+        _ => {
+            core.listed(listing);
+            Ok(())
+        }
+    }
+}
+
 /// Asks for the whole list once.
 async fn whole<C: Carrier>(core: &Rc<Core<C>>, to: SocketAddr) -> Result<u64, Ended> {
     let mut body = call(to, "/v1/endpoints").await?;
--- a/tests/input.rs
+++ b/tests/input.rs
@@ -127,3 +127,23 @@
     calls.recv_timeout(PATIENCE).expect("a second call");
     assert_eq!(Client::to(&node).ask(&request("look", "t1", 15_000)).status(), 200);
 }
+
+/// Changes of an older version come late, or from a source that has lost its place: a server that drains since gets nothing
+/// on the strength of them.
+#[test]
+fn changes_of_an_older_version_bring_no_drained_server_back() {
+    let (a, b) = (Peer::good("a"), Peer::good("b"));
+    let (up, drains) = (host("s0", a.address, "active", 1), host("s0", a.address, "leaving", 1));
+    let other = host("s1", b.address, "active", 1);
+    let registry = Registry::new(&[up.clone(), other.clone()]);
+    let node = Node::ready(&config(registry.address));
+    let mut client = Client::to(&node);
+    let mut ask = move || client.ask(&request("look", "t1", 15_000)).body;
+    registry.tell(7, &[drains.clone(), other], &[drains]);
+    until("the drain is known", || (0..4).all(|_| ask() == b"b"));
+    registry.say(&line(3, false, &[up]));
+    until("the node says so", || node.logged("seq: 3 after 7"));
+    assert!((0..10).all(|_| ask() == b"b"));
+    until("the whole list is asked for", || registry.calls().iter().any(|c| c == "/v1/endpoints"));
+    assert!((0..10).all(|_| ask() == b"b"));
+}
