Workers: one that is started again while the process ends ends with it

Seen: of two workers one panicked, and SIGTERM came within the 100 ms until it was started again: the other one ended, the new one had never heard of it, and the process went on until SIGKILL, with half of its connections refused. Lines at fault: crates/http/src/workers.rs, run_workers; crates/http/src/service.rs, serve: each worker knew of the end by a signal of its own alone, which it registers for when it starts. Ruled out: one worker, where a panic ends the process; a panic behind the end of another worker, which was not started again. Change: the first worker that hears of the end tells all others, those that come later among them.

--- a/crates/http/src/service.rs
+++ b/crates/http/src/service.rs
@@ -11,6 +11,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
 
 use crate::carrier::Http;
@@ -48,6 +49,29 @@
     pub(crate) label: String,
     /// What operators switched on.
     pub(crate) extras: Extras,
+    /// Whether the process ends.
+    pub(crate) end: End,
+}
+
+/// Whether a process ends, for all of its workers: a signal that comes while one of them is being started again reaches
+/// only the others.
+#[derive(Clone, Debug)]
+pub(crate) struct End(watch::Sender<bool>);
+
+impl End {
+    pub(crate) fn new() -> Self {
+        Self(watch::Sender::new(false))
+    }
+
+    fn tell(&self) {
+        self.0.send_replace(true);
+    }
+
+    /// Waits until it is told, or has been.
+    async fn told(&self) {
+        // This side keeps a sender, so the wait ends with the word alone.
+        let _ = self.0.subscribe().wait_for(|told| *told).await;
+    }
 }
 
 /// What operators may switch on beside the platform's configuration.
@@ -68,7 +92,7 @@
     let listener = listen(config.listen, false).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     let name = config.name.clone();
-    let part = Part { listener, ids: Ids::default(), label: String::new(), extras };
+    let part = Part { listener, ids: Ids::default(), label: String::new(), extras, end: End::new() };
     work(config, part, || tracing::info!(target: "node", "{name} listens at {address}"), lost_lines)
 }
 
@@ -135,7 +159,9 @@
             () = clients.accept(&listener) => {}
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
+            () = part.end.told() => {}
         }
+        part.end.tell();
         stop(&node, &clients, listener).await;
     };
     tokio::select! {
--- a/crates/http/src/workers.rs
+++ b/crates/http/src/workers.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Notify;
 
 use crate::config::Config;
-use crate::service::{listen, work, Extras, Part};
+use crate::service::{listen, work, End, Extras, Part};
 
 /// How long a worker that died stays down: its clients have turned to others by then.
 const DOWN: Duration = Duration::from_millis(100);
@@ -45,7 +45,7 @@
 }
 
 /// How a worker ended.
-type End = (usize, Result<(), String>);
+type Ended = (usize, Result<(), String>);
 
 struct Workers {
     config: Config,
@@ -53,7 +53,8 @@
     at: SocketAddr,
     ids: Ids,
     extras: Extras,
-    ended: mpsc::Sender<End>,
+    ended: mpsc::Sender<Ended>,
+    end: End,
 }
 
 impl Workers {
@@ -66,7 +67,7 @@
     ) -> Result<(), String> {
         let config = self.config.part(worker, self.count)?;
         let (ids, extras, label) = (self.ids.clone(), self.extras.clone(), format!("worker {worker}: "));
-        let part = Part { listener, ids, label, extras };
+        let part = Part { listener, ids, label, extras, end: self.end.clone() };
         let ended = self.ended.clone();
         let run = move || {
             WORKS.set(true);
@@ -100,7 +101,7 @@
     }
     let (ended, ends) = mpsc::channel();
     let name = config.name.clone();
-    let workers = Workers { config, count, at, ids: Ids::default(), extras, ended };
+    let workers = Workers { config, count, at, ids: Ids::default(), extras, ended, end: End::new() };
     let lost = |worker: usize| {
         let lost_lines = lost_lines.clone();
         move || if worker == 0 { lost_lines() } else { 0 }
