Simhost: a line without an end is refused, and not read into memory

Seen: a line of 80 MiB was read whole, and one without an end would have been read until the memory was gone. Lines at fault: crates/simhost/src/lib.rs, serve: BufRead::lines. Change: 64 MiB are the most; more, and what is not UTF-8, ends with one line of error.

--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -2,28 +2,38 @@
 //! of JSON, the simulator's wire. It decides nothing.
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, Write};
+use std::io::{BufRead, Read, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
 use magpietally_policy::*;
 use magpietally_settings::{list, number, optional, text, told, whole, Fields, Told, WireError};
 use serde_json::{json, Value};
 
+/// The longest line that is read, in bytes: a batch for thousands of instances is a tenth of it.
+const LINE_MOST: u64 = 64 << 20;
+
 /// Answers each line of `from` by one line to `to`, until `from` ends.
 ///
 /// # Errors
 /// Says what is malformed, or what broke; nothing after it is answered.
-pub fn serve(from: impl BufRead, mut to: impl Write) -> Result<(), WireError> {
+pub fn serve(mut from: impl BufRead, mut to: impl Write) -> Result<(), WireError> {
     let mut host = Host::default();
-    for line in from.lines() {
-        let line = line.map_err(|e| e.to_string())?;
+    let mut line = Vec::new();
+    loop {
+        line.clear();
+        let length = from.by_ref().take(LINE_MOST + 1).read_until(b'\n', &mut line);
+        match length.map_err(|e| e.to_string())? as u64 {
+            0 => return Ok(()),
+            length if length > LINE_MOST => return Err(format!("a line of more than {LINE_MOST} bytes")),
+            _ => {}
+        }
+        let line = std::str::from_utf8(&line).map_err(|e| format!("not UTF-8: {e}"))?;
         if line.trim().is_empty() {
             continue;
         }
-        let reply = host.line(&line)?;
+        let reply = host.line(line)?;
         writeln!(to, "{reply}").and_then(|()| to.flush()).map_err(|e| e.to_string())?;
     }
-    Ok(())
 }
 
 type Names = Vec<String>;
--- a/crates/simhost/tests/adapter.rs
+++ b/crates/simhost/tests/adapter.rs
@@ -136,3 +136,13 @@
         assert!(error.contains(words), "{error}");
     }
 }
+
+/// A line without an end is not read into memory without an end.
+#[test]
+fn a_line_that_is_too_long_is_refused() {
+    let endless = std::io::Read::take(std::io::repeat(b'['), 80 << 20);
+    let refused = magpietally_simhost::serve(std::io::BufReader::new(endless), Vec::new());
+    assert!(refused.as_ref().is_err_and(|e| e.starts_with("a line of more than ")), "{refused:?}");
+    let refused = magpietally_simhost::serve(&b"\xff\xfe\n"[..], Vec::new());
+    assert!(refused.as_ref().is_err_and(|e| e.starts_with("not UTF-8")), "{refused:?}");
+}
