--- /dev/null
+++ b/tests/cancel.rs
@@ -0,0 +1,105 @@
+//! Clients that leave, at each stage of their requests, and what is left of them.
+
+mod peers;
+
+use std::net::TcpListener;
+use std::time::Duration;
+
+use peers::*;
+use serde_json::json;
+
+/// Leaves with half a head, half a body, while held, while connecting, and while at a server. Afterwards no id is open, no
+/// descriptor is held, nothing half read went out, and no server has lost its turns.
+#[test]
+fn clients_that_leave_at_any_stage_leave_nothing_behind() {
+    let servers = ["a", "b"].map(|name| {
+        Peer::new(move |m| {
+            let stays = m.header("x-txn").is_some_and(|t| t.starts_with("leaves"));
+            if stays {
+                Say::Nothing
+            } else {
+                Say::This(answer(200, "", name))
+            }
+        })
+    });
+    let hosts = [0, 1].map(|n| host(&format!("s{n}"), servers[n].address, "active", 1));
+    let registry = Registry::new(&hosts);
+    let mut told = config(registry.address);
+    told["settings"]["Limits"]["Probes"] = json!(false);
+    let node = Node::ready(&told);
+    let ask = |id: &str| Client::to(&node).ask(&request("slip", id, 15_000));
+    (0..4).for_each(|n| assert_eq!(ask(&format!("before{n}")).status(), 200));
+    let (seen, descriptors) = (|| servers.iter().map(|s| s.seen().len()).sum::<usize>(), node.descriptors());
+    let whole = request("slip", "half", 15_000);
+    for cut in 1..whole.len() {
+        Client::to(&node).send(&whole[..cut]);
+    }
+    until("the halves are gone", || node.descriptors() <= descriptors);
+    assert_eq!(seen(), 4, "no half went out");
+    for round in 0..3 {
+        let before = seen();
+        let clients: Vec<Client> = (0..6)
+            .map(|n| {
+                let mut client = Client::to(&node);
+                client.send(&request("slip", &format!("leaves{n}"), 15_000));
+                client
+            })
+            .collect();
+        until("all are at the servers", || seen() == before + 6);
+        drop(clients);
+        // Each id is free again, or the next round would not come to the servers.
+        until("their attempts have ended", || servers.iter().map(Peer::open).sum::<usize>() <= 2);
+        until(&format!("nothing is held after round {round}"), || node.descriptors() <= descriptors);
+    }
+    let turns = servers.each_ref().map(|s| s.seen().len());
+    for n in 0..20 {
+        assert_eq!(ask(&format!("after{n}")).status(), 200);
+    }
+    let turns = [0, 1].map(|n| servers[n].seen().len() - turns[n]);
+    assert_eq!(turns, [10, 10], "nobody lost turns for a client's leaving");
+}
+
+/// Leaves while its request is held, as there is nobody to send it to, and while its connection is coming up: it is not sent
+/// when that would be possible.
+#[test]
+fn what_its_client_left_is_not_sent_later() {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().expect("an address").into()).expect("a port");
+    socket.listen(0).expect("it listens");
+    let full: TcpListener = socket.into();
+    let at = full.local_addr().expect("bound");
+    let fillers: Vec<_> = (0..3)
+        .filter_map(|_| std::net::TcpStream::connect_timeout(&at, Duration::from_millis(300)).ok())
+        .collect();
+    let registry = Registry::new(&[]);
+    let mut told = config(registry.address);
+    told["settings"]["Limits"]["ConnectTimeout"] = json!(20_000.0);
+    told["settings"]["Classes"][2]["Slo"] = json!(60_000.0);
+    let node = Node::ready(&told);
+    let mut held = Client::to(&node);
+    held.send(&request("slip", "held", 60_000));
+    std::thread::sleep(Duration::from_millis(100));
+    drop(held);
+    let hosts = [host("s0", at, "active", 1)];
+    registry.tell(2, &hosts, &hosts);
+    let mut connects = Client::to(&node);
+    connects.send(&request("slip", "connects", 60_000));
+    // Its connection can't come up; by now it is waited for.
+    std::thread::sleep(Duration::from_millis(400));
+    let during = node.descriptors();
+    drop(connects);
+    until("its own connection and the one to the server are given up", || node.descriptors() + 2 <= during);
+    drop(fillers);
+    let server = Peer::on(full, |_| Say::This(answer(200, "", "served")));
+    until("it can be reached", || Client::to(&node).ask(&request("look", "later", 15_000)).status() == 200);
+    for id in ["held", "connects"] {
+        assert_eq!(Client::to(&node).ask(&request("slip", id, 15_000)).status(), 200, "its id is free again");
+    }
+    let ids: Vec<String> = server
+        .seen()
+        .iter()
+        .filter_map(|m| m.header("x-txn").map(str::to_string))
+        .filter(|t| t != "later")
+        .collect();
+    assert_eq!(ids, ["held", "connects"], "once each, and by the second asking");
+}
--- a/tests/input.rs
+++ b/tests/input.rs
@@ -97,6 +97,94 @@
     }
 }
 
+/// Lines of discovery that can't be right change nothing: the list stays, and the whole is asked for.
+#[test]
+fn lines_of_discovery_that_can_not_be_right_change_nothing() {
+    let server = Peer::good("a");
+    let hosts = [host("s0", server.address, "active", 1)];
+    let registry = Registry::new(&hosts);
+    let node = Node::ready(&config(registry.address));
+    let spoilt = |from: &str, to: &str| line(2, true, &hosts).replace(from, to);
+    let lines = [
+        spoilt("\"active\"", "\"resting\""),
+        spoilt("\"share\":1.0", "\"share\":1e999"),
+        spoilt("\"share\":1.0", "\"share\":NaN"),
+        spoilt("\"seq\":2", "\"seq\":-2"),
+        spoilt("\"seq\":2", "\"seq\":2.5"),
+        spoilt("\"dial\"", "\"dail\""),
+        spoilt(&server.address.to_string(), "nowhere:80"),
+        "[".repeat(50_000),
+        format!("\"{}\"", "x".repeat(5 << 20)),
+    ];
+    for (n, line) in lines.iter().enumerate() {
+        let watches = registry.watches();
+        registry.say(line);
+        until("the node watches anew", || registry.watches() > watches);
+        let whole = registry.calls().iter().filter(|c| *c == "/v1/endpoints").count();
+        assert!(whole > n, "line {n}: the whole list is asked for");
+        assert_eq!(Client::to(&node).ask(&request("look", "t1", 15_000)).status(), 200, "line {n}");
+    }
+}
+
+/// Lists that are odd and legal: weights of any size, a server named twice, one that was never there, thousands at once,
+/// none at all. Requests go on, or are refused at once while there is nobody.
+#[test]
+fn odd_lists_are_served_by() {
+    let (a, b) = (Peer::good("a"), Peer::good("b"));
+    let hosts = [host("s0", a.address, "active", 1), host("s1", b.address, "active", 1)];
+    let registry = Registry::new(&hosts);
+    let node = Node::ready(&config(registry.address));
+    let mut seq = 10;
+    let mut tell = |hosts: &[Value], changes: &[Value]| {
+        seq += 1;
+        registry.tell(seq, hosts, changes);
+    };
+    let mut client = Client::to(&node);
+    let mut ask = move || client.ask(&request("look", "t1", 15_000));
+    for weight in [json!(0), json!(-4.0), json!(1e-300), json!(1e300), json!(1e18)] {
+        let mut odd = hosts.clone();
+        odd[0]["share"] = weight.clone();
+        tell(&odd, &odd);
+        assert!((0..10).all(|_| ask().status() == 200), "{weight}");
+    }
+    tell(&hosts, &hosts);
+    tell(&hosts, &[host("never", "127.0.0.1:9".parse().expect("an address"), "left", 1)]);
+    // A restart told in one line: what is said last holds.
+    tell(&hosts, &[host("s0", a.address, "left", 1), host("s0", a.address, "active", 1)]);
+    tell(&hosts[..1], &[host("s1", b.address, "left", 1)]);
+    until("s1 is gone and s0 is back", || (0..4).all(|_| ask().body == b"a"));
+    let many: Vec<Value> = (0..3000).map(|n| host(&format!("t{n}"), b.address, "active", 1)).collect();
+    tell(&many, &many);
+    tell(&many, &[host("s0", a.address, "left", 1)]);
+    until("thousands are served by", || (0..4).all(|_| ask().body == b"b"));
+    let gone: Vec<Value> = (0..3000).map(|n| host(&format!("t{n}"), b.address, "left", 1)).collect();
+    tell(&[], &gone);
+    until("nobody is left", || ask().status() == 503);
+    assert!(ask().header("retry-after").is_some());
+    tell(&hosts, &hosts);
+    until("both are back", || ask().status() == 200);
+}
+
+/// Changes of an older version come late, or from a source that has lost its place: a server that drains since gets nothing
+/// on the strength of them.
+#[test]
+fn changes_of_an_older_version_bring_no_drained_server_back() {
+    let (a, b) = (Peer::good("a"), Peer::good("b"));
+    let (up, drains) = (host("s0", a.address, "active", 1), host("s0", a.address, "leaving", 1));
+    let other = host("s1", b.address, "active", 1);
+    let registry = Registry::new(&[up.clone(), other.clone()]);
+    let node = Node::ready(&config(registry.address));
+    let mut client = Client::to(&node);
+    let mut ask = move || client.ask(&request("look", "t1", 15_000)).body;
+    registry.tell(7, &[drains.clone(), other], &[drains]);
+    until("the drain is known", || (0..4).all(|_| ask() == b"b"));
+    registry.say(&line(3, false, &[up]));
+    until("the node says so", || node.logged("seq: 3 after 7"));
+    assert!((0..10).all(|_| ask() == b"b"));
+    until("the whole list is asked for", || registry.calls().iter().any(|c| c == "/v1/endpoints"));
+    assert!((0..10).all(|_| ask() == b"b"));
+}
+
 /// Bytes that never make a line are no sign of life: what has to be told waits behind them.
 #[test]
 fn a_watch_that_trickles_without_a_line_is_given_up() {
@@ -128,22 +216,77 @@
     assert_eq!(Client::to(&node).ask(&request("look", "t1", 15_000)).status(), 200);
 }
 
-/// Changes of an older version come late, or from a source that has lost its place: a server that drains since gets nothing
-/// on the strength of them.
+/// Requests whose numbers or repeated headers make no sense are answered at once and reach no server; one whose time is over
+/// is refused at once.
 #[test]
-fn changes_of_an_older_version_bring_no_drained_server_back() {
-    let (a, b) = (Peer::good("a"), Peer::good("b"));
-    let (up, drains) = (host("s0", a.address, "active", 1), host("s0", a.address, "leaving", 1));
-    let other = host("s1", b.address, "active", 1);
-    let registry = Registry::new(&[up.clone(), other.clone()]);
+fn odd_numbers_and_headers_of_clients_reach_no_server() {
+    let server = Peer::good("a");
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
     let node = Node::ready(&config(registry.address));
-    let mut client = Client::to(&node);
-    let mut ask = move || client.ask(&request("look", "t1", 15_000)).body;
-    registry.tell(7, &[drains.clone(), other], &[drains]);
-    until("the drain is known", || (0..4).all(|_| ask() == b"b"));
-    registry.say(&line(3, false, &[up]));
-    until("the node says so", || node.logged("seq: 3 after 7"));
-    assert!((0..10).all(|_| ask() == b"b"));
-    until("the whole list is asked for", || registry.calls().iter().any(|c| c == "/v1/endpoints"));
-    assert!((0..10).all(|_| ask() == b"b"));
+    let good = request("pay", "t1", 15_000);
+    let time = |words: &str| good.replace("X-Remaining-Ms: 15000", &format!("X-Remaining-Ms: {words}"));
+    let header = |words: &str| good.replace("X-Txn: t1", &format!("X-Txn: t1\r\n{words}"));
+    let cases = [
+        (400, time("1.5")),
+        (400, time("1e3")),
+        (400, time("+5")),
+        (400, time("0x10")),
+        (400, time("99999999999999999999")),
+        (400, time("5\r\nX-Remaining-Ms: 6")),
+        (400, time("")),
+        (400, header("Idempotency-Key: k2")),
+        (400, good.replace("X-Txn: t1", &format!("X-Txn: {}", "t".repeat(257)))),
+        (400, good.replace("Content-Length: 4", "Content-Length: -4")),
+        (400, good.replace("Content-Length: 4", "Content-Length: 4\r\nContent-Length: 5")),
+        (400, good.replace("Content-Length: 4", "Content-Length: 99999999999999999999999")),
+        (431, header(&format!("X-Long: {}", "x".repeat(500_000)))),
+        (503, time("0")),
+    ];
+    for (status, words) in cases {
+        assert_eq!(Client::to(&node).ask(&words).status(), status, "{}", &words[..200.min(words.len())]);
+    }
+    assert!(server.seen().is_empty(), "{:?}", server.seen());
+    assert_eq!(Client::to(&node).ask(&header("X-Org: a\r\nX-Org: b")).status(), 200, "a tenant is no matter");
+    // However long a client says it waits.
+    assert_eq!(Client::to(&node).ask(&time("18446744073709551615")).status(), 200);
+}
+
+/// A server that never comes to the point: 1xx without end, a head without end, an answer in single bytes. The request ends
+/// by its time, and the node holds none of it.
+#[test]
+fn answers_that_never_come_to_the_point_end_with_their_time() {
+    type Write1 = fn(&mut std::net::TcpStream, usize) -> std::io::Result<()>;
+    let ways: [(&str, Write1); 3] = [
+        ("1xx", |to, _| to.write_all(&b"HTTP/1.1 103 X\r\nA: b\r\n\r\n".repeat(50))),
+        ("head", |to, n| to.write_all(if n == 0 { "HTTP/1.1 200 X\r\n" } else { "A: b\r\n" }.as_bytes())),
+        ("body", |to, n| {
+            to.write_all(
+                if n == 0 { "HTTP/1.1 200 X\r\nContent-Length: 60000\r\n\r\n" } else { "x" }.as_bytes(),
+            )
+        }),
+    ];
+    for (what, way) in ways {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let at = listener.local_addr().expect("bound");
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                std::thread::spawn(move || {
+                    let _ = stream.read(&mut [0; 4096]);
+                    // Ends with the node's connection, or by itself.
+                    for n in 0..20_000 {
+                        if way(&mut stream, n).is_err() {
+                            return;
+                        }
+                        std::thread::sleep(Duration::from_millis(2));
+                    }
+                });
+            }
+        });
+        let mut told = config(Registry::new(&[host("s0", at, "active", 1)]).address);
+        told["settings"]["Limits"]["Probes"] = json!(false);
+        let node = Node::ready(&told);
+        let heard = Client::to(&node).ask(&request("slip", "t1", 1200));
+        assert!([502, 504].contains(&heard.status()), "{what}: {}", heard.head);
+        assert!(node.memory_kib() < 64 << 10, "{what}: {} KiB", node.memory_kib());
+    }
 }
