Tests: faults put in by hand that nothing caught, and the faulty node tells its policy the truth

Seen: of twenty faults put in by hand three were caught by nothing: connections to a server that the list has dropped stayed open until they were idle for too long; quotas not divided among the nodes; and each_misdeed_is_caught failed by itself since the policy counts what is out for long again, as the faulty node that pushes cold boxes never told its policy how what it had sent elsewhere ended, and so filled the policy's servers up. Change: a test each for the first two; the faulty node tells of each end at the server that its policy had chosen.

--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -868,3 +868,16 @@
     let turns: Vec<_> = (0..4).filter_map(|_| node.serve(SAFE, 5.0)).collect();
     assert!(turns[0] == turns[2] && turns[1] == turns[3] && turns[0] != turns[1], "{turns:?}");
 }
+
+/// A tenant's share is that of all nodes: each lets through its own part of it.
+#[test]
+fn a_share_is_divided_among_the_nodes() {
+    let tenants = vec![Tenant { quota_per_s: 2.0 }, Tenant { quota_per_s: 400.0 }];
+    let mut node = Node::fleet(Settings { nodes: 2, tenants, ..settings() }, 1);
+    let out: Vec<_> = (0..4).map(|_| node.ask_for(SAFE, Some(1)).0).collect();
+    let [_, within, beyond] = [0, 1, 0].map(|tenant| node.ask_for(SAFE, Some(tenant)).0);
+    node.now += 10.0;
+    let sent = sends(&node.end(out[0], Outcome::Done));
+    // Of equal worth the youngest goes first, and that one would be the last of the first tenant's.
+    assert!(sent.first() == Some(&within) && !sent.contains(&beyond), "{sent:?}");
+}
--- a/crates/site/src/virt/faulty.rs
+++ b/crates/site/src/virt/faulty.rs
@@ -62,13 +62,16 @@
     requests: BTreeMap<RequestId, (usize, usize)>,
     started: BTreeMap<ServerId, Millis>,
     up: Vec<ServerId>,
+    /// Where the policy wanted to send what went to a cold box: it is told of its end there, or it would wait for it for ever.
+    meant: BTreeMap<RequestId, ServerId>,
 }
 
 impl Faulty {
     pub(super) fn new(inner: Box<dyn Decider>, misdeed: Misdeed, settings: &Settings) -> Self {
         let unsafe_classes = settings.classes.iter().map(|c| c.effect == Effect::Unsafe).collect();
         let (requests, started) = (BTreeMap::new(), BTreeMap::new());
-        Self { inner, misdeed, unsafe_classes, requests, started, up: Vec::new() }
+        let (up, meant) = (Vec::new(), BTreeMap::new());
+        Self { inner, misdeed, unsafe_classes, requests, started, up, meant }
     }
 
     fn listed(&mut self, entries: &mut Vec<Entry>) {
@@ -95,7 +98,8 @@
             Event::Request { id, class, .. } => {
                 self.requests.insert(*id, (*class, 0));
             }
-            Event::Ended { id, outcome, finished, .. } => {
+            Event::Ended { id, outcome, finished, server, .. } => {
+                *server = self.meant.remove(id).unwrap_or(*server);
                 let may_have_run = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Unheard);
                 if let (Misdeed::SecondRun, true, false) = (self.misdeed, may_have_run, *finished) {
                     if let Some((class, again)) = self.requests.get_mut(id) {
@@ -117,10 +121,11 @@
                 (Misdeed::RefusesWhatRan, Action::Fail(id)) => {
                     *action = Action::Refuse { id: *id, stay_away: 0.0 };
                 }
-                (Misdeed::PushesCold, Action::Send { id, timeout, .. }) => {
+                (Misdeed::PushesCold, Action::Send { id, timeout, server: meant }) => {
                     let cold =
                         self.started.iter().find(|(_, at)| (0.0..JUST_STARTED).contains(&(now - **at)));
                     if let Some((server, _)) = cold {
+                        self.meant.insert(*id, *meant);
                         *action = Action::Send { id: *id, server: *server, timeout: *timeout };
                     }
                 }
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -376,3 +376,23 @@
     let heard = used.ask(&request("look", "later", 15_000));
     assert_eq!((heard.status(), heard.header("connection")), (200, None), "one that was used twice stays");
 }
+
+/// Connections that were kept to a server lead nowhere once the list has dropped it: they are closed, and hold no descriptor
+/// until they would be idle for too long.
+#[test]
+fn connections_to_a_server_that_is_gone_are_closed() {
+    let (a, b) = (Peer::good("a"), Peer::good("b"));
+    let hosts = [host("s0", a.address, "active", 1), host("s1", b.address, "active", 1)];
+    let registry = Registry::new(&hosts);
+    let mut config = config(registry.address);
+    config["settings"]["Limits"]["Keepalive"] = json!(3_600_000.0);
+    let node = Node::ready(&config);
+    let mut client = Client::to(&node);
+    for n in 0..4 {
+        assert_eq!(client.ask(&request("look", &format!("t{n}"), 15_000)).status(), 200);
+    }
+    assert_eq!((a.open(), b.open()), (1, 1));
+    registry.tell(2, &hosts[1..], &[host("s0", a.address, "left", 1)]);
+    until("the connection to the one that is gone is closed", || a.open() == 0);
+    assert_eq!(b.open(), 1);
+}
