Box lists: a copy that is the beginning of the list that holds is held, not applied

Seen: the last box drains, a copy of the same file comes that is cut before its last line, and the box is sent to again. Lines at fault: crates/config/src/keeper.rs, judge: only the count of boxes and a pool that is halved were looked at. Ruled out: the parser, to which such a file is whole; a mark at the end would be a change of the format. Change: a file that the one before begins with is held for hold_s, as a list that halves the pool is. Not closed: a copy that is cut there and differs elsewhere from the one before; a second test that is expected to fail holds it.

--- a/crates/config/src/keeper.rs
+++ b/crates/config/src/keeper.rs
@@ -46,7 +46,7 @@
     /// For a file that was written in place to stand still.
     Still { bytes: Vec<u8>, since: Duration },
     /// For a mistake to be mended.
-    Held { list: BoxList, since: Duration },
+    Held { list: BoxList, bytes: Vec<u8>, since: Duration },
 }
 
 /// Keeps the last good list.
@@ -54,6 +54,8 @@
 pub struct Keeper {
     rules: Rules,
     good: Option<BoxList>,
+    /// The file that it was read from.
+    good_bytes: Vec<u8>,
     /// Since when the last good one holds, and since when something is wrong with the file.
     applied: Duration,
     wrong: Option<(Vec<String>, Duration)>,
@@ -63,7 +65,8 @@
 impl Keeper {
     /// No list yet.
     pub fn new(rules: Rules) -> Self {
-        Self { rules, good: None, applied: Duration::ZERO, wrong: None, waits: Waits::None }
+        let (good_bytes, applied) = (Vec::new(), Duration::ZERO);
+        Self { rules, good: None, good_bytes, applied, wrong: None, waits: Waits::None }
     }
 
     /// The list that holds.
@@ -96,8 +99,8 @@
                 Waits::Still { bytes, since } if now.saturating_sub(since) >= self.rules.still => {
                     self.judge(now, &bytes)
                 }
-                Waits::Held { list, since } if now.saturating_sub(since) >= self.rules.hold => {
-                    self.apply(now, list)
+                Waits::Held { list, bytes, since } if now.saturating_sub(since) >= self.rules.hold => {
+                    self.apply(now, list, bytes)
                 }
                 waits => {
                     self.waits = waits;
@@ -116,17 +119,28 @@
             self.wrong = None;
             return Step::Wait;
         }
-        let (had, keeps) = self.kept(&list);
-        if 2 * keeps < had && !list.shrink_is_meant && !list.empty_is_meant {
-            let words = format!(
-                "it takes away {} of {had} boxes in service; held for {} s, unless it says shrink_is_meant = true",
-                had - keeps,
-                self.rules.hold.as_secs_f64()
-            );
-            self.waits = Waits::Held { list, since: now };
+        let bytes = bytes.to_vec();
+        if let Some(words) = self.doubt(&list, &bytes) {
+            self.waits = Waits::Held { list, bytes, since: now };
             return self.refuse(now, vec![words]);
         }
-        self.apply(now, list)
+        self.apply(now, list, bytes)
+    }
+
+    /// Why a list that nothing is wrong with may be a mistake all the same.
+    fn doubt(&self, list: &BoxList, bytes: &[u8]) -> Option<String> {
+        let hold = self.rules.hold.as_secs_f64();
+        // Its boxes add up, but what stood at its end is lost: a drain of the last box, perhaps.
+        if bytes.len() < self.good_bytes.len() && self.good_bytes.starts_with(bytes) {
+            return Some(format!(
+                "it is the beginning of the one before: is the copy whole? held for {hold} s"
+            ));
+        }
+        let (had, keeps) = self.kept(list);
+        (2 * keeps < had && !list.shrink_is_meant && !list.empty_is_meant).then(|| {
+            let gone = had - keeps;
+            format!("it takes away {gone} of {had} boxes in service; held for {hold} s, unless it says shrink_is_meant = true")
+        })
     }
 
     /// How many boxes take requests by the last good list, and how many of these by the new one.
@@ -140,8 +154,8 @@
         (had.len(), keeps)
     }
 
-    fn apply(&mut self, now: Duration, list: BoxList) -> Step {
-        (self.wrong, self.applied) = (None, now);
+    fn apply(&mut self, now: Duration, list: BoxList, bytes: Vec<u8>) -> Step {
+        (self.wrong, self.applied, self.good_bytes) = (None, now, bytes);
         self.good = Some(list.clone());
         Step::Apply(list)
     }
--- a/crates/config/tests/boxes.rs
+++ b/crates/config/tests/boxes.rs
@@ -255,3 +255,33 @@
     assert!(matches!(told.recv_timeout(wait), Ok(Look::Written(bytes)) if bytes == list(&["a"]).as_bytes()));
     std::fs::remove_file(&path).expect("it was there");
 }
+
+/// Left open: docs/review-of-parts.md, finding 14. A copy that is cut within the optional lines of its last box counts as many
+/// boxes as it says, and what stood there is lost; `sum` sees it, and is optional.
+#[test]
+#[should_panic(expected = "a cut copy was read as a whole list")]
+fn a_copy_cut_within_its_last_boxs_optional_lines_is_refused() {
+    let whole = format!("count = 1\n{}", entry("a", 1, "weight = 2.0\nstate = \"draining\"\n"));
+    let cut = whole.len() - "state = \"draining\"\n".len();
+    assert!(read(whole.as_bytes()).is_ok());
+    assert!(read(&whole.as_bytes()[..cut]).is_err(), "a cut copy was read as a whole list");
+}
+
+/// The last box drains, and a copy of the same file comes that is cut before that word: it must not bring the box back.
+#[test]
+fn the_beginning_of_the_list_that_holds_is_held() {
+    let hold = Duration::from_secs(10);
+    let rules = Rules { hold, still: Duration::from_millis(250), tell: Duration::from_secs(30) };
+    let mut keeper = Keeper::new(rules);
+    let whole = format!("count = 1\n{}", entry("a", 1, "weight = 2.0\nstate = \"draining\"\n"));
+    let cut = whole.as_bytes()[..whole.len() - "state = \"draining\"\n".len()].to_vec();
+    let s = Duration::from_secs;
+    assert!(matches!(keeper.look(s(1), Look::Replaced(whole.clone().into())), Step::Apply(_)));
+    let Step::Tell(lines) = keeper.look(s(2), Look::Replaced(cut.clone())) else { panic!("it was taken") };
+    assert!(lines[0].contains("is the copy whole?"), "{lines:?}");
+    assert_eq!(keeper.look(s(3), Look::Replaced(whole.into())), Step::Wait, "the whole one is back");
+    // One who means it waits.
+    assert!(matches!(keeper.look(s(4), Look::Replaced(cut)), Step::Tell(_)));
+    assert_eq!(keeper.look(s(13), Look::Same), Step::Wait);
+    assert!(matches!(keeper.look(s(14), Look::Same), Step::Apply(_)));
+}
