Pool: kept connections are judged by what their attempts came to, not twice

Need: a connection was left alone while any attempt at its server had been unheard for 400 ms, and closed when such an attempt had timed out: two rules for one trouble, kept connections that went silent together. The second alone is shown to be needed. Measured: with the first switched off all tests pass, also kept_connections_that_went_silent_together_cost_one_attempt and attempts_on_dead_connections_do_not_keep_a_server_full; with aims of 300 and 400 ms and nothing for late answers an attempt ends before it could count as long unheard.

--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -21,8 +21,6 @@
 /// The part of the servers' keep-alive after which a connection is not used any more: one that is written to
 /// when its server closes it ends as a reset, and fails what must not be repeated.
 const IDLE_SHARE: f64 = 0.5;
-/// From when on an attempt counts as long unheard: beyond what is usual for an answer. Too soon costs new connections.
-const UNHEARD: Duration = Duration::from_millis(400);
 /// What a connect fails with through no fault of the server: ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS, ENOMEM.
 const OWN_ERRORS: [i32; 5] = [23, 24, 99, 105, 12];
 
@@ -50,15 +48,14 @@
 pub(crate) struct Expected {
     pool: Rc<Pool>,
     server: ServerId,
-    number: u64,
 }
 
 impl Drop for Expected {
     fn drop(&mut self) {
         let mut unheard = self.pool.unheard.borrow_mut();
         if let Some(attempts) = unheard.get_mut(&self.server) {
-            attempts.retain(|(number, _)| *number != self.number);
-            if attempts.is_empty() {
+            *attempts -= 1;
+            if *attempts == 0 {
                 unheard.remove(&self.server);
                 // Nobody is left whom an answer could have overtaken; a server that is gone has no other end.
                 self.pool.answered.borrow_mut().remove(&self.server);
@@ -70,11 +67,10 @@
 /// Connections to servers.
 pub struct Pool {
     idle: RefCell<HashMap<ServerId, Vec<Link>>>,
-    /// When each attempt was written to which no byte has come back.
-    unheard: RefCell<HashMap<ServerId, Vec<(u64, Instant)>>>,
+    /// How many attempts are out at each server to which no byte has come back.
+    unheard: RefCell<HashMap<ServerId, usize>>,
     /// When the latest of the attempts was sent that a server has answered, while others there are unheard.
     answered: RefCell<HashMap<ServerId, Instant>>,
-    last: Cell<u64>,
     held: Rc<Cell<usize>>,
     most: usize,
     idle_most: Duration,
@@ -92,7 +88,6 @@
             idle: RefCell::default(),
             unheard: RefCell::default(),
             answered: RefCell::default(),
-            last: Cell::new(0),
             held: Rc::default(),
             most,
             idle_most: ms(keepalive * IDLE_SHARE),
@@ -121,18 +116,12 @@
         idle.retain(|_, links| !links.is_empty());
     }
 
-    /// The connection that was used last, if any still stands. All that a server had open can go silent at once,
-    /// while new ones work: while an attempt has long been unheard, those last used before it are left alone. `sure` asks
-    /// the kernel whether it stands, for what must not be sent in vain.
+    /// The connection that was used last, if any still stands. `sure` asks the kernel whether it stands, for what must not
+    /// be sent in vain.
     pub(crate) fn take(&self, server: ServerId, sure: bool) -> Option<Link> {
-        let doubt = self.long_unheard(server);
         let mut idle = self.idle.borrow_mut();
         let links = idle.get_mut(&server)?;
         while let Some(link) = links.pop() {
-            if doubt.is_some_and(|since| link.since < since) {
-                links.push(link);
-                return None;
-            }
             let quiet = |sock: &Sock| if sure { sock.quiet() } else { sock.seems_quiet() };
             if link.since.elapsed() < self.idle_most && quiet(&link.sock) {
                 return Some(link);
@@ -141,18 +130,10 @@
         None
     }
 
-    /// Since when an attempt at this server has been unheard, where that is long.
-    fn long_unheard(&self, server: ServerId) -> Option<Instant> {
-        let sent = self.unheard.borrow().get(&server)?.iter().map(|(_, sent)| *sent).min()?;
-        (sent.elapsed() >= UNHEARD).then_some(sent)
-    }
-
     /// Notes an attempt until something comes back, or it ends.
     pub(crate) fn expect(self: &Rc<Self>, server: ServerId) -> Expected {
-        let number = self.last.get() + 1;
-        self.last.set(number);
-        self.unheard.borrow_mut().entry(server).or_default().push((number, Instant::now()));
-        Expected { pool: self.clone(), server, number }
+        *self.unheard.borrow_mut().entry(server).or_default() += 1;
+        Expected { pool: self.clone(), server }
     }
 
     /// A server has answered what was sent then.
