--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`boxes`] reads a list and finds what is wrong with it; [`keeper`] decides whether and when a list that was read is
 //! applied; both are pure. [`watch`] looks at a file, on a thread of its own, and hands on what the keeper lets through.
-//! [`file`] reads within bounds what others write.
+//! [`mod@file`] reads within bounds what others write.
 
 pub mod boxes;
 pub mod file;
