Reread: a file is opened once, a list's bytes are not copied, one difference of sorted lists

Each configuration was opened twice, as the look whether it is a plain file threw its handle away, and bytes were made text in two places; the keeper copied each list file whose bytes it was given; a whole list built a tree of all names to find what it leaves out, where structures::apart does that for sorted lists. Change: file.rs has one bounded reader and one decoder; the keeper takes the bytes; on_list calls apart.

--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -9,13 +9,23 @@
 /// # Errors
 /// The system's, and a word where there is more than that: a device has no end.
 pub fn read(path: &Path, most: usize) -> io::Result<Vec<u8>> {
-    let mut bytes = Vec::new();
-    // One more than may be read, so that what is too long is seen to be.
-    File::open(path)?.take(most as u64 + 1).read_to_end(&mut bytes)?;
-    if bytes.len() > most {
-        return Err(io::Error::other(format!("longer than {most} bytes")));
-    }
-    Ok(bytes)
+    bounded(File::open(path)?, most)
+}
+
+/// The same as text.
+///
+/// # Errors
+/// Those of [`read`], and a word where it is not UTF-8.
+pub fn read_text(path: &Path, most: usize) -> io::Result<String> {
+    text(read(path, most)?)
+}
+
+/// The same for a process that serves, of a plain file alone: see [`open_plain`].
+///
+/// # Errors
+/// Those of [`read_text`] and [`open_plain`].
+pub fn read_plain(path: &Path, most: usize) -> io::Result<String> {
+    text(bounded(open_plain(path)?, most)?)
 }
 
 /// Opens a file for a process that serves: a pipe without a writer in its place would hold it up for good.
@@ -29,11 +39,16 @@
     File::open(path)
 }
 
-/// The same, read to its end: text of `most` bytes at the most.
-///
-/// # Errors
-/// Those of both, and a word where it is not UTF-8.
-pub fn read_plain(path: &Path, most: usize) -> io::Result<String> {
-    open_plain(path)?;
-    String::from_utf8(read(path, most)?).map_err(|e| io::Error::other(format!("not UTF-8: {e}")))
+fn bounded(file: File, most: usize) -> io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    // One more than may be read, so that what is too long is seen to be.
+    file.take(most as u64 + 1).read_to_end(&mut bytes)?;
+    if bytes.len() > most {
+        return Err(io::Error::other(format!("longer than {most} bytes")));
+    }
+    Ok(bytes)
+}
+
+fn text(bytes: Vec<u8>) -> io::Result<String> {
+    String::from_utf8(bytes).map_err(|e| io::Error::other(format!("not UTF-8: {e}")))
 }
--- a/crates/config/src/keeper.rs
+++ b/crates/config/src/keeper.rs
@@ -84,7 +84,7 @@
         match look {
             Look::Replaced(bytes) => {
                 self.waits = Waits::None;
-                self.judge(now, &bytes)
+                self.judge(now, bytes)
             }
             Look::Written(bytes) => {
                 // The next look may bring more of it.
@@ -97,7 +97,7 @@
             }
             Look::Same => match std::mem::replace(&mut self.waits, Waits::None) {
                 Waits::Still { bytes, since } if now.saturating_sub(since) >= self.rules.still => {
-                    self.judge(now, &bytes)
+                    self.judge(now, bytes)
                 }
                 Waits::Held { list, bytes, since } if now.saturating_sub(since) >= self.rules.hold => {
                     self.apply(now, list, bytes)
@@ -110,8 +110,8 @@
         }
     }
 
-    fn judge(&mut self, now: Duration, bytes: &[u8]) -> Step {
-        let list = match crate::boxes::read(bytes) {
+    fn judge(&mut self, now: Duration, bytes: Vec<u8>) -> Step {
+        let list = match crate::boxes::read(&bytes) {
             Ok(list) => list,
             Err(problems) => return self.refuse(now, problems.iter().map(Problem::to_string).collect()),
         };
@@ -119,7 +119,6 @@
             self.wrong = None;
             return Step::Wait;
         }
-        let bytes = bytes.to_vec();
         if let Some(words) = self.doubt(&list, &bytes) {
             self.waits = Waits::Held { list, bytes, since: now };
             return self.refuse(now, vec![words]);
--- a/crates/policy/src/balance/list.rs
+++ b/crates/policy/src/balance/list.rs
@@ -15,16 +15,18 @@
             self.asking.answered();
         }
         let mut touched: Vec<ServerId> = entries.iter().map(|e| e.server).collect();
+        touched.sort_unstable();
+        touched.dedup();
         if whole {
             // Those that it names keep their state until it is read: to be named again is no return.
-            let named: BTreeSet<ServerId> = touched.iter().copied().collect();
-            for (id, server) in self.servers.iter_mut().filter(|(id, _)| !named.contains(id)) {
-                server.entry.state = Listed::Gone;
-                touched.push(*id);
+            let known: Vec<ServerId> = self.servers.keys().copied().collect();
+            let (left_out, _) = apart(&known, &touched);
+            for id in &left_out {
+                self.servers.entry(*id).and_modify(|s| s.entry.state = Listed::Gone);
             }
+            touched.extend(left_out);
+            touched.sort_unstable();
         }
-        touched.sort_unstable();
-        touched.dedup();
         for entry in entries {
             self.take_entry(entry);
         }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -6,7 +6,7 @@
 pub mod ledger;
 pub mod site;
 
-use magpietally_config::file::read;
+use magpietally_config::file::read_text;
 
 /// How a subcommand ends: well, failed, or used wrongly.
 #[derive(Debug)]
@@ -36,6 +36,5 @@
 /// # Errors
 /// Names the file and why it can't be read.
 pub fn text_of(file: &str) -> Result<String, String> {
-    let bytes = read(file.as_ref(), TEXT_MOST).map_err(|e| format!("{file}: {e}"))?;
-    String::from_utf8(bytes).map_err(|e| format!("{file}: not UTF-8: {e}"))
+    read_text(file.as_ref(), TEXT_MOST).map_err(|e| format!("{file}: {e}"))
 }
