Reread: one full listener, one wait for the signal and one small node for the tests

Need: three tests wrote out a listener whose backlog is full, four the wait for a node that is told to end, and two the same node for workers in their own process. Two new tests' words promised more than they do: a request that waits for a connection, and requests out at a kill. Change: peers has full_listener and wait_told, the tests of workers a common module; the words say what is tested. The script that pairs results sorts once. Left as they are: registry and node set up in two lines in many tests, and the bounded read of a line in simhost and in ledger reconcile, five lines each in crates that share no other code.

--- /dev/null
+++ b/crates/http/tests/common/mod.rs
@@ -0,0 +1,39 @@
+//! A node's configuration with one class, for tests that run workers in their own process.
+
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use magpietally_http::config::Config;
+use serde_json::json;
+
+/// How long anything is waited for: far longer than it takes.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Worker threads that panic tell it here, as in the program.
+pub fn note_panics() {
+    std::panic::set_hook(Box::new(|fault| {
+        eprintln!("{fault}");
+        magpietally_http::note_panic();
+    }));
+}
+
+/// A node that listens at a free port. Requests of its class `look` have so many milliseconds.
+pub fn config(discovery: SocketAddr, time: f64) -> Config {
+    let settings = json!({
+        "Classes": [{"Name": "look", "Slo": time, "Deadline": time, "Idempotency": "pure"}],
+        "Contract": {"ColdShare": 0.2, "WarmWithin": 20000.0, "FallMultiple": 3.0, "Fall": 1000.0},
+        "Discovery": "subscribe", "Weights": "nominal", "Me": 0, "PeersTotal": 1, "Tick": 1.0,
+        "Limits": {"AttemptsCap": 1, "ConnectTimeout": 1000.0, "Keepalive": 15000.0},
+    });
+    let listen = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port is free");
+    Config {
+        name: "node-0".into(),
+        listen,
+        discovery,
+        seed: 1,
+        sockets: 512,
+        memory_mb: 64,
+        known: None,
+        told: magpietally_settings::told(&settings).expect("good settings"),
+    }
+}
--- a/crates/http/tests/stop.rs
+++ b/crates/http/tests/stop.rs
@@ -1,43 +1,22 @@
 //! A process of several workers that is told to end while one of them is down.
 
+mod common;
+
 use std::net::TcpListener;
 use std::process::Command;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{mpsc, Arc};
 use std::time::Duration;
 
-use magpietally_http::config::Config;
-use serde_json::json;
-
-/// How long the end is waited for: far longer than it takes.
-const PATIENCE: Duration = Duration::from_secs(30);
+use common::PATIENCE;
 
 /// A worker that is started again after a panic registers for signals anew, and one that came before is lost on it.
 #[test]
 fn a_worker_that_is_started_again_while_the_process_ends_ends_with_it() {
-    std::panic::set_hook(Box::new(|fault| {
-        eprintln!("{fault}");
-        magpietally_http::note_panic();
-    }));
+    common::note_panics();
     // Discovery that takes connections and says nothing: the end does not wait for it.
     let silent = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let port = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port is free");
-    let settings = json!({
-        "Classes": [{"Name": "look", "Slo": 500.0, "Deadline": 500.0, "Idempotency": "pure"}],
-        "Contract": {"ColdShare": 0.2, "WarmWithin": 20000.0, "FallMultiple": 3.0, "Fall": 1000.0},
-        "Discovery": "subscribe", "Weights": "nominal", "Me": 0, "PeersTotal": 1, "Tick": 1.0,
-        "Limits": {"AttemptsCap": 1, "ConnectTimeout": 1000.0, "Keepalive": 15000.0},
-    });
-    let config = Config {
-        name: "node-0".into(),
-        listen: port,
-        discovery: silent.local_addr().expect("bound"),
-        seed: 1,
-        sockets: 512,
-        memory_mb: 64,
-        known: None,
-        told: magpietally_settings::told(&settings).expect("good settings"),
-    };
+    let config = common::config(silent.local_addr().expect("bound"), 500.0);
     // The first worker asks for the lines once a second; the second time it dies of it.
     let asked = Arc::new(AtomicUsize::new(0));
     let (died, dead) = mpsc::channel();
--- a/crates/http/tests/workers.rs
+++ b/crates/http/tests/workers.rs
@@ -1,5 +1,7 @@
 //! Two workers in one process: an id that is open at one is open at the other, and one that dies leaves the other be.
 
+mod common;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -7,12 +9,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use magpietally_http::config::Config;
+use common::PATIENCE;
 use serde_json::json;
 
-/// How long anything is waited for: far longer than it takes.
-const PATIENCE: Duration = Duration::from_secs(30);
-
 fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let began = Instant::now();
     while !holds() {
@@ -63,11 +62,7 @@
 
 #[test]
 fn ids_are_shared_and_a_worker_that_dies_is_started_again() {
-    // Worker threads that panic tell it here, as in the program.
-    std::panic::set_hook(Box::new(|fault| {
-        eprintln!("{fault}");
-        magpietally_http::note_panic();
-    }));
+    common::note_panics();
     let (held, seen) = (Arc::new(AtomicBool::new(true)), Arc::new(Mutex::new(Vec::new())));
     let (hold, note) = (held.clone(), seen.clone());
     let app_box = serve(move |head, stream| {
@@ -94,23 +89,8 @@
             thread::sleep(Duration::from_millis(500));
         }
     });
-    let settings = json!({
-        "Classes": [{"Name": "look", "Slo": 20000.0, "Deadline": 20000.0, "Idempotency": "pure"}],
-        "Contract": {"ColdShare": 0.2, "WarmWithin": 20000.0, "FallMultiple": 3.0, "Fall": 1000.0},
-        "Discovery": "subscribe", "Weights": "nominal", "Me": 0, "PeersTotal": 1, "Tick": 1.0,
-        "Limits": {"AttemptsCap": 1, "ConnectTimeout": 1000.0, "Keepalive": 15000.0},
-    });
-    let port = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port is free");
-    let config = Config {
-        name: "node-0".into(),
-        listen: port,
-        discovery,
-        seed: 1,
-        sockets: 512,
-        memory_mb: 64,
-        known: None,
-        told: magpietally_settings::told(&settings).expect("good settings"),
-    };
+    let config = common::config(discovery, 20_000.0);
+    let port = config.listen;
     assert!(config.part(0, 32).is_err_and(|e| e.contains("sockets")), "parts that are too small are refused");
     let dies = Arc::new(AtomicBool::new(false));
     let fault = dies.clone();
--- a/docs/measurements/switched-off.sh
+++ b/docs/measurements/switched-off.sh
@@ -5,10 +5,10 @@
 #   switched-off.sh WITH.jsonl WITHOUT.jsonl
 set -euo pipefail
 fields() {
-    sed -E 's/.*"site":"([^"]*)".*"seed":([0-9]+).*"worth":([0-9.e-]+),"worst_10_s":([0-9.e-]+).*"fallen":([0-9]+).*/\1 \2 \3 \4 \5/' "$1" | sort
+    sed -E 's|.*"site":"([^"]*)".*"seed":([0-9]+).*"worth":([0-9.e-]+),"worst_10_s":([0-9.e-]+).*"fallen":([0-9]+).*|\1/\2 \3 \4 \5|' "$1" | sort
 }
 printf '%-16s %5s %8s %9s %8s %9s %8s %7s\n' site seeds worth differs '+-' worst10 '+-' fallen
-join -j 1 <(fields "$1" | awk '{ print $1 "/" $2, $3, $4, $5 }' | sort) <(fields "$2" | awk '{ print $1 "/" $2, $3, $4, $5 }' | sort) | awk '
+join <(fields "$1") <(fields "$2") | awk '
     { split($1, at, "/"); s = at[1]; n[s]++; w[s] += $2; d = $5 - $2; sum[s] += d; squares[s] += d * d
       e = $6 - $3; worst[s] += e; worst2[s] += e * e; fell[s] += $4; falls[s] += $7 }
     function half(sum, squares, n) { v = (squares - sum * sum / n) / (n - 1); return 1.96 * sqrt((v > 0 ? v : 0) / n) }
--- a/tests/cancel.rs
+++ b/tests/cancel.rs
@@ -2,7 +2,6 @@
 
 mod peers;
 
-use std::net::TcpListener;
 use std::time::Duration;
 
 use peers::*;
@@ -63,14 +62,8 @@
 /// when that would be possible.
 #[test]
 fn what_its_client_left_is_not_sent_later() {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().expect("an address").into()).expect("a port");
-    socket.listen(0).expect("it listens");
-    let full: TcpListener = socket.into();
+    let (full, fillers) = full_listener();
     let at = full.local_addr().expect("bound");
-    let fillers: Vec<_> = (0..3)
-        .filter_map(|_| std::net::TcpStream::connect_timeout(&at, Duration::from_millis(300)).ok())
-        .collect();
     let registry = Registry::new(&[]);
     let mut told = config(registry.address);
     told["settings"]["Limits"]["ConnectTimeout"] = json!(20_000.0);
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -186,15 +186,8 @@
 /// A send that waits for its connection is not written to a server that drains meanwhile.
 #[test]
 fn a_drain_reaches_sends_that_wait_for_a_connection() {
-    // A listener whose backlog is full lets nobody in until it accepts.
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().expect("an address").into()).expect("a port");
-    socket.listen(0).expect("it listens");
-    let full: TcpListener = socket.into();
+    let (full, fillers) = full_listener();
     let at_full = full.local_addr().expect("bound");
-    let fillers: Vec<_> = (0..3)
-        .filter_map(|_| std::net::TcpStream::connect_timeout(&at_full, Duration::from_millis(300)).ok())
-        .collect();
     let registry = Registry::new(&[host("s0", at_full, "active", 1)]);
     let mut config = config(registry.address);
     config["settings"]["Limits"]["ConnectTimeout"] = json!(50_000.0);
@@ -312,9 +305,7 @@
     until("the slow one is out", || server.seen().len() == 2);
     node.terminate();
     // A connection that comes behind the signal is served, and so is one that was kept.
-    until("the signal has come", || {
-        Client::to(&node).ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 503
-    });
+    node.wait_told();
     assert_eq!(Client::to(&node).ask(&request("slip", "after", 15_000)).status(), 200);
     assert_eq!(slow.hear().expect("what was taken is answered").status(), 200);
     assert!(kept.ended(), "idle connections are closed");
@@ -371,9 +362,7 @@
         assert_eq!(client.ask(&request("slip", &format!("before{n}"), 15_000)).status(), 200);
     }
     node.terminate();
-    until("the signal has come", || {
-        Client::to(&node).ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 503
-    });
+    node.wait_told();
     for (n, client) in clients.iter_mut().enumerate().take(6) {
         client.send(&request("slip", &format!("slow{n}"), 15_000));
     }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -178,6 +178,18 @@
     let _ = out.shutdown(std::net::Shutdown::Both);
 }
 
+/// A listener whose backlog is full: it lets nobody in until the others are dropped and it accepts.
+pub fn full_listener() -> (TcpListener, Vec<TcpStream>) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("a port");
+    socket.listen(0).expect("it listens");
+    let full: TcpListener = socket.into();
+    let at = full.local_addr().expect("bound");
+    let fill = |_| TcpStream::connect_timeout(&at, Duration::from_millis(300)).ok();
+    let fillers = (0..3).filter_map(fill).collect();
+    (full, fillers)
+}
+
 // ---- Discovery ----
 
 /// An entry of the list.
@@ -457,9 +469,16 @@
     }
 
     pub fn wait_ready(&self) {
-        until("the node is ready", || {
-            Client::to(self).ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200
-        });
+        until("the node is ready", || self.says_ready() == 200);
+    }
+
+    /// Waits until the node says that it is to end.
+    pub fn wait_told(&self) {
+        until("the signal has come", || self.says_ready() == 503);
+    }
+
+    fn says_ready(&self) -> u16 {
+        Client::to(self).ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status()
     }
 
     pub fn logged(&self, words: &str) -> bool {
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -8,15 +8,8 @@
 use peers::*;
 use serde_json::json;
 
-/// Waits until the node says at `/ready` that it is to end.
-fn told(node: &Node) {
-    until("the signal has come", || {
-        Client::to(node).ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 503
-    });
-}
-
-/// SIGTERM while one request is half read, one is at a server and one waits for a connection that never comes up; then
-/// SIGTERM again. Each has its answer, nothing ran twice, and the node ends in order.
+/// SIGTERM while one request is half read and one is at a server; then SIGTERM again. Each has its answer, nothing ran twice,
+/// and the node ends in order.
 #[test]
 fn a_second_sigterm_cuts_nothing_off() {
     let server = Peer::new(|_| Say::Later(Duration::from_millis(900), answer(200, "", "served")));
@@ -29,7 +22,7 @@
     let (first, rest) = words.split_at(words.len() - 2);
     half.send(first);
     node.terminate();
-    told(&node);
+    node.wait_told();
     node.terminate();
     half.send(rest);
     assert_eq!(out.hear().expect("what was out is answered").status(), 200);
@@ -42,15 +35,8 @@
 /// both are told that they may come again.
 #[test]
 fn what_never_went_out_is_refused_at_the_end() {
-    // A listener whose backlog is full lets nobody in.
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().expect("an address").into()).expect("a port");
-    socket.listen(0).expect("it listens");
-    let full: TcpListener = socket.into();
+    let (full, _fillers) = full_listener();
     let at = full.local_addr().expect("bound");
-    let _fillers: Vec<_> = (0..3)
-        .filter_map(|_| std::net::TcpStream::connect_timeout(&at, Duration::from_millis(300)).ok())
-        .collect();
     for hosts in [vec![], vec![host("s0", at, "active", 1)]] {
         let registry = Registry::new(&hosts);
         let mut told_so = config(registry.address);
@@ -102,8 +88,7 @@
     assert_eq!(Client::to(&second).ask(&request("slip", "again", 15_000)).status(), 200);
 }
 
-/// A node that is killed and started again with its last list knows which servers are cold by it, and that one was killed
-/// with requests out holds up none of their ids.
+/// A node that is killed and started again with its last list knows by it which servers are cold.
 #[test]
 fn a_node_that_is_killed_starts_from_its_list_alone() {
     let (a, b) = (Peer::good("a"), Peer::good("b"));
