Membership: a pure crate of SWIM by foca, a bounded codec, a view and shares

Need: every budget a node keeps is that of one node, so a fleet of N pushes N times what each thinks; replication and the cold start need peers too.

Design (docs/design/membership.md): foca, sans-I/O SWIM with suspicion, incarnations, indirect probes and piggy-backed updates, behind a codec of our own that checks every read and every write against the room left. A Room holds foca, its timers keyed by virtual time, a bounded outbox and counters; a View (alive, suspect, dead, left) has a version; shares divide a fleet budget by the active count, or by all known in a minority, with a floor. Ruled out: chitchat (its detector and transport read the real clock; phi accrual is one node's opinion) and writing SWIM again. Not done: Lifeguard's local health multiplier. A leave is a notice beside foca's own, as foca has no word for it; lost, it is seen as a death, the safe side.

Measured: 8 hard cases in virtual time on a seeded fleet (kill, a 5 s pause never declared dead, a long pause rejoined under a new incarnation, halves cut and healed, one node cut, a one-way link, 30% loss with duplicates, a restart under the old name, a leave); 2,000 cases each of round trips, cuts and any bytes against the decoder, none panics.

--- /dev/null
+++ b/crates/membership/src/codec.rs
@@ -0,0 +1,298 @@
+//! The datagrams between nodes: one byte of kind, then what that kind carries, in network byte order.
+//!
+//! Every read is checked against what is left, so that a short, long or bent datagram is an error and never a panic;
+//! every write is checked against the room left, as `foca` hands us a buffer limited to one datagram.
+
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use bytes::{Buf, BufMut};
+use foca::{Codec, Header, Member, Message, State};
+
+use crate::id::{Name, NodeId, NAME_MAX};
+
+/// The largest datagram a node sends or takes, in bytes: within one Ethernet frame, so no datagram is fragmented.
+pub const DATAGRAM_MAX: usize = 1400;
+
+/// A datagram of the SWIM protocol, for `foca`.
+pub const KIND_SWIM: u8 = 0x53;
+/// A node leaves the fleet on purpose (SIGTERM, a drain): its identity follows.
+pub const KIND_LEAVE: u8 = 0x4c;
+
+/// What a datagram is.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Datagram<'a> {
+    /// SWIM's bytes, to be handed to `foca` as they are.
+    Swim(&'a [u8]),
+    /// The sender leaves the fleet on purpose.
+    Leave(NodeId),
+}
+
+/// Why a datagram was not taken. Each is counted by the room that dropped it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DecodeError {
+    /// Nothing at all.
+    Empty,
+    /// Larger than [`DATAGRAM_MAX`].
+    TooLarge,
+    /// A first byte that is no kind of ours.
+    Kind,
+    /// It ended inside a field.
+    Short,
+    /// Bytes after the last field.
+    Trailing,
+    /// A field out of its range: a message, a state or a name.
+    Field,
+}
+
+impl fmt::Display for DecodeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Empty => "an empty datagram",
+            Self::TooLarge => "a datagram larger than 1400 bytes",
+            Self::Kind => "a datagram of no known kind",
+            Self::Short => "a datagram that ends inside a field",
+            Self::Trailing => "bytes after a datagram's last field",
+            Self::Field => "a field out of its range",
+        })
+    }
+}
+
+impl std::error::Error for DecodeError {}
+
+/// The room left in the datagram did not hold the field; `foca` then stops adding updates.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Full;
+
+impl fmt::Display for Full {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("no room left in the datagram")
+    }
+}
+
+impl std::error::Error for Full {}
+
+/// What a datagram is, without taking more than its kind's fields.
+pub fn decode(bytes: &[u8]) -> Result<Datagram<'_>, DecodeError> {
+    if bytes.len() > DATAGRAM_MAX {
+        return Err(DecodeError::TooLarge);
+    }
+    let (&kind, rest) = bytes.split_first().ok_or(DecodeError::Empty)?;
+    match kind {
+        KIND_SWIM => Ok(Datagram::Swim(rest)),
+        KIND_LEAVE => {
+            let mut buf = rest;
+            let id = get_id(&mut buf)?;
+            if buf.has_remaining() {
+                return Err(DecodeError::Trailing);
+            }
+            Ok(Datagram::Leave(id))
+        }
+        _ => Err(DecodeError::Kind),
+    }
+}
+
+/// The datagram that says `id` leaves.
+pub fn encode_leave(id: &NodeId) -> Vec<u8> {
+    let mut out = Vec::with_capacity(1 + id_len(id));
+    out.put_u8(KIND_LEAVE);
+    put_id(&mut out, id);
+    out
+}
+
+/// `foca`'s codec: the header and the updates of a SWIM datagram.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Wire;
+
+impl Codec<NodeId> for Wire {
+    type Error = WireError;
+
+    fn encode_header(&mut self, header: &Header<NodeId>, mut buf: impl BufMut) -> Result<(), WireError> {
+        let need = id_len(&header.src) + 2 + id_len(&header.dst) + message_len(&header.message);
+        if buf.remaining_mut() < need {
+            return Err(WireError::Full(Full));
+        }
+        put_id(&mut buf, &header.src);
+        buf.put_u16(header.src_incarnation);
+        put_id(&mut buf, &header.dst);
+        put_message(&mut buf, &header.message);
+        Ok(())
+    }
+
+    fn decode_header(&mut self, mut buf: impl Buf) -> Result<Header<NodeId>, WireError> {
+        let src = get_id(&mut buf)?;
+        let src_incarnation = get_u16(&mut buf)?;
+        let dst = get_id(&mut buf)?;
+        let message = get_message(&mut buf)?;
+        Ok(Header { src, src_incarnation, dst, message })
+    }
+
+    fn encode_member(&mut self, member: &Member<NodeId>, mut buf: impl BufMut) -> Result<(), WireError> {
+        if buf.remaining_mut() < id_len(member.id()) + 3 {
+            return Err(WireError::Full(Full));
+        }
+        put_id(&mut buf, member.id());
+        buf.put_u16(member.incarnation());
+        buf.put_u8(match member.state() {
+            State::Alive => 0,
+            State::Suspect => 1,
+            State::Down => 2,
+        });
+        Ok(())
+    }
+
+    fn decode_member(&mut self, mut buf: impl Buf) -> Result<Member<NodeId>, WireError> {
+        let id = get_id(&mut buf)?;
+        let incarnation = get_u16(&mut buf)?;
+        let state = match get_u8(&mut buf)? {
+            0 => State::Alive,
+            1 => State::Suspect,
+            2 => State::Down,
+            _ => return Err(DecodeError::Field.into()),
+        };
+        Ok(Member::new(id, incarnation, state))
+    }
+}
+
+/// What the codec says to `foca`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WireError {
+    /// Reading: see [`DecodeError`].
+    Decode(DecodeError),
+    /// Writing: no room left.
+    Full(Full),
+}
+
+impl From<DecodeError> for WireError {
+    fn from(e: DecodeError) -> Self {
+        Self::Decode(e)
+    }
+}
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Decode(e) => e.fmt(f),
+            Self::Full(e) => e.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for WireError {}
+
+fn id_len(id: &NodeId) -> usize {
+    4 + 2 + 4 + 1 + id.name.as_str().len()
+}
+
+fn put_id(buf: &mut impl BufMut, id: &NodeId) {
+    buf.put_slice(&id.addr.ip().octets());
+    buf.put_u16(id.addr.port());
+    buf.put_u32(id.generation);
+    let name = id.name.as_str().as_bytes();
+    // A Name holds at most NAME_MAX (64) bytes, so its length fits a byte.
+    buf.put_u8(name.len() as u8);
+    buf.put_slice(name);
+}
+
+fn get_id(buf: &mut impl Buf) -> Result<NodeId, DecodeError> {
+    let mut ip = [0u8; 4];
+    take(buf, &mut ip)?;
+    let port = get_u16(buf)?;
+    let generation = get_u32(buf)?;
+    let len = usize::from(get_u8(buf)?);
+    if len > NAME_MAX {
+        return Err(DecodeError::Field);
+    }
+    let mut name = [0u8; NAME_MAX];
+    take(buf, &mut name[..len])?;
+    let name = std::str::from_utf8(&name[..len]).map_err(|_| DecodeError::Field)?;
+    Ok(NodeId {
+        addr: SocketAddrV4::new(Ipv4Addr::from(ip), port),
+        name: Name::checked(name).map_err(|_| DecodeError::Field)?,
+        generation,
+    })
+}
+
+fn message_len(message: &Message<NodeId>) -> usize {
+    1 + match message {
+        Message::Ping(_) | Message::Ack(_) => 1,
+        Message::PingReq { target: id, .. }
+        | Message::IndirectPing { origin: id, .. }
+        | Message::IndirectAck { target: id, .. }
+        | Message::ForwardedAck { origin: id, .. } => id_len(id) + 1,
+        Message::Announce | Message::Feed | Message::Gossip | Message::Broadcast | Message::TurnUndead => 0,
+    }
+}
+
+fn put_message(buf: &mut impl BufMut, message: &Message<NodeId>) {
+    let (tag, id, probe) = match message {
+        Message::Ping(p) => (0, None, Some(*p)),
+        Message::Ack(p) => (1, None, Some(*p)),
+        Message::PingReq { target, probe_number } => (2, Some(target), Some(*probe_number)),
+        Message::IndirectPing { origin, probe_number } => (3, Some(origin), Some(*probe_number)),
+        Message::IndirectAck { target, probe_number } => (4, Some(target), Some(*probe_number)),
+        Message::ForwardedAck { origin, probe_number } => (5, Some(origin), Some(*probe_number)),
+        Message::Announce => (6, None, None),
+        Message::Feed => (7, None, None),
+        Message::Gossip => (8, None, None),
+        Message::Broadcast => (9, None, None),
+        Message::TurnUndead => (10, None, None),
+    };
+    buf.put_u8(tag);
+    if let Some(id) = id {
+        put_id(buf, id);
+    }
+    if let Some(p) = probe {
+        buf.put_u8(p);
+    }
+}
+
+fn get_message(buf: &mut impl Buf) -> Result<Message<NodeId>, DecodeError> {
+    let tag = get_u8(buf)?;
+    Ok(match tag {
+        0 => Message::Ping(get_u8(buf)?),
+        1 => Message::Ack(get_u8(buf)?),
+        2..=5 => {
+            let id = get_id(buf)?;
+            let probe_number = get_u8(buf)?;
+            match tag {
+                2 => Message::PingReq { target: id, probe_number },
+                3 => Message::IndirectPing { origin: id, probe_number },
+                4 => Message::IndirectAck { target: id, probe_number },
+                _ => Message::ForwardedAck { origin: id, probe_number },
+            }
+        }
+        6 => Message::Announce,
+        7 => Message::Feed,
+        8 => Message::Gossip,
+        9 => Message::Broadcast,
+        10 => Message::TurnUndead,
+        _ => return Err(DecodeError::Field),
+    })
+}
+
+fn take(buf: &mut impl Buf, out: &mut [u8]) -> Result<(), DecodeError> {
+    if buf.remaining() < out.len() {
+        return Err(DecodeError::Short);
+    }
+    buf.copy_to_slice(out);
+    Ok(())
+}
+
+fn get_u8(buf: &mut impl Buf) -> Result<u8, DecodeError> {
+    let mut b = [0u8; 1];
+    take(buf, &mut b)?;
+    Ok(b[0])
+}
+
+fn get_u16(buf: &mut impl Buf) -> Result<u16, DecodeError> {
+    let mut b = [0u8; 2];
+    take(buf, &mut b)?;
+    Ok(u16::from_be_bytes(b))
+}
+
+fn get_u32(buf: &mut impl Buf) -> Result<u32, DecodeError> {
+    let mut b = [0u8; 4];
+    take(buf, &mut b)?;
+    Ok(u32::from_be_bytes(b))
+}
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,36 @@
+//! Which nodes of a fleet are alive, and what a node does with that: SWIM with suspicion and incarnation numbers, by
+//! the sans-I/O crate `foca`, behind a codec of our own; a view with a version; shares of budgets meant for the fleet.
+//!
+//! Nothing here does I/O or reads a clock: a carrier (UDP in the program, the emulated site in virtual time) hands a
+//! [`Room`] its datagrams and the time, and sends what it gives back. `docs/design/membership.md` says what was weighed.
+//!
+//! ```
+//! use std::time::Duration;
+//! use magpietally_membership::{Liveness, Name, NodeId, Room, Settings};
+//!
+//! let id = |port| NodeId { addr: format!("127.0.0.1:{port}").parse().unwrap(), name: Name::new(&format!("n{port}")).unwrap(), generation: 1 };
+//! let (mut a, mut b) = (Room::new(id(1), &Settings::default(), 1), Room::new(id(2), &Settings::default(), 2));
+//! a.join(Duration::ZERO, &[id(2).addr]);
+//! for ms in 0..3000 {
+//!     let now = Duration::from_millis(ms);
+//!     a.tick(now);
+//!     b.tick(now);
+//!     while let Some((_, d)) = a.take_outgoing() { b.on_datagram(now, &d) }
+//!     while let Some((_, d)) = b.take_outgoing() { a.on_datagram(now, &d) }
+//! }
+//! assert_eq!(b.view().liveness_of("n1"), Some(Liveness::Alive));
+//! assert_eq!(a.view().counts().alive, 2);
+//! ```
+
+mod codec;
+mod id;
+mod room;
+mod shares;
+pub mod sim;
+mod view;
+
+pub use codec::{decode, encode_leave, Datagram, DecodeError, Wire, WireError, DATAGRAM_MAX};
+pub use id::{Name, NameError, NodeId, NAME_MAX};
+pub use room::{Room, Settings, Stats, LEFT_MAX, OUTBOX_MAX, TIMERS_MAX};
+pub use shares::{divisor, share};
+pub use view::{Counts, Entry, Liveness, View};
--- /dev/null
+++ b/crates/membership/src/room.rs
@@ -0,0 +1,330 @@
+//! One node's membership, without I/O or clock: datagrams and the time come in, datagrams to send and a view go out.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddrV4;
+use std::num::{NonZeroU32, NonZeroUsize};
+use std::time::Duration;
+
+use foca::{Config, Foca, Member, NoCustomBroadcast, Notification, PeriodicParams, Runtime, State, Timer};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+use crate::codec::{self, Datagram, Wire, DATAGRAM_MAX, KIND_SWIM};
+use crate::id::NodeId;
+use crate::view::{Entry, Liveness, View};
+
+/// Datagrams waiting for the carrier at most; past that the newest are dropped and counted (SWIM repairs a loss).
+pub const OUTBOX_MAX: usize = 4096;
+/// Timers held at most. `foca` holds a few a member (a suspicion, a removal) and a few of its own, so this bounds a
+/// fleet of a few thousand; one over it is dropped and counted.
+pub const TIMERS_MAX: usize = 16_384;
+/// Leave notices remembered at most; they are forgotten with the member they name.
+pub const LEFT_MAX: usize = 4096;
+
+/// How the protocol is paced. The defaults are the bounds of `docs/design/membership.md`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// A probe each this long.
+    pub probe_period: Duration,
+    /// How long a direct probe waits for its ack before others are asked to probe.
+    pub probe_rtt: Duration,
+    /// How long a suspicion lasts at least before the node is declared dead.
+    pub suspect_for: Duration,
+    /// How long the dead and those who left are remembered.
+    pub forget_after: Duration,
+    /// How often the seeds that are not members are announced to again: a fleet cut in two heals by this.
+    pub reannounce: Duration,
+    /// About how many nodes the fleet has: it sets how often an update is passed on and how long suspicion lasts.
+    pub fleet_size: u32,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            probe_period: Duration::from_secs(1),
+            probe_rtt: Duration::from_millis(400),
+            suspect_for: Duration::from_secs(6),
+            forget_after: Duration::from_secs(120),
+            reannounce: Duration::from_secs(5),
+            fleet_size: 16,
+        }
+    }
+}
+
+/// What a room counted since it began.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Datagrams taken.
+    pub received: u64,
+    /// Bytes of the datagrams taken.
+    pub received_bytes: u64,
+    /// Datagrams handed to the carrier.
+    pub sent: u64,
+    /// Bytes handed to the carrier.
+    pub sent_bytes: u64,
+    /// Datagrams that could not be read (bent, short, long, of no known kind).
+    pub malformed: u64,
+    /// Datagrams that were read but refused by the protocol (from ourselves, for another identity, out of turn).
+    pub refused: u64,
+    /// Datagrams dropped as the outbox was full.
+    pub outbox_full: u64,
+    /// Timers dropped as the table was full.
+    pub timers_full: u64,
+    /// How often this node was declared dead and rejoined under a renewed identity.
+    pub rejoined: u64,
+}
+
+/// One node's membership.
+pub struct Room {
+    foca: Foca<NodeId, Wire, Pcg64, NoCustomBroadcast>,
+    out: Out,
+    seeds: Vec<SocketAddrV4>,
+    next_announce: Duration,
+    reannounce: Duration,
+    left: BTreeSet<NodeId>,
+    leaving: bool,
+    view: View,
+    stale: bool,
+}
+
+/// What `foca` leaves behind: timers, datagrams, counts. Apart from `foca` so that both can be borrowed at once.
+#[derive(Default)]
+struct Out {
+    timers: BTreeMap<(Duration, u64), Timer<NodeId>>,
+    next_timer: u64,
+    outbox: VecDeque<(SocketAddrV4, Vec<u8>)>,
+    stats: Stats,
+}
+
+impl Room {
+    /// A room for `me`, not yet in touch with anybody; `seed` draws whom to probe.
+    pub fn new(me: NodeId, settings: &Settings, seed: u64) -> Self {
+        let size = NonZeroU32::new(settings.fleet_size.max(1)).unwrap_or(NonZeroU32::MIN);
+        let mut config = Config::new_lan(size);
+        config.probe_period = settings.probe_period;
+        config.probe_rtt = settings.probe_rtt;
+        config.suspect_to_down_after = config.suspect_to_down_after.max(settings.suspect_for);
+        config.remove_down_after = Some(settings.forget_after);
+        // One byte of each datagram is its kind.
+        config.max_packet_size = NonZeroUsize::new(DATAGRAM_MAX - 1).unwrap_or(NonZeroUsize::MIN);
+        // The dead are asked now and then whether they are back: a node that was only cut off returns so.
+        config.periodic_announce_to_down_members = Some(PeriodicParams {
+            frequency: settings.reannounce,
+            num_members: NonZeroUsize::new(2).unwrap_or(NonZeroUsize::MIN),
+        });
+        let mut room = Self {
+            foca: Foca::new(me, config, Pcg64::seed_from_u64(seed), Wire),
+            out: Out::default(),
+            seeds: Vec::new(),
+            next_announce: Duration::ZERO,
+            reannounce: settings.reannounce,
+            left: BTreeSet::new(),
+            leaving: false,
+            view: View::default(),
+            stale: true,
+        };
+        room.refresh();
+        room
+    }
+
+    /// Who this node is now (its generation grows when it rejoins after being declared dead).
+    pub fn me(&self) -> &NodeId {
+        self.foca.identity()
+    }
+
+    /// Asks to join the fleet through `seeds`; they are asked again each `reannounce` while they are not members.
+    pub fn join(&mut self, now: Duration, seeds: &[SocketAddrV4]) {
+        let me = self.me().addr;
+        self.seeds = seeds.iter().copied().filter(|s| *s != me).collect();
+        self.seeds.sort_unstable();
+        self.seeds.dedup();
+        self.next_announce = now;
+        self.tick(now);
+    }
+
+    /// Takes one datagram that came at `now`.
+    pub fn on_datagram(&mut self, now: Duration, bytes: &[u8]) {
+        self.out.stats.received += 1;
+        self.out.stats.received_bytes += bytes.len() as u64;
+        match codec::decode(bytes) {
+            Err(_) => self.out.stats.malformed += 1,
+            Ok(Datagram::Leave(id)) => {
+                if self.left.len() < LEFT_MAX {
+                    self.left.insert(id);
+                }
+                self.stale = true;
+            }
+            Ok(Datagram::Swim(swim)) => {
+                if self.leaving {
+                    return;
+                }
+                let mut fx = Effects::new(&mut self.out, now);
+                let result = self.foca.handle_data(swim, &mut fx);
+                let rejoined = fx.rejoined;
+                self.out.stats.rejoined += rejoined;
+                match result {
+                    Ok(()) => {}
+                    Err(foca::Error::Decode(_) | foca::Error::DataTooBig | foca::Error::MalformedPacket) => {
+                        self.out.stats.malformed += 1
+                    }
+                    Err(_) => self.out.stats.refused += 1,
+                }
+                self.stale = true;
+            }
+        }
+    }
+
+    /// Fires the timers that are due at `now`, and announces again to seeds that are not members.
+    pub fn tick(&mut self, now: Duration) {
+        if self.leaving {
+            return;
+        }
+        while let Some(entry) = self.out.timers.first_entry() {
+            if entry.key().0 > now {
+                break;
+            }
+            let timer = entry.remove();
+            let mut fx = Effects::new(&mut self.out, now);
+            // An error here is a timer of a probe or member that is no more; the protocol goes on without it.
+            let _ = self.foca.handle_timer(timer, &mut fx);
+            self.out.stats.rejoined += fx.rejoined;
+            self.stale = true;
+        }
+        if !self.seeds.is_empty() && now >= self.next_announce {
+            self.next_announce = now + self.reannounce;
+            let members: BTreeSet<SocketAddrV4> = self.foca.iter_members().map(|m| m.id().addr).collect();
+            for seed in self.seeds.clone() {
+                if !members.contains(&seed) {
+                    let mut fx = Effects::new(&mut self.out, now);
+                    let _ = self.foca.announce(NodeId::unknown_at(seed), &mut fx);
+                }
+            }
+        }
+    }
+
+    /// When [`Room::tick`] has something to do next.
+    pub fn next_due(&self) -> Option<Duration> {
+        let timer = self.out.timers.keys().next().map(|k| k.0);
+        let announce = (!self.seeds.is_empty() && !self.leaving).then_some(self.next_announce);
+        match (timer, announce) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        }
+    }
+
+    /// Leaves the fleet on purpose: a notice to every active member, and `foca`'s own leave. The room says and does
+    /// nothing more after it.
+    pub fn leave(&mut self, now: Duration) {
+        if self.leaving {
+            return;
+        }
+        let notice = codec::encode_leave(self.me());
+        let peers: Vec<SocketAddrV4> = self.foca.iter_members().map(|m| m.id().addr).collect();
+        for peer in peers {
+            push(&mut self.out.outbox, &mut self.out.stats, peer, notice.clone());
+        }
+        let mut fx = Effects::new(&mut self.out, now);
+        let _ = self.foca.leave_cluster(&mut fx);
+        self.leaving = true;
+        let me = self.me().clone();
+        if self.left.len() < LEFT_MAX {
+            self.left.insert(me);
+        }
+        self.stale = true;
+    }
+
+    /// The next datagram to send, and where.
+    pub fn take_outgoing(&mut self) -> Option<(SocketAddrV4, Vec<u8>)> {
+        self.out.outbox.pop_front()
+    }
+
+    /// The view as of the last datagram or timer.
+    pub fn view(&mut self) -> &View {
+        if self.stale {
+            self.refresh();
+        }
+        &self.view
+    }
+
+    /// What was counted.
+    pub fn stats(&self) -> &Stats {
+        &self.out.stats
+    }
+
+    fn refresh(&mut self) {
+        self.stale = false;
+        let me = self.foca.identity().clone();
+        let mut entries: Vec<Entry> = self
+            .foca
+            .iter_membership_state()
+            .filter(|m| m.id() != &me)
+            .map(|m| entry(m, &self.left))
+            .collect();
+        entries.push(Entry {
+            liveness: if self.leaving { Liveness::Left } else { Liveness::Alive },
+            incarnation: 0,
+            id: me,
+        });
+        // Notices of members that are forgotten are forgotten too, which bounds them by the members.
+        let named: BTreeSet<&NodeId> = entries.iter().map(|e| &e.id).collect();
+        self.left.retain(|id| named.contains(id));
+        self.view.replace(entries);
+    }
+}
+
+fn entry(m: &Member<NodeId>, left: &BTreeSet<NodeId>) -> Entry {
+    let liveness = match m.state() {
+        State::Alive => Liveness::Alive,
+        State::Suspect => Liveness::Suspect,
+        State::Down if left.contains(m.id()) => Liveness::Left,
+        State::Down => Liveness::Dead,
+    };
+    Entry { id: m.id().clone(), incarnation: m.incarnation(), liveness }
+}
+
+fn push(outbox: &mut VecDeque<(SocketAddrV4, Vec<u8>)>, stats: &mut Stats, to: SocketAddrV4, bytes: Vec<u8>) {
+    if outbox.len() >= OUTBOX_MAX {
+        stats.outbox_full += 1;
+        return;
+    }
+    stats.sent += 1;
+    stats.sent_bytes += bytes.len() as u64;
+    outbox.push_back((to, bytes));
+}
+
+/// What `foca` asks for while it handles one datagram or timer.
+struct Effects<'a> {
+    now: Duration,
+    out: &'a mut Out,
+    rejoined: u64,
+}
+
+impl<'a> Effects<'a> {
+    fn new(out: &'a mut Out, now: Duration) -> Self {
+        Self { now, out, rejoined: 0 }
+    }
+}
+
+impl Runtime<NodeId> for Effects<'_> {
+    fn notify(&mut self, notification: Notification<'_, NodeId>) {
+        if let Notification::Rejoin(_) = notification {
+            self.rejoined += 1;
+        }
+    }
+
+    fn send_to(&mut self, to: NodeId, data: &[u8]) {
+        let mut bytes = Vec::with_capacity(1 + data.len());
+        bytes.push(KIND_SWIM);
+        bytes.extend_from_slice(data);
+        push(&mut self.out.outbox, &mut self.out.stats, to.addr, bytes);
+    }
+
+    fn submit_after(&mut self, event: Timer<NodeId>, after: Duration) {
+        if self.out.timers.len() >= TIMERS_MAX {
+            self.out.stats.timers_full += 1;
+            return;
+        }
+        self.out.next_timer += 1;
+        self.out.timers.insert((self.now + after, self.out.next_timer), event);
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/codec.rs
@@ -0,0 +1,94 @@
+//! The datagram decoder against any bytes, and against every cut of a datagram it wrote.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use bytes::BufMut;
+use foca::{Codec, Header, Member, Message, State};
+use magpietally_membership::{decode, encode_leave, Datagram, Name, NodeId, Wire};
+use proptest::prelude::*;
+
+fn id() -> impl Strategy<Value = NodeId> {
+    (any::<[u8; 4]>(), any::<u16>(), "[a-z0-9._-]{1,64}", any::<u32>()).prop_map(
+        |(ip, port, name, generation)| NodeId {
+            addr: SocketAddrV4::new(Ipv4Addr::from(ip), port),
+            name: Name::new(&name).expect("the pattern holds only allowed characters"),
+            generation,
+        },
+    )
+}
+
+fn message() -> impl Strategy<Value = Message<NodeId>> {
+    prop_oneof![
+        any::<u8>().prop_map(Message::Ping),
+        any::<u8>().prop_map(Message::Ack),
+        (id(), any::<u8>()).prop_map(|(target, probe_number)| Message::PingReq { target, probe_number }),
+        (id(), any::<u8>()).prop_map(|(origin, probe_number)| Message::IndirectPing { origin, probe_number }),
+        (id(), any::<u8>()).prop_map(|(target, probe_number)| Message::IndirectAck { target, probe_number }),
+        (id(), any::<u8>()).prop_map(|(origin, probe_number)| Message::ForwardedAck { origin, probe_number }),
+        Just(Message::Announce),
+        Just(Message::Feed),
+        Just(Message::Gossip),
+        Just(Message::Broadcast),
+        Just(Message::TurnUndead),
+    ]
+}
+
+fn member() -> impl Strategy<Value = Member<NodeId>> {
+    (id(), any::<u16>(), 0u8..3).prop_map(|(id, incarnation, state)| {
+        let state = [State::Alive, State::Suspect, State::Down][usize::from(state)];
+        Member::new(id, incarnation, state)
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2000, ..ProptestConfig::default() })]
+
+    #[test]
+    fn what_is_written_is_read_back_and_any_cut_of_it_is_refused(
+        src in id(), dst in id(), src_incarnation in any::<u16>(), message in message(), members in proptest::collection::vec(member(), 0..8)
+    ) {
+        let header = Header { src, src_incarnation, dst, message };
+        let mut bytes = Vec::new();
+        Wire.encode_header(&header, &mut bytes).expect("a Vec has room");
+        let header_len = bytes.len();
+        for m in &members {
+            Wire.encode_member(m, &mut bytes).expect("a Vec has room");
+        }
+        let mut rest = &bytes[..];
+        prop_assert_eq!(Wire.decode_header(&mut rest).expect("its own header"), header.clone());
+        for m in &members {
+            prop_assert_eq!(&Wire.decode_member(&mut rest).expect("its own member"), m);
+        }
+        prop_assert!(rest.is_empty());
+        for cut in 0..header_len {
+            prop_assert!(Wire.decode_header(&bytes[..cut]).is_err(), "a header cut at {} was taken", cut);
+        }
+    }
+
+    #[test]
+    fn a_full_buffer_is_an_error_and_not_a_panic(m in member(), room in 0usize..80) {
+        let mut buf = [0u8; 80];
+        let mut limited = (&mut buf[..]).limit(room);
+        let fits = room >= 14 + m.id().name.as_str().len();
+        prop_assert_eq!(Wire.encode_member(&m, &mut limited).is_ok(), fits);
+    }
+
+    #[test]
+    fn any_bytes_are_refused_or_read_but_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..1500)) {
+        let _ = decode(&bytes);
+        let _ = Wire.decode_header(&bytes[..]);
+        let _ = Wire.decode_member(&bytes[..]);
+    }
+
+    #[test]
+    fn a_leave_is_read_back_and_its_cuts_and_extensions_refused(who in id(), extra in 1usize..4) {
+        let bytes = encode_leave(&who);
+        prop_assert_eq!(decode(&bytes), Ok(Datagram::Leave(who.clone())));
+        for cut in 1..bytes.len() {
+            prop_assert!(decode(&bytes[..cut]).is_err());
+        }
+        let mut longer = bytes.clone();
+        longer.extend(std::iter::repeat_n(0u8, extra));
+        prop_assert!(decode(&longer).is_err());
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/fleet.rs
@@ -0,0 +1,135 @@
+//! The hard cases of membership on a fleet in virtual time: each has a stated bound, and a fixed seed.
+
+use std::time::Duration;
+
+use magpietally_membership::sim::{Faults, Fleet};
+use magpietally_membership::{Liveness, Settings};
+
+const S: Duration = Duration::from_secs(1);
+
+fn fleet(n: usize, seed: u64) -> Fleet {
+    let mut f = Fleet::new(n, &Settings::default(), Faults::default(), seed);
+    let all: Vec<usize> = (0..n).collect();
+    let took = f.run_until(30 * S, |f| f.all_see(&all, Liveness::Alive, &[]));
+    assert!(took.is_some(), "{n} nodes did not all see each other within 30 s");
+    f
+}
+
+#[test]
+fn a_killed_node_is_dead_to_all_others_within_its_bound() {
+    let mut f = fleet(10, 1);
+    f.kill(3);
+    let rest: Vec<usize> = (0..10).filter(|&i| i != 3).collect();
+    let took = f.run_until(20 * S, |f| f.count_seeing(3, Liveness::Dead) == rest.len());
+    let took = took.expect("the dead node was not dead to all within 20 s");
+    assert!(took >= 6 * S, "declared dead after {took:?}, before the suspicion could end");
+    assert!(f.all_see(&rest, Liveness::Alive, &[3]));
+}
+
+#[test]
+fn a_node_paused_for_five_seconds_is_never_declared_dead() {
+    let mut f = fleet(10, 2);
+    f.pause(4, true);
+    for _ in 0..500 {
+        f.run(Duration::from_millis(10));
+        assert_eq!(f.count_seeing(4, Liveness::Dead), 0, "declared dead while paused at {:?}", f.now());
+    }
+    f.pause(4, false);
+    let all: Vec<usize> = (0..10).collect();
+    for _ in 0..1000 {
+        f.run(Duration::from_millis(10));
+        assert_eq!(f.count_seeing(4, Liveness::Dead), 0, "declared dead after the pause at {:?}", f.now());
+    }
+    assert!(f.all_see(&all, Liveness::Alive, &[]), "the paused node is not alive to all 10 s after");
+}
+
+#[test]
+fn a_node_paused_for_long_is_declared_dead_and_comes_back_as_a_new_incarnation() {
+    let mut f = fleet(8, 3);
+    f.pause(5, true);
+    let rest: Vec<usize> = (0..8).filter(|&i| i != 5).collect();
+    assert!(f.run_until(30 * S, |f| f.count_seeing(5, Liveness::Dead) == rest.len()).is_some());
+    f.pause(5, false);
+    let all: Vec<usize> = (0..8).collect();
+    assert!(f.run_until(30 * S, |f| f.all_see(&all, Liveness::Alive, &[])).is_some(), "it did not come back");
+    assert!(f.room(5).is_some_and(|r| r.stats().rejoined >= 1), "it came back without a new incarnation");
+}
+
+#[test]
+fn halves_cut_apart_each_see_the_other_dead_and_agree_again_after_the_heal() {
+    let mut f = fleet(10, 4);
+    let a: Vec<usize> = (0..5).collect();
+    let b: Vec<usize> = (5..10).collect();
+    f.partition(&a, &b);
+    assert!(f
+        .run_until(30 * S, |f| f.all_see(&a, Liveness::Alive, &b) && f.all_see(&b, Liveness::Alive, &a))
+        .is_some());
+    // Each half is no majority of all it knows.
+    for i in [0, 7] {
+        let counts = f.view(i).map(|v| v.counts()).expect("a running node");
+        assert_eq!(magpietally_membership::divisor(&counts), 10, "node {i} took a half for the fleet");
+    }
+    f.heal();
+    let all: Vec<usize> = (0..10).collect();
+    let took = f.run_until(60 * S, |f| f.all_see(&all, Liveness::Alive, &[]));
+    assert!(took.is_some(), "the halves did not agree within 60 s of the heal");
+}
+
+#[test]
+fn one_node_cut_from_all_and_a_link_that_works_one_way() {
+    let mut f = fleet(8, 5);
+    let rest: Vec<usize> = (1..8).collect();
+    // A link that works one way costs no death: indirect probes go round it.
+    f.cut(2, 3);
+    f.run(30 * S);
+    let all: Vec<usize> = (0..8).collect();
+    assert!(f.all_see(&all, Liveness::Alive, &[]), "a one-way link cost a death");
+    f.heal();
+    f.partition(&[0], &rest);
+    assert!(f.run_until(30 * S, |f| f.all_see(&rest, Liveness::Alive, &[0])).is_some());
+    f.heal();
+    assert!(f.run_until(60 * S, |f| f.all_see(&all, Liveness::Alive, &[])).is_some());
+}
+
+#[test]
+fn thirty_percent_loss_and_duplicates_cost_no_lasting_death() {
+    let mut f = fleet(10, 6);
+    f.set_faults(Faults {
+        loss: 0.3,
+        duplicate: 0.1,
+        delay: Duration::from_millis(5),
+        jitter: Duration::from_millis(20),
+    });
+    f.run(120 * S);
+    let all: Vec<usize> = (0..10).collect();
+    assert!(f.run_until(30 * S, |f| f.all_see(&all, Liveness::Alive, &[])).is_some());
+}
+
+#[test]
+fn a_restart_under_the_old_name_replaces_the_old_identity() {
+    let mut f = fleet(6, 7);
+    f.kill(2);
+    f.start(2);
+    let id = f.id(2);
+    let replaced = |f: &mut Fleet| {
+        (0..6).all(|i| {
+            let Some(view) = f.view(i) else { return false };
+            let of_two: Vec<_> = view.entries().iter().filter(|e| e.id.name == id.name).collect();
+            of_two.iter().any(|e| e.id == id && e.liveness == Liveness::Alive)
+                && of_two.iter().all(|e| e.id == id || !e.liveness.is_active())
+        })
+    };
+    let took = f.run_until(20 * S, replaced);
+    assert!(took.is_some(), "the new start did not replace the old one at all nodes within 20 s");
+}
+
+#[test]
+fn a_node_that_leaves_is_counted_out_at_once() {
+    let mut f = fleet(6, 8);
+    f.leave(1);
+    let rest: Vec<usize> = (0..6).filter(|&i| i != 1).collect();
+    let took = f.run_until(2 * S, |f| f.count_seeing(1, Liveness::Left) == rest.len());
+    assert!(took.is_some(), "a leave took more than 2 s to be seen by all");
+    let counts = f.view(0).map(|v| v.counts()).expect("running");
+    assert_eq!(magpietally_membership::divisor(&counts), 5);
+}
