--- a/crates/membership/src/codec.rs
+++ b/crates/membership/src/codec.rs
@@ -18,6 +18,10 @@
 pub const KIND_SWIM: u8 = 0x53;
 /// A node leaves the fleet on purpose (SIGTERM, a drain): its identity follows.
 pub const KIND_LEAVE: u8 = 0x4c;
+/// Somebody asks for the view (`magpietally members`); nothing follows.
+pub const KIND_QUERY: u8 = 0x51;
+/// The answer to [`KIND_QUERY`]: the view as text follows. Only `magpietally members` reads it.
+pub const KIND_VIEW: u8 = 0x56;
 
 /// What a datagram is.
 #[derive(Debug, PartialEq, Eq)]
@@ -26,6 +30,8 @@
     Swim(&'a [u8]),
     /// The sender leaves the fleet on purpose.
     Leave(NodeId),
+    /// The sender asks for the view; the carrier answers it.
+    Query,
 }
 
 /// Why a datagram was not taken. Each is counted by the room that dropped it.
@@ -88,6 +94,8 @@
             }
             Ok(Datagram::Leave(id))
         }
+        KIND_QUERY if rest.is_empty() => Ok(Datagram::Query),
+        KIND_QUERY => Err(DecodeError::Trailing),
         _ => Err(DecodeError::Kind),
     }
 }
--- a/crates/membership/src/room.rs
+++ b/crates/membership/src/room.rs
@@ -148,6 +148,8 @@
         self.out.stats.received_bytes += bytes.len() as u64;
         match codec::decode(bytes) {
             Err(_) => self.out.stats.malformed += 1,
+            // The carrier answers it; a room has nothing to add.
+            Ok(Datagram::Query) => {}
             Ok(Datagram::Leave(id)) => {
                 if self.left.len() < LEFT_MAX {
                     self.left.insert(id);
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod logging;
+mod membership;
 mod operators;
 
 use std::process::ExitCode;
@@ -45,6 +46,15 @@
     Boxes(BoxesCommand),
     /// Compare variants of a node over sites and seeds, in virtual time
     Experiment(ExperimentArgs),
+    /// Ask a node for its view of the fleet, at the address its membership listens on
+    Members(MembersArgs),
+}
+
+#[derive(Args)]
+struct MembersArgs {
+    /// Where the node's membership listens (`listen` in its membership file)
+    #[arg(long, value_name = "ADDR")]
+    at: std::net::SocketAddr,
 }
 
 #[derive(Args)]
@@ -58,6 +68,9 @@
     /// The operators' settings, beside the platform's: deploy/operators.toml shows them all. Without it what they set is off
     #[arg(long, value_name = "FILE")]
     operators: Option<String>,
+    /// Membership with other nodes over UDP: deploy/membership.toml shows it. Without it the node knows no peer
+    #[arg(long, value_name = "FILE")]
+    membership: Option<String>,
 }
 
 /// How long the end of a node waits for the ledger's last records; SIGKILL is near by then.
@@ -73,6 +86,7 @@
         Command::Boxes(command) => commands::boxes::run(&command),
         Command::Ledger(command) => commands::ledger::run(&command),
         Command::Experiment(args) => commands::experiment::run(&args),
+        Command::Members(args) => membership::members(args.at),
     };
     let (words, code) = match ended {
         Ok(()) => return ExitCode::SUCCESS,
@@ -87,6 +101,7 @@
 
 fn node(args: &NodeArgs) -> Result<(), Failure> {
     let operators = args.operators.as_deref().map(operators::read).transpose()?.unwrap_or_default();
+    let members = args.membership.as_deref().map(membership::read).transpose()?;
     let config = magpietally_http::config::load()?;
     let log = logging::open(args.log)?;
     // A task that panics leaves what it held unanswered, and perhaps the policy half changed. A node that
@@ -106,11 +121,15 @@
         Some(options) => operators::start_ledger(&config.name, options)?,
         None => (None, None),
     };
+    let members = members.map(|options| membership::start(&config.name, options)).transpose()?;
     let extras = Extras { ledger, boxes };
     let ended = match usize::from(args.workers) {
         1 => magpietally_http::run(config, extras, log.lost_lines()),
         workers => magpietally_http::run_workers(config, workers, extras, log.lost_lines()),
     };
+    if let Some(members) = members {
+        members.leave();
+    }
     if running.is_some_and(|running| !running.close(LAST_RECORDS)) {
         tracing::warn!(target: "ledger", "its last records were not written in time");
     }
--- /dev/null
+++ b/src/membership.rs
@@ -0,0 +1,264 @@
+//! Membership on UDP: the carrier that runs a node's [`Room`] on a socket of its own, and `magpietally members`, which
+//! asks a node for its view. Off unless `node --membership FILE` names a file like `deploy/membership.toml`.
+
+use std::fmt::Write as _;
+use std::io::ErrorKind;
+use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use magpietally_config::file::read_plain;
+use magpietally_membership::{divisor, Name, NodeId, Room, Settings, View, KIND_QUERY, KIND_VIEW};
+use serde::Deserialize;
+
+use crate::commands::{wrong, Failure};
+
+/// The largest file that is read, in bytes.
+const FILE_MOST: usize = 1 << 16;
+/// The most seeds a file may name.
+const SEEDS_MOST: usize = 1024;
+/// The largest datagram read or sent: a view's answer to `members` can be larger than the protocol's 1,400 bytes.
+const READ_MOST: usize = 65_507;
+/// How long the socket waits at most before the room is looked at again (a stop, a timer).
+const WAIT_MOST: Duration = Duration::from_millis(50);
+/// How long `members` waits for an answer.
+const ANSWER_WITHIN: Duration = Duration::from_secs(2);
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    listen: String,
+    advertise: Option<String>,
+    #[serde(default)]
+    seeds: Vec<String>,
+    fleet_size: Option<u32>,
+    probe_period_ms: Option<u64>,
+    suspect_for_ms: Option<u64>,
+}
+
+/// What the operators' file of membership sets.
+pub struct Options {
+    listen: SocketAddrV4,
+    advertise: Option<SocketAddrV4>,
+    seeds: Vec<SocketAddrV4>,
+    settings: Settings,
+}
+
+/// Reads the file.
+///
+/// # Errors
+/// One line that names the file, and the line or the field.
+pub fn read(file: &str) -> Result<Options, Failure> {
+    let text = read_plain(file.as_ref(), FILE_MOST).map_err(|e| wrong(file, &[e.to_string()]))?;
+    let parsed: File = toml::from_str(&text).map_err(|error| {
+        let line =
+            error.span().map_or(1, |span| 1 + text[..span.start.min(text.len())].matches('\n').count());
+        wrong(file, &[format!("line {line}: {}", error.message())])
+    })?;
+    let address = |field: &str, value: &str| {
+        value
+            .parse::<SocketAddrV4>()
+            .map_err(|_| wrong(file, &[format!("{field}: {value:?} is no IPv4 address with a port")]))
+    };
+    let listen = address("listen", &parsed.listen)?;
+    let advertise = parsed.advertise.as_deref().map(|a| address("advertise", a)).transpose()?;
+    if advertise.is_some_and(|a| a.port() == 0 || a.ip().is_unspecified()) {
+        return Err(wrong(
+            file,
+            &["advertise: peers must be able to send to it: a port and an address".into()],
+        ));
+    }
+    if parsed.seeds.len() > SEEDS_MOST {
+        return Err(wrong(file, &[format!("seeds: {} named, at most {SEEDS_MOST}", parsed.seeds.len())]));
+    }
+    let seeds = parsed.seeds.iter().map(|s| address("seeds", s)).collect::<Result<Vec<_>, _>>()?;
+    let mut settings = Settings::default();
+    if let Some(n) = parsed.fleet_size {
+        settings.fleet_size = n.clamp(1, 100_000);
+    }
+    let millis = |field: &str, value: Option<u64>, least: u64, default: Duration| match value {
+        None => Ok(default),
+        Some(ms) if (least..=600_000).contains(&ms) => Ok(Duration::from_millis(ms)),
+        Some(ms) => Err(wrong(file, &[format!("{field}: {ms} is out of {least} to 600000")])),
+    };
+    settings.probe_period = millis("probe_period_ms", parsed.probe_period_ms, 100, settings.probe_period)?;
+    settings.probe_rtt = settings.probe_rtt.min(settings.probe_period / 2);
+    settings.suspect_for = millis("suspect_for_ms", parsed.suspect_for_ms, 500, settings.suspect_for)?;
+    Ok(Options { listen, advertise, seeds, settings })
+}
+
+/// The carrier at work.
+pub struct Running {
+    stop: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+/// Binds the socket and starts the carrier's thread for the node named `name`.
+///
+/// # Errors
+/// The name is no node's name, or the socket can't be had.
+pub fn start(name: &str, options: Options) -> Result<Running, Failure> {
+    let name = Name::new(name).map_err(|e| Failure::Wrong(format!("membership: name {name:?}: {e}")))?;
+    let socket = UdpSocket::bind(options.listen)
+        .map_err(|e| Failure::Failed(format!("membership: listen {}: {e}", options.listen)))?;
+    let bound = match socket.local_addr() {
+        Ok(SocketAddr::V4(a)) => a,
+        Ok(other) => return Err(Failure::Failed(format!("membership: bound to {other}, not IPv4"))),
+        Err(e) => return Err(Failure::Failed(format!("membership: listen {}: {e}", options.listen))),
+    };
+    let me = NodeId { addr: options.advertise.unwrap_or(bound), name, generation: generation() };
+    tracing::info!(target: "membership", "membership listens at {bound} as {me}");
+    let seed = u64::from(me.generation) ^ u64::from(bound.port()) << 32;
+    let mut room = Room::new(me, &options.settings, seed);
+    let stop = Arc::new(AtomicBool::new(false));
+    let stopping = stop.clone();
+    let seeds = options.seeds;
+    let thread = std::thread::Builder::new()
+        .name("membership".into())
+        .spawn(move || carry(&socket, &mut room, &seeds, &stopping))
+        .map_err(|e| Failure::Failed(format!("membership: a thread: {e}")))?;
+    Ok(Running { stop, thread })
+}
+
+impl Running {
+    /// Leaves the fleet on purpose and ends the carrier.
+    pub fn leave(self) {
+        self.stop.store(true, Ordering::SeqCst);
+        if self.thread.join().is_err() {
+            tracing::warn!(target: "membership", "its thread ended in a panic");
+        }
+    }
+}
+
+/// Which start of the node this is: tenths of a second since 2026, so that a restart is a later identity.
+fn generation() -> u32 {
+    const BASE: u64 = 1_767_225_600;
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u32::try_from(now.as_millis().saturating_sub(u128::from(BASE) * 1000) / 100).unwrap_or(u32::MAX)
+}
+
+fn carry(socket: &UdpSocket, room: &mut Room, seeds: &[SocketAddrV4], stop: &AtomicBool) {
+    let start = Instant::now();
+    let mut buf = vec![0u8; READ_MOST];
+    room.join(start.elapsed(), seeds);
+    let mut told_version = 0;
+    loop {
+        let now = start.elapsed();
+        if stop.load(Ordering::SeqCst) {
+            room.leave(now);
+            send(socket, room);
+            tracing::info!(target: "membership", "left the fleet");
+            return;
+        }
+        let wait = room
+            .next_due()
+            .map_or(WAIT_MOST, |due| due.saturating_sub(now))
+            .clamp(Duration::from_millis(1), WAIT_MOST);
+        // A socket that refuses a timeout still works; it is then looked at when a datagram comes.
+        let _ = socket.set_read_timeout(Some(wait));
+        match socket.recv_from(&mut buf) {
+            Ok((n, from)) if n == 1 && buf[0] == KIND_QUERY => {
+                let mut answer = vec![KIND_VIEW];
+                answer.extend_from_slice(describe(room).as_bytes());
+                answer.truncate(READ_MOST);
+                let _ = socket.send_to(&answer, from);
+            }
+            Ok((n, _)) => room.on_datagram(start.elapsed(), &buf[..n]),
+            // An earlier datagram to a peer that is gone comes back as a refusal; SWIM sees the loss itself.
+            Err(e)
+                if matches!(
+                    e.kind(),
+                    ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::ConnectionRefused
+                ) => {}
+            Err(e) => tracing::warn!(target: "membership", "a read failed: {e}"),
+        }
+        room.tick(start.elapsed());
+        send(socket, room);
+        let me = room.me().clone();
+        let view = room.view();
+        if view.version() != told_version {
+            told_version = view.version();
+            let c = view.counts();
+            tracing::info!(target: "membership", "view {}: {} alive, {} suspect, {} dead, {} left", view.version(), c.alive, c.suspect, c.dead, c.left);
+        }
+        if let Some(first) = view.name_taken_from(&me) {
+            // Two nodes may not share a name; the one that started first keeps it.
+            eprintln!(
+                "magpietally: membership: the name {} is taken by the node at {}, which started first",
+                me.name, first.addr
+            );
+            std::process::exit(1);
+        }
+    }
+}
+
+fn send(socket: &UdpSocket, room: &mut Room) {
+    while let Some((to, bytes)) = room.take_outgoing() {
+        // A datagram that can't go is a loss, which the protocol is built for.
+        let _ = socket.send_to(&bytes, to);
+    }
+}
+
+/// The view as `members` prints it.
+fn describe(room: &mut Room) -> String {
+    let stats = room.stats().clone();
+    let view: &View = room.view();
+    let c = view.counts();
+    let mut out = format!(
+        "version {}: {} alive, {} suspect, {} dead, {} left; fleet budgets divided by {}\n",
+        view.version(),
+        c.alive,
+        c.suspect,
+        c.dead,
+        c.left,
+        divisor(&c)
+    );
+    for e in view.entries() {
+        let _ = writeln!(
+            out,
+            "{} {} generation {} incarnation {} {}",
+            e.id.name, e.id.addr, e.id.generation, e.incarnation, e.liveness
+        );
+    }
+    let _ = writeln!(
+        out,
+        "datagrams: {} in ({} bytes), {} out ({} bytes), {} malformed, {} refused, {} rejoined",
+        stats.received,
+        stats.received_bytes,
+        stats.sent,
+        stats.sent_bytes,
+        stats.malformed,
+        stats.refused,
+        stats.rejoined
+    );
+    out
+}
+
+/// `magpietally members --at ADDR`: asks the node whose membership listens there for its view and prints it.
+///
+/// # Errors
+/// No answer within 2 s.
+pub fn members(at: SocketAddr) -> Result<(), Failure> {
+    let local: SocketAddr = if at.ip().is_loopback() { "127.0.0.1:0" } else { "0.0.0.0:0" }
+        .parse()
+        .map_err(|_| Failure::Failed("members: no local address".into()))?;
+    let socket = UdpSocket::bind(local).map_err(|e| Failure::Failed(format!("members: a socket: {e}")))?;
+    socket.set_read_timeout(Some(ANSWER_WITHIN)).map_err(|e| Failure::Failed(format!("members: {e}")))?;
+    socket.send_to(&[KIND_QUERY], at).map_err(|e| Failure::Failed(format!("members: {at}: {e}")))?;
+    let mut buf = vec![0u8; READ_MOST];
+    let deadline = Instant::now() + ANSWER_WITHIN;
+    while Instant::now() < deadline {
+        match socket.recv_from(&mut buf) {
+            Ok((n, from)) if from == at && n >= 1 && buf[0] == KIND_VIEW => {
+                print!("{}", String::from_utf8_lossy(&buf[1..n]));
+                return Ok(());
+            }
+            Ok(_) => {}
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => break,
+            Err(e) => return Err(Failure::Failed(format!("members: {at}: {e}"))),
+        }
+    }
+    Err(Failure::Failed(format!("members: {at} did not answer within 2 s")))
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -11,6 +11,8 @@
 
 use serde_json::{json, Value};
 
+pub mod relay;
+
 /// How long anything that should happen is waited for: far more than it takes, on a busy machine too.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -581,6 +583,22 @@
         self.signal("-TERM");
     }
 
+    /// Stops the node (SIGSTOP), or lets it go on (SIGCONT).
+    pub fn pause(&self, paused: bool) {
+        self.signal(if paused { "-STOP" } else { "-CONT" });
+    }
+
+    /// What follows `words` in the first log line that holds them.
+    pub fn logged_after(&self, words: &str) -> Option<String> {
+        let log = self.log.lock().expect("no panic");
+        log.iter().find_map(|l| l.split_once(words).map(|(_, rest)| rest.to_owned()))
+    }
+
+    /// Whether the process has ended, and how.
+    pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
+        self.child.try_wait().expect("it can be asked")
+    }
+
     /// Replaces the file of the configuration, as a whole, and tells the node.
     pub fn reload(&self, words: &str) {
         self.reload_from(|next| std::fs::write(next, words).expect("a file"));
