--- a/crates/membership/src/room.rs
+++ b/crates/membership/src/room.rs
@@ -72,6 +72,8 @@
     pub timers_full: u64,
     /// How often this node was declared dead and rejoined under a renewed identity.
     pub rejoined: u64,
+    /// How often this node took another for dead.
+    pub declared_dead: u64,
 }
 
 /// One node's membership.
@@ -112,6 +114,10 @@
             frequency: settings.reannounce,
             num_members: NonZeroUsize::new(2).unwrap_or(NonZeroUsize::MIN),
         });
+        // A join is told by updates that are passed on a few times only, and in a large fleet a few nodes miss it;
+        // a feed of random members now and then fills such gaps before probes would.
+        config.periodic_announce =
+            Some(PeriodicParams { frequency: settings.reannounce * 2, num_members: NonZeroUsize::MIN });
         let mut room = Self {
             foca: Foca::new(me, config, Pcg64::seed_from_u64(seed), Wire),
             out: Out::default(),
@@ -309,8 +315,10 @@
 
 impl Runtime<NodeId> for Effects<'_> {
     fn notify(&mut self, notification: Notification<'_, NodeId>) {
-        if let Notification::Rejoin(_) = notification {
-            self.rejoined += 1;
+        match notification {
+            Notification::Rejoin(_) => self.rejoined += 1,
+            Notification::MemberDown(_) => self.out.stats.declared_dead += 1,
+            _ => {}
         }
     }
 
