One reader of operators' TOML files for the operators' and the membership file

Cause: src/membership.rs read its file with a copy of operators.rs's lines: read at most so many bytes, parse TOML, and name the line of the first fault. Change: commands::toml_file does it for both; each keeps its own size limit and fields. Behaviour is the same: the same two faults by hand give the same lines and exit 2 as before; the program's tests pass, clippy and rustfmt are clean.

--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -6,7 +6,8 @@
 pub mod ledger;
 pub mod site;
 
-use magpietally_config::file::read_text;
+use magpietally_config::file::{read_plain, read_text};
+use serde::de::DeserializeOwned;
 
 /// How a subcommand ends: well, failed, or used wrongly.
 #[derive(Debug)]
@@ -38,3 +39,16 @@
 pub fn text_of(file: &str) -> Result<String, String> {
     read_text(file.as_ref(), TEXT_MOST).map_err(|e| format!("{file}: {e}"))
 }
+
+/// An operators' TOML file of at most `most` bytes, read into `T`.
+///
+/// # Errors
+/// One line that names the file, and the line or the field.
+pub fn toml_file<T: DeserializeOwned>(file: &str, most: usize) -> Result<T, Failure> {
+    let text = read_plain(file.as_ref(), most).map_err(|e| wrong(file, &[e.to_string()]))?;
+    toml::from_str(&text).map_err(|error| {
+        let line =
+            error.span().map_or(1, |span| 1 + text[..span.start.min(text.len())].matches('\n').count());
+        wrong(file, &[format!("line {line}: {}", error.message())])
+    })
+}
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -9,11 +9,10 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use magpietally_config::file::read_plain;
 use magpietally_membership::{divisor, Name, NodeId, Room, Settings, View, KIND_QUERY, KIND_VIEW};
 use serde::Deserialize;
 
-use crate::commands::{wrong, Failure};
+use crate::commands::{toml_file, wrong, Failure};
 
 /// The largest file that is read, in bytes.
 const FILE_MOST: usize = 1 << 16;
@@ -51,12 +50,7 @@
 /// # Errors
 /// One line that names the file, and the line or the field.
 pub fn read(file: &str) -> Result<Options, Failure> {
-    let text = read_plain(file.as_ref(), FILE_MOST).map_err(|e| wrong(file, &[e.to_string()]))?;
-    let parsed: File = toml::from_str(&text).map_err(|error| {
-        let line =
-            error.span().map_or(1, |span| 1 + text[..span.start.min(text.len())].matches('\n').count());
-        wrong(file, &[format!("line {line}: {}", error.message())])
-    })?;
+    let parsed: File = toml_file(file, FILE_MOST)?;
     let address = |field: &str, value: &str| {
         value
             .parse::<SocketAddrV4>()
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -1,13 +1,12 @@
 //! The operators' file: what installations may switch on beside the platform's configuration.
 
-use magpietally_config::file::read_plain;
 use magpietally_config::WatchOptions;
 use magpietally_ledger::recover::Finding;
 use magpietally_ledger::settings::LedgerSettings;
 use magpietally_ledger::{Ledger, Options, Running};
 use serde::Deserialize;
 
-use crate::commands::{wrong, Failure};
+use crate::commands::{toml_file, wrong, Failure};
 
 /// The largest file that is read, in bytes.
 const FILE_MOST: usize = 1 << 20;
@@ -35,12 +34,7 @@
 /// # Errors
 /// One line that names the file, and the line or the field.
 pub fn read(file: &str) -> Result<Operators, Failure> {
-    let text = read_plain(file.as_ref(), FILE_MOST).map_err(|e| wrong(file, &[e.to_string()]))?;
-    let parsed: File = toml::from_str(&text).map_err(|error| {
-        let line =
-            error.span().map_or(1, |span| 1 + text[..span.start.min(text.len())].matches('\n').count());
-        wrong(file, &[format!("line {line}: {}", error.message())])
-    })?;
+    let parsed: File = toml_file(file, FILE_MOST)?;
     let ledger = parsed.ledger.map(|l| l.options()).transpose().map_err(|words| wrong(file, &[words]))?;
     if let Some(Err(words)) = parsed.boxes.as_ref().map(WatchOptions::check) {
         return Err(wrong(file, &[words]));
