--- /dev/null
+++ b/crates/membership/examples/cold_fleet.rs
@@ -0,0 +1,178 @@
+//! Fifty nodes that start together in front of servers that have just started: how many attempts are out at
+//! a cold server at the worst, when each node divides its first limits by the count of nodes it believes in.
+//!
+//! `cargo run --release -p magpietally-membership --example cold_fleet -- 50`
+//!
+//! Three counts are compared: each node alone (a fleet that is not told of its peers), the count each node's
+//! view holds a moment after the start (before the join has spread), and the count after the join. The view
+//! comes from the crate's own fleet in virtual time; the policy is the node's own, driven in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use magpietally_membership::sim::{Faults, Fleet};
+use magpietally_membership::{divisor, Settings as RoomSettings};
+use magpietally_policy::*;
+
+const SERVERS: u64 = 4;
+const SERVICE_MS: u64 = 50; // Each attempt takes this long at any server.
+const EVERY_MS: u64 = 20; // Each node gets one request this often: 50 a second, 2,500 for 50 nodes.
+const WINDOW_MS: u64 = 3_000;
+const SEED: u64 = 7;
+
+/// An attempt's end: when, node, request, attempt, server.
+type End = Reverse<(u64, usize, u64, usize, u64)>;
+
+fn settings(number: usize, nodes: usize) -> Settings {
+    let class = Class { aim: 500.0, worth: 1.0, late_worth: 0.0, effect: Effect::Safe };
+    Settings {
+        number,
+        nodes,
+        classes: vec![class],
+        tenants: Vec::new(),
+        over_share_worth: 1.0,
+        goal: Goal { worth: 1.0, ..Goal::default() },
+        limits: Limits {
+            attempts: 2,
+            second_copies: false,
+            cancel: true,
+            probes: false,
+            connect_timeout: 100.0,
+            max_retry_after: 1_000.0,
+        },
+        rules: Rules {
+            ask_within: 10_000.0,
+            cold_share: 0.15,
+            warm_within: 20_000.0,
+            fall_multiple: 3.0,
+            fall_window: 1_000.0,
+        },
+        discovery: Discovery::Pushed,
+        weights: Weights::None,
+        tick: 1.0,
+    }
+}
+
+/// The most attempts out at one server at once over the window, in parts of what it bears then, and the
+/// requests refused or failed.
+fn play(n_warm: f64, divisors: &[usize]) -> (f64, usize) {
+    // What a server bears at once by the time since its start: 15% at first, all after 20 s.
+    let capacity = |now: u64| n_warm * (0.15 + 0.85 * (now as f64 / 20_000.0).min(1.0));
+    let n = divisors.len();
+    let entries: Vec<Entry> = (0..SERVERS)
+        .map(|s| Entry {
+            server: ServerId(s),
+            zone: 0,
+            cell: 0,
+            kind: 0,
+            state: Listed::Up,
+            weight: 1.0,
+            started: Some(0.0),
+        })
+        .collect();
+    let mut nodes: Vec<Balancer> = divisors
+        .iter()
+        .enumerate()
+        .map(|(i, &d)| {
+            // Its place among the count it believes in; the offset in the cycle comes from it and the seed.
+            let d = d.max(1);
+            Balancer::new(settings(i % d, d), SEED + i as u64).expect("settings of the example are good")
+        })
+        .collect();
+    let mut timers = vec![u64::MAX; n];
+    let mut ends: BinaryHeap<End> = BinaryHeap::new();
+    let mut attempts: BTreeMap<(usize, u64), usize> = BTreeMap::new();
+    let mut sent: BTreeMap<(usize, u64, usize), u64> = BTreeMap::new();
+    let mut out = vec![0usize; SERVERS as usize];
+    let (mut worst, mut lost, mut next_id) = (0.0f64, 0, 0u64);
+    let mut actions = Vec::new();
+    for now in 0..WINDOW_MS {
+        for (i, node) in nodes.iter_mut().enumerate() {
+            let t = now as f64;
+            if now == 0 {
+                node.handle(t, Event::List { entries: entries.clone(), saved: false }, &mut actions);
+            }
+            while let Some(Reverse((at, who, id, attempt, server))) = ends.peek().copied() {
+                if at > now || who != i {
+                    break;
+                }
+                ends.pop();
+                let since = sent.remove(&(i, id, attempt)).unwrap_or(now); // Each end has its send.
+                out[server as usize] -= 1;
+                let ended = Event::Ended {
+                    id: RequestId(id),
+                    attempt,
+                    server: ServerId(server),
+                    outcome: Outcome::Done,
+                    took: (now - since) as f64,
+                    finished: true,
+                };
+                node.handle(t, ended, &mut actions);
+            }
+            if timers[i] <= now {
+                timers[i] = u64::MAX;
+                node.handle(t, Event::Timer, &mut actions);
+            }
+            if (now + i as u64).is_multiple_of(EVERY_MS) {
+                next_id += 1;
+                let request = Event::Request {
+                    id: RequestId(next_id),
+                    class: 0,
+                    tenant: None,
+                    deadline: t + 500.0,
+                    once: false,
+                };
+                node.handle(t, request, &mut actions);
+            }
+            for action in actions.drain(..) {
+                match action {
+                    Action::Send { id, server, .. } => {
+                        let attempt = attempts.entry((i, id.0)).or_insert(0);
+                        out[server.0 as usize] += 1;
+                        let load = out[server.0 as usize] as f64 / capacity(now);
+                        worst = worst.max(load);
+                        // Past what it bears, a server slows down in proportion: that is all a node can see of it.
+                        let took = (SERVICE_MS as f64 * load.max(1.0)).ceil() as u64;
+                        ends.push(Reverse((now + took, i, id.0, *attempt, server.0)));
+                        sent.insert((i, id.0, *attempt), now);
+                        *attempt += 1;
+                    }
+                    Action::SetTimer(after) => {
+                        let due = now + after.max(1.0).ceil() as u64;
+                        timers[i] = timers[i].min(due);
+                    }
+                    Action::Refuse { .. } | Action::Fail(_) => lost += 1,
+                    _ => {}
+                }
+            }
+        }
+    }
+    (worst, lost)
+}
+
+fn main() {
+    let n: usize = std::env::args().nth(1).and_then(|a| a.parse().ok()).unwrap_or(50);
+    let room = RoomSettings { fleet_size: n as u32, ..RoomSettings::default() };
+    let mut fleet = Fleet::new(n, &room, Faults::default(), SEED);
+    let seen = |fleet: &mut Fleet| -> Vec<usize> {
+        (0..n).map(|i| fleet.view(i).map_or(1, |v| divisor(&v.counts()) as usize)).collect()
+    };
+    fleet.run(Duration::from_millis(100));
+    let early = seen(&mut fleet);
+    fleet.run(Duration::from_secs(30));
+    let joined = seen(&mut fleet);
+    // What a warm server of this size answers at once: the fleet's traffic spread over the servers.
+    let warm = (n as u64 * SERVICE_MS / EVERY_MS).div_ceil(SERVERS);
+    println!("{n} nodes, {SERVERS} servers just started, {} requests a second; a warm server has {warm} out, a cold one 15% of it ({:.1})", n as u64 * 1000 / EVERY_MS, warm as f64 * 0.15);
+    println!("| count believed | least and most divisor | most out at one server in {WINDOW_MS} ms, in parts of what it bears | refused or failed |");
+    println!("| --- | ---: | ---: | ---: |");
+    for (name, divisors) in
+        [("each alone", vec![1; n]), ("view at 0.1 s", early), ("view after the join", joined)]
+    {
+        let (least, most) =
+            (divisors.iter().min().copied().unwrap_or(1), divisors.iter().max().copied().unwrap_or(1));
+        let (worst, lost) = play(warm as f64, &divisors);
+        println!("| {name} | {least} to {most} | {worst:.1} | {lost} |");
+    }
+}
