--- a/crates/membership/examples/cold_fleet.rs
+++ b/crates/membership/examples/cold_fleet.rs
@@ -57,8 +57,10 @@
 /// The most attempts out at one server at once over the window, in parts of what it bears then, and the
 /// requests refused or failed.
 fn play(n_warm: f64, divisors: &[usize]) -> (f64, usize) {
-    // What a server bears at once by the time since its start: 15% at first, all after 20 s.
-    let capacity = |now: u64| n_warm * (0.15 + 0.85 * (now as f64 / 20_000.0).min(1.0));
+    // What a server bears at once by the time since its start, as the nodes are told it warms up.
+    let Rules { cold_share, warm_within, .. } = settings(0, 1).rules;
+    let capacity =
+        |now: u64| n_warm * (cold_share + (1.0 - cold_share) * (now as f64 / warm_within).min(1.0));
     let n = divisors.len();
     let entries: Vec<Entry> = (0..SERVERS)
         .map(|s| Entry {
