Seams of the fleet: rooms, transports, stores and a log with leases, as types and a model

Need: policy changes, quotas and addresses of the fleet stand on the same few things, and are to be built side by side without knowing one another.

Change: crates/transport (names, sessions, the Room and Transport traits), crates/store (the Store trait and its errors), crates/consensus (entries, stamps, leases that count from the asking and are waited out from the learning, the Machine trait, and a model of the log in virtual time that takes every liberty its users must bear), and empty rooms for what stands on them. A node's Name moves from membership to transport, as every message between nodes carries one.

Weighed: proposals decided at least once, with each room bearing doubles, against at most once by number; the latter costs one counter a session in the log and takes a whole class of faults from three rooms.

--- /dev/null
+++ b/crates/addresses/src/lib.rs
@@ -0,0 +1,1 @@
+//! Service addresses advertised from healthy sites: health, ownership, damping.
--- /dev/null
+++ b/crates/consensus/src/lease.rs
@@ -0,0 +1,174 @@
+//! Leases that the log grants: rights that end by themselves when their holder can't renew them.
+//!
+//! The holder counts from when it **asked** ([`Held`]), the one who takes the right away from when it **learnt** of the
+//! grant ([`Leases::lapsed`]), each by its own boot clock. The asking came before the deciding and that before the
+//! learning, so the holder's count ends first, whatever was slow, stopped or cut off, as long as two boot clocks differ
+//! in speed by less than [`DRIFT`]. No wall clock is read.
+//!
+//! Taking away is an entry itself and names the grant that it ends: a renewal decided before it wins.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use magpietally_transport::Peer;
+use serde::{Deserialize, Serialize};
+
+use crate::entry::Index;
+
+/// How much longer than the term the waiter waits, as a share of it: crystal clocks differ by less than a thousandth;
+/// virtual machines under a disciplined clock slew by at most a two-thousandth.
+pub const DRIFT: f64 = 0.01;
+/// And this much on top, for the rounding of timers.
+pub const SLACK: Duration = Duration::from_millis(20);
+
+/// A lease as the log has it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Who holds it, at which start: a restarted node holds nothing of its earlier session.
+    pub holder: Peer,
+    /// The entry that granted or last renewed it.
+    pub index: Index,
+    /// How long it lasts from the holder's asking on, in milliseconds.
+    pub term_ms: u32,
+}
+
+impl Grant {
+    /// How long a waiter waits from when it learnt of the grant.
+    pub fn wait(&self) -> Duration {
+        let term = Duration::from_millis(u64::from(self.term_ms));
+        term + term.mul_f64(DRIFT) + SLACK
+    }
+}
+
+/// The leases of one kind, by key: what the log says of them, and when this node learnt of each.
+#[derive(Clone, Debug)]
+pub struct Leases<K: Ord + Clone> {
+    grants: BTreeMap<K, Grant>,
+    learnt: BTreeMap<K, Duration>,
+}
+
+impl<K: Ord + Clone> Default for Leases<K> {
+    fn default() -> Self {
+        Self { grants: BTreeMap::new(), learnt: BTreeMap::new() }
+    }
+}
+
+impl<K: Ord + Clone> Leases<K> {
+    /// None yet, or those of a snapshot, learnt at `now`.
+    pub fn restored(grants: BTreeMap<K, Grant>, now: Duration) -> Self {
+        let learnt = grants.keys().map(|k| (k.clone(), now)).collect();
+        Self { grants, learnt }
+    }
+
+    /// What the log says, for a snapshot.
+    pub fn grants(&self) -> &BTreeMap<K, Grant> {
+        &self.grants
+    }
+
+    /// Who holds `key`, if anybody.
+    pub fn get(&self, key: &K) -> Option<&Grant> {
+        self.grants.get(key)
+    }
+
+    /// An entry grants or renews `key`; this node learns of it at `now`.
+    pub fn grant(&mut self, now: Duration, key: K, grant: Grant) {
+        self.learnt.insert(key.clone(), now);
+        self.grants.insert(key, grant);
+    }
+
+    /// An entry ends `key`'s lease if it is still the one granted at `grant`; whether it was.
+    pub fn end(&mut self, key: &K, grant: Index) -> bool {
+        if self.grants.get(key).is_none_or(|g| g.index != grant) {
+            return false;
+        }
+        self.grants.remove(key);
+        self.learnt.remove(key);
+        true
+    }
+
+    /// The leases that have ended for their holders by now, by this node's count: to be proposed for ending.
+    pub fn lapsed(&self, now: Duration) -> impl Iterator<Item = (&K, &Grant)> {
+        self.grants.iter().filter(move |(k, g)| self.learnt.get(k).is_some_and(|at| now >= *at + g.wait()))
+    }
+
+    /// When the next of them lapses.
+    pub fn next_lapse(&self) -> Option<Duration> {
+        self.grants.iter().filter_map(|(k, g)| Some(*self.learnt.get(k)? + g.wait())).min()
+    }
+}
+
+/// A lease in its holder's own hands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    until: Duration,
+}
+
+impl Held {
+    /// A lease of `term` that was asked for at `asked`, by the holder's boot clock, and granted since.
+    pub fn new(asked: Duration, term: Duration) -> Self {
+        Self { until: asked + term }
+    }
+
+    /// Whether it holds at `now`. To be asked at the very moment of each use, with a clock read after the process was last
+    /// stopped, never once for a batch of work.
+    pub fn holds(&self, now: Duration) -> bool {
+        now < self.until
+    }
+
+    /// When it ends.
+    pub fn until(&self) -> Duration {
+        self.until
+    }
+
+    /// The later of two renewals.
+    pub fn or_later(self, other: Self) -> Self {
+        Self { until: self.until.max(other.until) }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use magpietally_transport::{Name, Session};
+
+    const MS: Duration = Duration::from_millis(1);
+
+    fn grant(index: u64) -> Grant {
+        let holder = Peer { name: Name::new("a").expect("a name"), session: Session(1) };
+        Grant { holder, index: Index(index), term_ms: 1000 }
+    }
+
+    #[test]
+    fn the_holder_stops_before_any_waiter_may_take_it_away_however_the_clocks_drift() {
+        // Asked at 0, decided and learnt at once: the least that can lie between.
+        for (holder, waiter) in [(1.0, 1.0), (1.0 - DRIFT / 2.0, 1.0 + DRIFT / 2.0 - 0.0001)] {
+            let held = Held::new(Duration::ZERO, 1000 * MS);
+            let mut leases = Leases::default();
+            leases.grant(Duration::ZERO, "k", grant(7));
+            for ms in 0..2000 {
+                let by = |rate: f64| (ms * MS).mul_f64(rate);
+                let lapsed = leases.lapsed(by(waiter)).next().is_some();
+                assert!(!(lapsed && held.holds(by(holder))), "both at {ms} ms");
+            }
+            assert!(leases.lapsed(2000 * MS).next().is_some() && !held.holds(2000 * MS));
+        }
+    }
+
+    #[test]
+    fn an_end_names_the_grant_that_it_ends_and_a_renewal_before_it_wins() {
+        let mut leases = Leases::default();
+        leases.grant(MS, "k", grant(1));
+        leases.grant(2 * MS, "k", grant(2));
+        assert!(!leases.end(&"k", Index(1)) && leases.get(&"k") == Some(&grant(2)));
+        assert!(leases.end(&"k", Index(2)) && leases.get(&"k").is_none());
+        assert_eq!(leases.next_lapse(), None);
+    }
+
+    #[test]
+    fn a_snapshot_counts_every_lease_anew_for_its_waiter() {
+        let mut leases = Leases::default();
+        leases.grant(MS, "k", grant(1));
+        let restored = Leases::restored(leases.grants().clone(), 500 * MS);
+        assert_eq!(restored.next_lapse(), Some(500 * MS + grant(1).wait()));
+    }
+}
--- /dev/null
+++ b/crates/contracts/src/store.rs
@@ -0,0 +1,1 @@
+//! What every store must hold.
--- /dev/null
+++ b/crates/contracts/src/transport.rs
@@ -0,0 +1,1 @@
+//! What every transport must hold.
--- a/crates/membership/src/codec.rs
+++ b/crates/membership/src/codec.rs
@@ -9,7 +9,8 @@
 use bytes::{Buf, BufMut};
 use foca::{Codec, Header, Member, Message, State};
 
-use crate::id::{Name, NodeId, NAME_MAX};
+use crate::id::NodeId;
+use magpietally_transport::{Name, NAME_MAX};
 
 /// The largest datagram a node sends or takes, in bytes: within one Ethernet frame, so no datagram is fragmented.
 pub const DATAGRAM_MAX: usize = 1400;
--- a/crates/membership/src/id.rs
+++ b/crates/membership/src/id.rs
@@ -4,9 +4,7 @@
 use std::net::SocketAddrV4;
 
 use foca::Identity;
-
-/// The longest name a node may have, in bytes; it bounds every datagram that carries it.
-pub const NAME_MAX: usize = 64;
+use magpietally_transport::Name;
 
 /// Who a node is: where its membership datagrams go, its name, and which start of it this is.
 ///
@@ -54,68 +52,6 @@
     }
 }
 
-/// A node's name: at most [`NAME_MAX`] bytes of letters, digits, `.`, `_` and `-`. Empty only for an identity not yet
-/// known ([`NodeId::unknown_at`]).
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Name(String);
-
-/// Why a name was refused.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum NameError {
-    /// No name at all.
-    Empty,
-    /// More than [`NAME_MAX`] bytes.
-    TooLong(usize),
-    /// A character outside letters, digits, `.`, `_` and `-`.
-    Character(char),
-}
-
-impl fmt::Display for NameError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Empty => write!(f, "a node's name may not be empty"),
-            Self::TooLong(n) => write!(f, "a node's name has {n} bytes, at most {NAME_MAX} are allowed"),
-            Self::Character(c) => {
-                write!(f, "a node's name may hold letters, digits, '.', '_' and '-', not {c:?}")
-            }
-        }
-    }
-}
-
-impl std::error::Error for NameError {}
-
-impl Name {
-    /// A name as given; see [`NameError`] for what is refused.
-    pub fn new(name: &str) -> Result<Self, NameError> {
-        if name.is_empty() {
-            return Err(NameError::Empty);
-        }
-        Self::checked(name)
-    }
-
-    /// The same checks, but empty is allowed: what a datagram may carry.
-    pub(crate) fn checked(name: &str) -> Result<Self, NameError> {
-        if name.len() > NAME_MAX {
-            return Err(NameError::TooLong(name.len()));
-        }
-        if let Some(c) = name.chars().find(|c| !(c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-'))) {
-            return Err(NameError::Character(c));
-        }
-        Ok(Self(name.to_owned()))
-    }
-
-    /// The name as text.
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
-}
-
-impl fmt::Display for Name {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -136,12 +72,4 @@
         assert_eq!(id(u32::MAX, "n1").renew(), None);
         assert_eq!(id(1, "n1").renew(), Some(id(2, "n1")));
     }
-
-    #[test]
-    fn names_are_bounded_and_plain() {
-        assert_eq!(Name::new(""), Err(NameError::Empty));
-        assert_eq!(Name::new(&"a".repeat(65)), Err(NameError::TooLong(65)));
-        assert_eq!(Name::new("n 1"), Err(NameError::Character(' ')));
-        assert!(Name::new("lahore-main.n_3").is_ok());
-    }
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -32,7 +32,8 @@
 pub use codec::{
     decode, encode_leave, Datagram, DecodeError, Wire, WireError, DATAGRAM_MAX, KIND_QUERY, KIND_VIEW,
 };
-pub use id::{Name, NameError, NodeId, NAME_MAX};
+pub use id::NodeId;
+pub use magpietally_transport::{Name, NameError, NAME_MAX};
 pub use room::{Room, Settings, Stats, LEFT_MAX, OUTBOX_MAX, TIMERS_MAX};
 pub use shares::{divisor, share};
 pub use view::{Counts, Entry, Liveness, View};
--- a/crates/membership/src/sim.rs
+++ b/crates/membership/src/sim.rs
@@ -10,9 +10,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
-use crate::id::{Name, NodeId};
+use crate::id::NodeId;
 use crate::room::{Room, Settings};
 use crate::view::{Liveness, View};
+use magpietally_transport::Name;
 
 /// How far the fleet's clock moves in one step.
 pub const STEP: Duration = Duration::from_millis(5);
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -146,7 +146,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::id::Name;
+    use magpietally_transport::Name;
 
     fn entry(port: u16, name: &str, generation: u32, liveness: Liveness) -> Entry {
         Entry {
--- /dev/null
+++ b/crates/transport/src/name.rs
@@ -0,0 +1,104 @@
+//! A node's name.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// The longest name a node may have, in bytes; it bounds every message that carries it.
+pub const NAME_MAX: usize = 64;
+
+/// A node's name: at most [`NAME_MAX`] bytes of letters, digits, `.`, `_` and `-`. Empty only where a
+/// node is not known by name yet.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Name(String);
+
+/// Why a name was refused.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NameError {
+    /// No name at all.
+    Empty,
+    /// More than [`NAME_MAX`] bytes.
+    TooLong(usize),
+    /// A character outside letters, digits, `.`, `_` and `-`.
+    Character(char),
+}
+
+impl fmt::Display for NameError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Empty => write!(f, "a node's name may not be empty"),
+            Self::TooLong(n) => write!(f, "a node's name has {n} bytes, at most {NAME_MAX} are allowed"),
+            Self::Character(c) => {
+                write!(f, "a node's name may hold letters, digits, '.', '_' and '-', not {c:?}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for NameError {}
+
+impl Name {
+    /// A name as given.
+    ///
+    /// # Errors
+    /// See [`NameError`] for what is refused.
+    pub fn new(name: &str) -> Result<Self, NameError> {
+        if name.is_empty() {
+            return Err(NameError::Empty);
+        }
+        Self::checked(name)
+    }
+
+    /// The same checks, but empty is allowed: what a message may carry.
+    ///
+    /// # Errors
+    /// See [`NameError`].
+    pub fn checked(name: &str) -> Result<Self, NameError> {
+        if name.len() > NAME_MAX {
+            return Err(NameError::TooLong(name.len()));
+        }
+        if let Some(c) = name.chars().find(|c| !(c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-'))) {
+            return Err(NameError::Character(c));
+        }
+        Ok(Self(name.to_owned()))
+    }
+
+    /// The name as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl TryFrom<String> for Name {
+    type Error = NameError;
+
+    fn try_from(name: String) -> Result<Self, NameError> {
+        Self::checked(&name)
+    }
+}
+
+impl From<Name> for String {
+    fn from(name: Name) -> Self {
+        name.0
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn names_are_bounded_and_plain() {
+        assert_eq!(Name::new(""), Err(NameError::Empty));
+        assert_eq!(Name::new(&"a".repeat(65)), Err(NameError::TooLong(65)));
+        assert_eq!(Name::new("n 1"), Err(NameError::Character(' ')));
+        assert!(Name::new("lahore-main.n_3").is_ok());
+    }
+}
