Core: a gate that the fleet's policy versions and quotas come in by, one module a version

Need: a request must be decided under one version of the policy from its arrival to its end, quotas must be asked without waiting for anybody, and a node without a lease must decide nothing.

Change: crates/core/src/gate.rs is the narrow type that the node sees the fleet by (one call a request, no I/O); epochs.rs keeps one decision module for each version that has requests, the older ones until their last request is over. A version whose settings are the same keeps its module, so that a change of quotas alone costs nothing learnt. HTTP answers 429 with Retry-After where a quota is used up, 503 where the node may not decide, and waits in steps of 2 ms while a change is under way. Without a gate (as in `run`) nothing is asked.

A new module learns anew, as a new process does.

--- a/crates/core/src/intents.rs
+++ b/crates/core/src/intents.rs
@@ -18,8 +18,11 @@
 pub enum Turned {
     /// One with its id is open: to send it on would be to run that one again.
     Open,
-    /// The ledger can't note it at present: trying again is harmless, after this time.
+    /// The ledger can't note it at present, or the fleet does not let this node decide: trying again is harmless, after
+    /// this time.
     Refused(Millis),
+    /// Its tenant's quota over the fleet is used up: trying again is harmless, after this time.
+    OverQuota(Millis),
     /// The ledger knows of an earlier life's attempt that may have run.
     Failed(Why),
 }
@@ -64,7 +67,7 @@
         if ledger.standing().is_err() {
             let state = &mut *self.state.borrow_mut();
             state.counts.refused += 1;
-            return Err(Turned::Refused(state.balancer.stay_away(asked.class)));
+            return Err(Turned::Refused(state.epochs.newest().stay_away(asked.class)));
         }
         // Only where something was out at a node's death is there anything to look for.
         if ledger.unknown() == 0 {
@@ -80,7 +83,7 @@
 
     /// What a class may do without the ledger.
     pub(crate) fn right(&self, class: usize) -> Right {
-        self.rights.get(class).copied().unwrap_or(Right::Once)
+        self.rights.borrow().get(class).copied().unwrap_or(Right::Once)
     }
 
     fn key(&self, right: Right, request: &C::Request) -> Option<KeyDigest> {
@@ -146,7 +149,7 @@
             if others().all(|a| a.task.is_none()) {
                 let harmless =
                     may_ask_again(others().filter_map(|a| a.ended.map(|(outcome, ..)| how(outcome))));
-                let stay_away = state.balancer.stay_away(open.class);
+                let stay_away = state.epochs.newest().stay_away(open.class);
                 self.give(state, id, if harmless { Answer::Refused(stay_away) } else { Answer::Failed });
             }
             let finished = state.table.get(id).is_none_or(|open| open.answer.is_none());
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,7 +13,9 @@
 
 mod carrier;
 mod clock;
+mod epochs;
 mod figures;
+mod gate;
 mod ids;
 mod intents;
 mod life;
@@ -26,6 +28,7 @@
 
 pub use carrier::{Carrier, Ended, Payload, Target};
 pub use figures::{End, Figures, Underway};
+pub use gate::{Ask, Gate, Ruling};
 pub use ids::Ids;
 pub use intents::Turned;
 pub use life::{Doing, Life};
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -49,6 +49,11 @@
     name: String,
     place: Place,
     state: Listed,
+    /// The rest of what the list said, for a decision module that begins later.
+    zone: u64,
+    cell: u64,
+    kind: u64,
+    weight: f64,
 }
 
 /// The table of servers.
@@ -87,6 +92,22 @@
         self.known.get(&server).filter(|k| k.state == Listed::Up).map(|k| k.place)
     }
 
+    /// All of them as the list has them, in the order of their numbers.
+    pub(crate) fn entries(&self, started: impl Fn(Millis) -> Option<Millis>) -> Vec<Entry> {
+        let entry = |(server, k): (&ServerId, &Known)| Entry {
+            server: *server,
+            zone: k.zone,
+            cell: k.cell,
+            kind: k.kind,
+            state: k.state,
+            weight: k.weight,
+            started: started(k.place.born_ms),
+        };
+        let mut all: Vec<Entry> = self.known.iter().map(entry).collect();
+        all.sort_by_key(|e| e.server);
+        all
+    }
+
     /// Takes a listing in: the policy's entries, and the servers whose connections are void.
     pub(crate) fn take(
         &mut self,
@@ -138,19 +159,13 @@
             // Its connections ended with the old process.
             void.push(server);
         }
+        let (zone, kind) = (number_of(&member.zone), number_of(&member.kind));
+        let Member { name, cell, state, weight, born_ms, .. } = member;
         if let Some(dial) = dial {
-            let place = Place { dial, born_ms: member.born_ms };
-            self.known.insert(server, Known { name: member.name, place, state: member.state });
+            let place = Place { dial, born_ms };
+            self.known.insert(server, Known { name, place, state, zone, cell, kind, weight });
         }
-        Some(Entry {
-            server,
-            zone: number_of(&member.zone),
-            cell: member.cell,
-            kind: number_of(&member.kind),
-            state: member.state,
-            weight: member.weight,
-            started: started(member.born_ms),
-        })
+        Some(Entry { server, zone, cell, kind, state, weight, started: started(born_ms) })
     }
 }
 
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use magpietally_ledger::{Ledger, Right, Told};
@@ -14,6 +15,8 @@
 
 use crate::carrier::{Carrier, Ended, Payload, Target};
 use crate::clock::{ms, span, Clock};
+use crate::epochs::{Epochs, For};
+use crate::gate::{Ask, Gate, Ruling};
 use crate::intents::{self, Turned};
 use crate::life::Life;
 use crate::members::{Listing, Members, Place};
@@ -48,14 +51,16 @@
     pub label: String,
     /// Where attempts that may not run twice are noted before they are made; `None` where they are not.
     pub ledger: Option<Ledger>,
+    /// What the fleet says of requests; `None` where the node stands alone.
+    pub gate: Option<Arc<dyn Gate>>,
 }
 
 /// A request that was taken: its number, and where its final answer comes from.
 pub type Taken<Reply> = (RequestId, oneshot::Receiver<Answer<Reply>>);
 
 pub(crate) struct State<C: Carrier> {
-    pub(crate) balancer: Balancer,
-    events: VecDeque<Event>,
+    pub(crate) epochs: Epochs,
+    events: VecDeque<(For, Event)>,
     feeding: bool,
     pub(crate) table: Table<C::Request, C::Reply>,
     pub(crate) members: Members,
@@ -64,6 +69,8 @@
     /// The call to the list's source that is out.
     call: Option<AbortHandle>,
     pub(crate) counts: Counts,
+    /// The settings of the newest module, where the fleet's policy gave them.
+    told: Option<Arc<Settings>>,
 }
 
 /// One node: a policy, its requests and its servers.
@@ -72,8 +79,12 @@
     pub(crate) classes: Vec<String>,
     pub(crate) tenants: Vec<String>,
     /// What each class may do without the ledger.
-    pub(crate) rights: Vec<Right>,
+    pub(crate) rights: RefCell<Vec<Right>>,
     pub(crate) ledger: Option<Ledger>,
+    gate: Option<Arc<dyn Gate>>,
+    /// Those of the start, for versions that have none of their own.
+    settings: Settings,
+    seed: u64,
     open_cap: usize,
     label: String,
     process: Process,
@@ -86,16 +97,35 @@
     rearmed: Notify,
 }
 
+impl<C: Carrier> State<C> {
+    /// Which module an event is for. A request's own is asked while the table still has it.
+    fn addressed(&self, event: &Event) -> For {
+        if !self.epochs.several() {
+            return For::All;
+        }
+        match event {
+            Event::Request { id, .. }
+            | Event::Streaming { id, .. }
+            | Event::Ended { id, .. }
+            | Event::ClientGone(id) => {
+                self.table.get(*id).map_or(For::Newest, |open| For::Module(open.module))
+            }
+            _ => For::All,
+        }
+    }
+}
+
 impl<C: Carrier> Core<C> {
     /// A node that knows the saved list and has not asked the list's source yet.
     ///
     /// # Errors
     /// Where the policy refuses the settings.
     pub fn new(setup: Setup, carrier: C) -> Result<Rc<Self>, SettingsError> {
+        let settings = setup.settings.clone();
         let rights = setup.settings.classes.iter().map(|class| intents::right(class.effect)).collect();
         let balancer = Balancer::new(setup.settings, setup.seed)?;
         let state = State {
-            balancer,
+            epochs: Epochs::new(balancer),
             events: VecDeque::new(),
             feeding: false,
             table: Table::new(setup.process.ids.clone()),
@@ -103,13 +133,17 @@
             timer: None,
             call: None,
             counts: Counts::default(),
+            told: None,
         };
         let core = Rc::new(Self {
             carrier,
             classes: setup.classes,
             tenants: setup.tenants,
-            rights,
+            rights: RefCell::new(rights),
             ledger: setup.ledger,
+            gate: setup.gate,
+            settings,
+            seed: setup.seed,
             open_cap: setup.open_cap,
             label: setup.label,
             process: setup.process,
@@ -156,7 +190,7 @@
     /// has ejected.
     pub fn servers(&self) -> (usize, usize) {
         let state = self.state.borrow();
-        let sent_to = state.balancer.status().servers.iter().filter(|s| !s.ejected).count();
+        let sent_to = state.epochs.newest().status().servers.iter().filter(|s| !s.ejected).count();
         let known = state.members.len();
         (known, known.saturating_sub(sent_to))
     }
@@ -192,7 +226,7 @@
         let dropped = dropped + self.sample.renew();
         let state = &mut *self.state.borrow_mut();
         let Counts { served, refused, failed, gone, attempts } = std::mem::take(&mut state.counts);
-        let status = state.balancer.status();
+        let status = state.epochs.newest().status();
         let quiet = self.ledger.as_ref().is_none_or(|ledger| ledger.standing().is_ok());
         if served + refused + failed + gone == 0 && status.open == 0 && quiet {
             return;
@@ -215,7 +249,8 @@
     pub(crate) fn feed(self: &Rc<Self>, event: Event) {
         {
             let mut state = self.state.borrow_mut();
-            state.events.push_back(event);
+            let to = state.addressed(&event);
+            state.events.push_back((to, event));
             if state.feeding {
                 return;
             }
@@ -225,12 +260,12 @@
         loop {
             {
                 let mut state = self.state.borrow_mut();
-                let Some(event) = state.events.pop_front() else {
+                let Some((to, event)) = state.events.pop_front() else {
                     state.feeding = false;
                     return;
                 };
                 let now = self.clock.at(Instant::now());
-                state.balancer.handle(now, event, &mut actions);
+                state.epochs.handle(to, now, event, &mut actions);
             }
             for action in actions.drain(..) {
                 self.act(action);
@@ -253,10 +288,92 @@
         let (class, tenant, once) = (asked.class, asked.tenant, asked.request.once());
         let entered = self.state.borrow_mut().table.enter(asked, deadline, answer);
         let id = entered.ok_or(Turned::Open)?;
+        if let Some(gate) = self.gate.clone() {
+            self.pass_gate(gate.as_ref(), id)?;
+        }
         self.feed(Event::Request { id, class, tenant, deadline: self.clock.at(deadline), once });
         Ok((id, answered))
     }
 
+    /// Asks the fleet about a request that was entered; one that it does not let pass is forgotten again.
+    fn pass_gate(self: &Rc<Self>, gate: &dyn Gate, id: RequestId) -> Result<(), Turned> {
+        let ruling = {
+            let state = self.state.borrow();
+            let open = state.table.get(id).ok_or(Turned::Open)?;
+            let (class, tenant) = (open.class, open.tenant);
+            gate.rule(&Ask { id: &open.id, class, tenant, key: open.request.key() })
+        };
+        let turned = match ruling {
+            Ruling::Take { epoch } => {
+                self.enter_epoch(gate, epoch);
+                let mut state = self.state.borrow_mut();
+                let module = state.epochs.module();
+                if let Some(open) = state.table.get_mut(id) {
+                    (open.epoch, open.module) = (epoch, module);
+                }
+                return Ok(());
+            }
+            Ruling::OverQuota { retry_after } => Turned::OverQuota(retry_after),
+            Ruling::Away { retry_after } => Turned::Refused(retry_after),
+        };
+        let mut state = self.state.borrow_mut();
+        state.table.withdraw(id);
+        state.counts.refused += 1;
+        Err(turned)
+    }
+
+    /// From now on new requests are decided under this version. Where its settings are those that hold, only its number is
+    /// new; else a module of its own begins with the list as it stands.
+    fn enter_epoch(self: &Rc<Self>, gate: &dyn Gate, epoch: u64) {
+        {
+            let state = &mut *self.state.borrow_mut();
+            if state.epochs.current() == epoch {
+                return;
+            }
+            let told = gate.settings(epoch);
+            let same = match (&told, &state.told) {
+                (Some(new), Some(old)) => Arc::ptr_eq(new, old),
+                (None, None) => true,
+                _ => false,
+            };
+            if same {
+                return state.epochs.rename(epoch);
+            }
+            let settings = told.as_ref().map_or_else(|| self.settings.clone(), |s| (**s).clone());
+            let rights = settings.classes.iter().map(|class| intents::right(class.effect)).collect();
+            match Balancer::new(settings, self.seed) {
+                Ok(balancer) => {
+                    self.rights.replace(rights);
+                    state.told = told;
+                    state.epochs.begin(epoch, balancer, state.call.is_some());
+                    let table = &state.table;
+                    state.epochs.end(|module| table.has_module(module));
+                }
+                Err(error) => {
+                    // The document was checked before it was accepted: this is a fault of the program, and to go on by
+                    // the settings that hold is better than to end.
+                    tracing::error!(target: "fleet", "version {epoch}: {error}");
+                    return state.epochs.rename(epoch);
+                }
+            }
+        }
+        tracing::info!(target: "fleet", "requests are decided under version {epoch}, by settings of its own");
+        let entries = self.state.borrow().members.entries(|unix| self.clock.at_unix(unix));
+        let saved = !self.informed.get();
+        self.state.borrow_mut().events.push_back((For::Newest, Event::List { entries, saved }));
+        self.feed(Event::Timer);
+    }
+
+    /// Does the fleet change its policy, so that a request waits a moment before it is handed in?
+    pub fn fleet_holds(&self) -> bool {
+        self.gate.as_ref().is_some_and(|gate| gate.holds())
+    }
+
+    /// May this node say that it is ready, as far as the fleet goes?
+    pub fn fleet_ready(&self) -> bool {
+        self.gate.as_ref().is_none_or(|gate| gate.ready())
+    }
+
     /// How many requests await their final answer.
     pub fn open_requests(&self) -> usize {
         self.state.borrow().table.unanswered()
@@ -278,7 +395,7 @@
 
     /// The policy's word on when to come back, for a request of this class that it is not shown.
     pub fn stay_away(&self, class: usize) -> Millis {
-        self.state.borrow().balancer.stay_away(class)
+        self.state.borrow().epochs.newest().stay_away(class)
     }
 
     /// Nothing is owed any more: the client left, or has been answered in the policy's place.
@@ -339,7 +456,12 @@
     }
 
     pub(crate) fn drop_if_over(&self, id: RequestId) {
-        self.state.borrow_mut().table.drop_if_over(id);
+        let state = &mut *self.state.borrow_mut();
+        state.table.drop_if_over(id);
+        if state.epochs.several() {
+            let table = &state.table;
+            state.epochs.end(|module| table.has_module(module));
+        }
     }
 
     // ---- Actions ----
@@ -416,6 +538,9 @@
 
     pub(crate) fn give(&self, state: &mut State<C>, id: RequestId, answer: Answer<C::Reply>) {
         let Some(to) = state.table.close(id) else { return };
+        if let (Some(gate), Some(open)) = (&self.gate, state.table.get(id)) {
+            gate.answered(open.epoch, &open.id);
+        }
         state.counts.answered(&answer);
         self.note_told(state, id, answer.told());
         let attempts = state.table.get(id).map_or(0, |open| open.attempts.len());
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -66,6 +66,10 @@
     pub(crate) id: String,
     pub(crate) class: usize,
     pub(crate) tenant: Option<usize>,
+    /// The version of the policy that it is decided under.
+    pub(crate) epoch: u64,
+    /// The module that decides it.
+    pub(crate) module: u64,
     pub(crate) request: Rc<Request>,
     pub(crate) came: Instant,
     pub(crate) deadline: Instant,
@@ -161,8 +165,18 @@
         self.last += 1;
         let number = RequestId(self.last);
         let (request, came) = (Rc::new(request), Instant::now());
-        let open =
-            Open { id, class, tenant, request, came, deadline, answer: Some(answer), attempts: Vec::new() };
+        let open = Open {
+            id,
+            class,
+            tenant,
+            epoch: 0,
+            module: 0,
+            request,
+            came,
+            deadline,
+            answer: Some(answer),
+            attempts: Vec::new(),
+        };
         self.open.insert(number, open);
         Some(number)
     }
@@ -192,6 +206,18 @@
         }
     }
 
+    /// Forgets a request that was not taken after all: its id may come again.
+    pub(crate) fn withdraw(&mut self, id: RequestId) {
+        if let Some(open) = self.open.remove(&id) {
+            self.ids.close(&open.id);
+        }
+    }
+
+    /// Has this module any request left?
+    pub(crate) fn has_module(&self, module: u64) -> bool {
+        self.open.values().any(|open| open.module == module)
+    }
+
     /// How many are open or have attempts out.
     pub(crate) fn len(&self) -> usize {
         self.open.len()
--- /dev/null
+++ b/crates/core/tests/common/mod.rs
@@ -0,0 +1,131 @@
+//! A carrier that only notes what it is told to send, settings to run it by, and how tests wait.
+#![allow(dead_code)] // Each test file uses a part of it.
+
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use magpietally_core::{Carrier, Core, Ended, Life, Listing, Member, Payload, Process, Setup, Target};
+use magpietally_policy::{Class, Effect, Goal, Group, Limits, Listed, Outcome, Rules, ServerId, Settings};
+use tokio::task::LocalSet;
+
+pub const LOOK: usize = 0;
+pub const PAY: usize = 1;
+pub const SLIP: usize = 2;
+
+/// A request: its key.
+pub struct Request(pub &'static str);
+
+impl Payload for Request {
+    fn describe(&self, to: &mut dyn fmt::Write) -> fmt::Result {
+        to.write_str("a test's")
+    }
+
+    fn key(&self) -> Option<&[u8]> {
+        Some(self.0.as_bytes())
+    }
+}
+
+/// Notes each send; answers after a while, by the outcomes that the test has laid out, then well.
+#[derive(Default)]
+pub struct Boxes {
+    pub sent: RefCell<Vec<(Instant, ServerId)>>,
+    pub outcomes: RefCell<Vec<Outcome>>,
+    pub lasts: Cell<Duration>,
+}
+
+impl Carrier for Boxes {
+    type Request = Request;
+    type Reply = ();
+
+    async fn attempt(core: Rc<Core<Self>>, to: Target, _: Rc<Request>) -> Ended<()> {
+        let boxes = core.carrier();
+        boxes.sent.borrow_mut().push((Instant::now(), to.server));
+        let outcome = boxes.outcomes.borrow_mut().pop().unwrap_or(Outcome::Done);
+        tokio::time::sleep(boxes.lasts.get()).await;
+        Ended { outcome, reply: (outcome == Outcome::Done).then_some(()), kept: None, took: None }
+    }
+
+    async fn probe(_: Rc<Core<Self>>, _: ServerId) -> Outcome {
+        Outcome::Done
+    }
+
+    async fn follow(_: Rc<Core<Self>>) -> String {
+        std::future::pending().await
+    }
+
+    fn forget(&self, _: ServerId) {}
+
+    fn connections(&self) -> usize {
+        0
+    }
+}
+
+pub fn settings(aim: f64) -> Settings {
+    let class = |effect| Class { aim, worth: 1.0, late_worth: 0.0, effect };
+    Settings {
+        nodes: 1,
+        classes: vec![
+            class(Effect::Safe),
+            class(Effect::Keyed { group: Group::All, memory: 60_000.0 }),
+            class(Effect::Unsafe),
+        ],
+        goal: Goal { worth: 1.0, ..Goal::default() },
+        limits: Limits {
+            attempts: 3,
+            cancel: true,
+            connect_timeout: 100.0,
+            max_retry_after: 2000.0,
+            ..Limits::default()
+        },
+        rules: Rules {
+            ask_within: 1e6,
+            cold_share: 0.2,
+            warm_within: 1000.0,
+            fall_multiple: 3.0,
+            fall_window: 1000.0,
+        },
+        tick: 1.0,
+        ..Settings::default()
+    }
+}
+
+/// A node with three servers, with neither ledger nor gate.
+pub fn setup(settings: Settings) -> Setup {
+    let member = |n: u16| Member {
+        name: format!("app-{n}"),
+        dial: Some(([127, 0, 0, 1], 1 + n).into()),
+        zone: "a".into(),
+        kind: "m".into(),
+        cell: 0,
+        state: Listed::Up,
+        weight: 1.0,
+        born_ms: 0.0,
+    };
+    Setup {
+        settings,
+        seed: 1,
+        classes: ["look", "pay", "slip"].map(String::from).to_vec(),
+        tenants: Vec::new(),
+        open_cap: 100,
+        known: Some(Listing { version: 1, whole: true, members: (0..3).map(member).collect() }),
+        process: Process::new(3, Life::new(60_000.0, false)),
+        label: String::new(),
+        gate: None,
+        ledger: None,
+    }
+}
+
+pub fn run<F: std::future::Future>(what: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new()
+        .block_on(&runtime, async { tokio::time::timeout(Duration::from_secs(30), what).await })
+        .expect("it ends")
+}
+
+pub async fn until(holds: impl Fn() -> bool) {
+    while !holds() {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
--- /dev/null
+++ b/crates/core/tests/gate.rs
@@ -0,0 +1,117 @@
+//! The core behind the fleet's gate: versions of the policy, quotas, and a node that may decide nothing.
+
+mod common;
+
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use common::*;
+use magpietally_core::{Answer, Ask, Asked, Core, Gate, Ruling, Setup, Turned};
+use magpietally_policy::{Effect, Outcome, Settings};
+
+/// A gate that says what the test has laid out, and notes what it hears.
+#[derive(Debug)]
+struct Scripted {
+    ruling: Mutex<Ruling>,
+    narrowed: Arc<Settings>,
+    answered: Mutex<Vec<(u64, String)>>,
+}
+
+impl Gate for Scripted {
+    fn rule(&self, ask: &Ask<'_>) -> Ruling {
+        assert_eq!(ask.key, Some(&b"k"[..]));
+        *self.ruling.lock().expect("no panic")
+    }
+    fn holds(&self) -> bool {
+        false
+    }
+    fn ready(&self) -> bool {
+        !matches!(*self.ruling.lock().expect("no panic"), Ruling::Away { .. })
+    }
+    fn settings(&self, epoch: u64) -> Option<Arc<Settings>> {
+        (epoch >= 2).then(|| self.narrowed.clone())
+    }
+    fn answered(&self, epoch: u64, id: &str) {
+        self.answered.lock().expect("no panic").push((epoch, id.to_string()));
+    }
+}
+
+struct Site {
+    core: Rc<Core<Boxes>>,
+    gate: Arc<Scripted>,
+}
+
+impl Site {
+    /// From version 2 on the first class may run once only, whatever the platform's settings allow.
+    fn new() -> Self {
+        let mut narrowed = settings(20_000.0);
+        narrowed.classes[LOOK].effect = Effect::Unsafe;
+        let gate = Arc::new(Scripted {
+            ruling: Mutex::new(Ruling::Take { epoch: 1 }),
+            narrowed: Arc::new(narrowed),
+            answered: Mutex::default(),
+        });
+        let setup = Setup { gate: Some(gate.clone()), ..setup(settings(20_000.0)) };
+        Self { core: Core::new(setup, Boxes::default()).expect("good settings"), gate }
+    }
+
+    fn rule(&self, ruling: Ruling) {
+        *self.gate.ruling.lock().expect("no panic") = ruling;
+    }
+
+    fn ask(&self, id: &str) -> Result<impl std::future::Future<Output = Answer<()>>, Turned> {
+        let asked = Asked { id: id.into(), class: LOOK, tenant: None, request: Request("k") };
+        let (_, answered) = self.core.request(asked, Instant::now() + Duration::from_secs(60))?;
+        Ok(async { answered.await.expect("a final answer") })
+    }
+}
+
+#[test]
+fn a_request_keeps_its_version_to_its_end_and_the_next_is_decided_under_the_new_one() {
+    run(async {
+        let site = Site::new();
+        tokio::task::spawn_local(site.core.clone().run_timer());
+        let boxes = site.core.carrier();
+        boxes.lasts.set(Duration::from_millis(30));
+        // Each first attempt of the two breaks after it may have run: what is safe runs again, what may run once does not.
+        boxes.outcomes.borrow_mut().extend([Outcome::Reset, Outcome::Reset]);
+        let old = site.ask("old").expect("taken");
+        tokio::task::yield_now().await;
+        site.rule(Ruling::Take { epoch: 2 });
+        let new = site.ask("new").expect("taken");
+        assert!(matches!(new.await, Answer::Failed), "under version 2 it may not run again");
+        assert!(matches!(old.await, Answer::Served(())), "under version 1 it runs again");
+        assert_eq!(boxes.sent.borrow().len(), 3, "one attempt under version 2, two under version 1");
+        // The same settings under a later number, then the start's again.
+        for epoch in [3, 4, 1] {
+            site.rule(Ruling::Take { epoch });
+            let answer = site.ask(&format!("at-{epoch}")).expect("taken").await;
+            assert!(matches!(answer, Answer::Served(())), "{epoch}: {answer:?}");
+        }
+        let mut answered = site.gate.answered.lock().expect("no panic").clone();
+        answered.sort();
+        let want = [(1, "at-1"), (1, "old"), (2, "new"), (3, "at-3"), (4, "at-4")];
+        assert_eq!(answered, want.map(|(epoch, id)| (epoch, id.to_string())));
+    });
+}
+
+#[test]
+fn what_the_gate_turns_away_is_told_when_to_return_and_leaves_nothing_behind() {
+    run(async {
+        let site = Site::new();
+        tokio::task::spawn_local(site.core.clone().run_timer());
+        site.rule(Ruling::OverQuota { retry_after: 250.0 });
+        assert_eq!(site.ask("a").err(), Some(Turned::OverQuota(250.0)));
+        assert!(site.core.fleet_ready());
+        site.rule(Ruling::Away { retry_after: 1000.0 });
+        assert_eq!(site.ask("a").err(), Some(Turned::Refused(1000.0)));
+        assert!(!site.core.fleet_ready() && site.core.open_requests() == 0);
+        assert!(site.core.carrier().sent.borrow().is_empty());
+        // Its id is free, and an open one is not asked about twice.
+        site.rule(Ruling::Take { epoch: 1 });
+        let first = site.ask("a").expect("its id is free again");
+        assert_eq!(site.ask("a").err(), Some(Turned::Open));
+        assert!(matches!(first.await, Answer::Served(())));
+    });
+}
--- a/crates/core/tests/ledger.rs
+++ b/crates/core/tests/ledger.rs
@@ -1,14 +1,13 @@
-//! The core with a ledger on a simulated disk, and a carrier that only notes what it is told to send.
+//! The core with a ledger on a simulated disk.
+
+mod common;
 
-use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use magpietally_core::{
-    Answer, Asked, Carrier, Core, Ended, Life, Listing, Member, Payload, Process, Setup, Target, Turned,
-};
+use common::*;
+use magpietally_core::{Answer, Asked, Core, Setup, Turned};
 use magpietally_ledger::dir::{recover, Reach};
 use magpietally_ledger::journal::{Journal, Keeping, Promise};
 use magpietally_ledger::record::{How, Record};
@@ -16,90 +15,9 @@
 use magpietally_ledger::segment::Owner;
 use magpietally_ledger::sim::{SimDisk, Trouble};
 use magpietally_ledger::{Ledger, Options, Running, Told};
-use magpietally_policy::{Class, Effect, Goal, Group, Limits, Listed, Outcome, Rules, ServerId, Settings};
-use tokio::task::LocalSet;
+use magpietally_policy::Outcome;
 
 const OWNER: Owner = Owner([7; 16]);
-const LOOK: usize = 0;
-const PAY: usize = 1;
-const SLIP: usize = 2;
-
-/// A request: its key.
-struct Request(&'static str);
-
-impl Payload for Request {
-    fn describe(&self, to: &mut dyn fmt::Write) -> fmt::Result {
-        to.write_str("a test's")
-    }
-
-    fn key(&self) -> Option<&[u8]> {
-        Some(self.0.as_bytes())
-    }
-}
-
-/// Notes each send; answers after a while, by the outcomes that the test has laid out, then well.
-#[derive(Default)]
-struct Boxes {
-    sent: RefCell<Vec<(Instant, ServerId)>>,
-    outcomes: RefCell<Vec<Outcome>>,
-    lasts: Cell<Duration>,
-}
-
-impl Carrier for Boxes {
-    type Request = Request;
-    type Reply = ();
-
-    async fn attempt(core: Rc<Core<Self>>, to: Target, _: Rc<Request>) -> Ended<()> {
-        let boxes = core.carrier();
-        boxes.sent.borrow_mut().push((Instant::now(), to.server));
-        let outcome = boxes.outcomes.borrow_mut().pop().unwrap_or(Outcome::Done);
-        tokio::time::sleep(boxes.lasts.get()).await;
-        Ended { outcome, reply: (outcome == Outcome::Done).then_some(()), kept: None, took: None }
-    }
-
-    async fn probe(_: Rc<Core<Self>>, _: ServerId) -> Outcome {
-        Outcome::Done
-    }
-
-    async fn follow(_: Rc<Core<Self>>) -> String {
-        std::future::pending().await
-    }
-
-    fn forget(&self, _: ServerId) {}
-
-    fn connections(&self) -> usize {
-        0
-    }
-}
-
-fn settings(aim: f64) -> Settings {
-    let class = |effect| Class { aim, worth: 1.0, late_worth: 0.0, effect };
-    Settings {
-        nodes: 1,
-        classes: vec![
-            class(Effect::Safe),
-            class(Effect::Keyed { group: Group::All, memory: 60_000.0 }),
-            class(Effect::Unsafe),
-        ],
-        goal: Goal { worth: 1.0, ..Goal::default() },
-        limits: Limits {
-            attempts: 3,
-            cancel: true,
-            connect_timeout: 100.0,
-            max_retry_after: 2000.0,
-            ..Limits::default()
-        },
-        rules: Rules {
-            ask_within: 1e6,
-            cold_share: 0.2,
-            warm_within: 1000.0,
-            fall_multiple: 3.0,
-            fall_window: 1000.0,
-        },
-        tick: 1.0,
-        ..Settings::default()
-    }
-}
 
 fn options() -> Options {
     let keeping = Keeping {
@@ -131,27 +49,7 @@
         let (journal, recovered) =
             Journal::open(disk.clone(), OWNER, options.keeping).expect("names can be read");
         let (ledger, running) = Ledger::run(journal, &recovered, options, None).expect("a thread");
-        let member = |n: u16| Member {
-            name: format!("app-{n}"),
-            dial: Some(([127, 0, 0, 1], 1 + n).into()),
-            zone: "a".into(),
-            kind: "m".into(),
-            cell: 0,
-            state: Listed::Up,
-            weight: 1.0,
-            born_ms: 0.0,
-        };
-        let setup = Setup {
-            settings: settings(aim),
-            seed: 1,
-            classes: ["look", "pay", "slip"].map(String::from).to_vec(),
-            tenants: Vec::new(),
-            open_cap: 100,
-            known: Some(Listing { version: 1, whole: true, members: (0..3).map(member).collect() }),
-            process: Process::new(3, Life::new(60_000.0, false)),
-            label: String::new(),
-            ledger: Some(ledger.clone()),
-        };
+        let setup = Setup { ledger: Some(ledger.clone()), ..setup(settings(aim)) };
         let core = Core::new(setup, Boxes::default()).expect("good settings");
         Self { core, disk, ledger, running }
     }
@@ -186,19 +84,6 @@
     }
 }
 
-fn run<F: std::future::Future>(what: F) -> F::Output {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new()
-        .block_on(&runtime, async { tokio::time::timeout(Duration::from_secs(30), what).await })
-        .expect("it ends")
-}
-
-async fn until(holds: impl Fn() -> bool) {
-    while !holds() {
-        tokio::time::sleep(Duration::from_millis(2)).await;
-    }
-}
-
 #[test]
 fn what_may_not_run_twice_waits_for_its_promise_and_what_may_does_not() {
     run(async {
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -43,6 +43,9 @@
 const ANSWERING: Duration = Duration::from_secs(5);
 /// The same of one that is passed on, of which a server may give nothing for a while.
 const PASSING_ON: Duration = Duration::from_secs(12);
+/// How often a request that waits for the fleet's change of policy looks whether that is over: a change takes tens of
+/// milliseconds, and a look costs a microsecond.
+const HELD_LOOK: Duration = Duration::from_millis(2);
 /// How long a large request may wait for room before it is refused; its client is held back meanwhile.
 const ROOM: Duration = Duration::from_millis(1000);
 /// The largest body of a request that is held where there is room.
@@ -272,7 +275,7 @@
     let old = request.version() < Version::HTTP_11;
     let asks_ready = request.uri().path() == "/ready";
     let mut answer = if asks_ready {
-        let status = if node.process().life().ready() && node.has_list() {
+        let status = if node.process().life().ready() && node.has_list() && node.fleet_ready() {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
@@ -389,10 +392,18 @@
     if !node.has_room() {
         return refusal(node.stay_away(asked.class));
     }
+    while node.fleet_holds() && Instant::now() + HELD_LOOK < last - margin {
+        tokio::time::sleep(HELD_LOOK).await;
+    }
     let (id, answered) = match node.request(asked, last - margin) {
         Ok(taken) => taken,
         Err(Turned::Open) => return plain(StatusCode::CONFLICT),
         Err(Turned::Refused(stay_away)) => return refusal(stay_away),
+        Err(Turned::OverQuota(retry_after)) => {
+            let mut answer = refusal(retry_after);
+            *answer.status_mut() = StatusCode::TOO_MANY_REQUESTS;
+            return answer;
+        }
         Err(Turned::Failed(why)) => {
             let mut answer = plain(StatusCode::BAD_GATEWAY);
             answer.headers_mut().insert(BECAUSE, HeaderValue::from_static(why.word()));
--- a/crates/http/src/management.rs
+++ b/crates/http/src/management.rs
@@ -106,7 +106,9 @@
     }
     let process = node.process();
     match path {
-        "/v1/readyz" if process.life().takes_clients() && node.has_list() => say(StatusCode::OK, doing(node)),
+        "/v1/readyz" if process.life().takes_clients() && node.has_list() && node.fleet_ready() => {
+            say(StatusCode::OK, doing(node))
+        }
         "/v1/readyz" => say(StatusCode::SERVICE_UNAVAILABLE, doing(node)),
         "/v1/metrics" => {
             let (known, skipped) = node.servers();
--- a/crates/http/src/service.rs
+++ b/crates/http/src/service.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use magpietally_config::ListFile;
-use magpietally_core::{Core, Life, Process, Setup};
+use magpietally_core::{Core, Gate, Life, Process, Setup};
 use magpietally_ledger::Ledger;
 use magpietally_policy::SettingsError;
 use socket2::{Domain, Protocol, Socket, Type};
@@ -58,6 +59,8 @@
     pub ledger: Option<Ledger>,
     /// Where the list of servers comes from, in place of discovery.
     pub boxes: Option<ListFile>,
+    /// What the fleet says of requests.
+    pub gate: Option<Arc<dyn Gate>>,
 }
 
 /// Runs one node until a signal ends it. `lost_lines` counts the lines that the log has dropped so far, for the status
@@ -154,6 +157,7 @@
         process,
         label,
         ledger: extras.ledger,
+        gate: extras.gate,
     };
     let figures = setup.process.figures.clone();
     Core::new(setup, Http::new(config, extras.boxes, figures))
--- a/src/main.rs
+++ b/src/main.rs
@@ -122,7 +122,7 @@
         None => (None, None),
     };
     let members = members.map(|options| membership::start(&config.name, options)).transpose()?;
-    let extras = Extras { ledger, boxes };
+    let extras = Extras { ledger, boxes, gate: None };
     let ended = match usize::from(args.workers) {
         1 => magpietally_http::run(config, extras, log.lost_lines()),
         workers => magpietally_http::run_workers(config, workers, extras, log.lost_lines()),
