Policy: the retry budget and ejection figures become settings, with the figures they had

Need: the fleet's policy document is to change retry and ejection settings on running nodes, and they were constants.

Change: Settings.tuning (retry_share, retry_most, outlier_failures, eject_at_most) with the old constants as its defaults; the platform and the simulator set none of it.

--- a/crates/membership/examples/cold_fleet.rs
+++ b/crates/membership/examples/cold_fleet.rs
@@ -51,6 +51,7 @@
         discovery: Discovery::Pushed,
         weights: Weights::None,
         tick: 1.0,
+        ..Settings::default()
     }
 }
 
--- a/crates/policy/examples/common/mod.rs
+++ b/crates/policy/examples/common/mod.rs
@@ -32,6 +32,7 @@
         discovery: Discovery::Pushed,
         weights: Weights::Listed,
         tick: 1.0,
+        ..Settings::default()
     }
 }
 
--- a/crates/policy/examples/embed.rs
+++ b/crates/policy/examples/embed.rs
@@ -28,6 +28,7 @@
         discovery: Discovery::Pushed,
         weights: Weights::Listed,
         tick: 1.0,
+        ..Settings::default()
     }
 }
 
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -103,6 +103,25 @@
     pub fall_window: Millis,
 }
 
+/// How freely the module repeats and ejects: what operators may change while a fleet runs. The platform sets none of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tuning {
+    /// Further attempts that may have cost work, as a part of the first ones.
+    pub retry_share: f64,
+    /// The retry budget that may be saved up, in attempts.
+    pub retry_most: f64,
+    /// Failures in a row that make an outlier; a single one proves nothing.
+    pub outlier_failures: u32,
+    /// The part of a node's servers that may be ejected by time-outs: more is likelier the work or the fleet.
+    pub eject_at_most: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self { retry_share: 0.1, retry_most: 10.0, outlier_failures: 3, eject_at_most: 0.5 }
+    }
+}
+
 /// How news of the servers arrives.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Discovery {
@@ -150,6 +169,8 @@
     pub weights: Weights,
     /// Events come in at most this often.
     pub tick: Millis,
+    /// How freely it repeats and ejects.
+    pub tuning: Tuning,
 }
 
 /// The most nodes that are believed: what is shared out among them is counted in products with their number.
@@ -184,6 +205,9 @@
         if self.number >= self.nodes {
             return fail("number: own number must be below the count of nodes".into());
         }
+        if self.tuning.outlier_failures == 0 {
+            return fail("tuning.outlier_failures: no failure can't make an outlier".into());
+        }
         if self.limits.attempts == 0 {
             return fail("limits.attempts: no attempts allowed, one is needed at least".into());
         }
@@ -196,6 +220,8 @@
             ("rules.fall_multiple".into(), r.fall_multiple),
             ("rules.fall_window".into(), r.fall_window),
             ("tick".into(), self.tick),
+            ("tuning.retry_share".into(), self.tuning.retry_share),
+            ("tuning.retry_most".into(), self.tuning.retry_most),
             ("goal.worth".into(), g.worth),
             ("goal.worst_class".into(), g.worst_class),
             ("goal.worst_tenant".into(), g.worst_tenant),
@@ -203,6 +229,7 @@
         let mut shares = vec![
             ("rules.cold_share".to_string(), r.cold_share),
             ("over_share_worth".into(), self.over_share_worth),
+            ("tuning.eject_at_most".into(), self.tuning.eject_at_most),
         ];
         for (n, class) in self.classes.iter().enumerate() {
             amounts.push((format!("classes[{n}].aim"), class.aim));
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -19,10 +19,6 @@
 use crate::api::*;
 use crate::asking::Asking;
 
-const OUTLIER_FAILURES: u32 = 3; // Failures in a row that make an outlier; a single one proves nothing.
-const RETRY_BUDGET_SHARE: f64 = 0.1; // Further attempts that may have cost work, as a part of the first ones.
-const RETRY_BUDGET_MAX: f64 = 10.0; // The retry budget that may be saved up, in attempts.
-
 const MEMORY: Millis = 60_000.0; // Over which time it is counted who is served how well.
 const WARMTH_LEAST: f64 = 1e-3; // With none at all a turn would be put off for good.
 const WARMTH_STEPS: f64 = 32.0; // In how many steps the subset follows the warmth of its servers.
@@ -165,7 +161,7 @@
             // Those that were out together count once.
             Outcome::Full | Outcome::Error if now >= *until => {
                 *failures += 1;
-                if let Some(more) = failures.checked_sub(OUTLIER_FAILURES) {
+                if let Some(more) = failures.checked_sub(set.tuning.outlier_failures) {
                     *until = now + backoff(set, more);
                 }
             }
@@ -208,7 +204,7 @@
             tenant_served: Served::new(settings.tenants.len(), MEMORY),
             singles: vec![ByNumber::default(); settings.classes.len()],
             quotas: vec![Allowance::default(); settings.tenants.len()],
-            retry_budget: RETRY_BUDGET_MAX,
+            retry_budget: settings.tuning.retry_most,
             timer_due: f64::INFINITY,
             swept: f64::NEG_INFINITY,
             asking: Asking::new(settings.discovery, settings.rules.ask_within),
--- a/crates/policy/src/balance/ejection.rs
+++ b/crates/policy/src/balance/ejection.rs
@@ -2,8 +2,6 @@
 
 use super::*;
 
-const EJECT_AT_MOST: f64 = 0.5; // Of the subset, by time-outs: more is likelier the work or the fleet.
-
 /// Does this tell that the process is down? A refusal is quick; where the way is cut it takes all the time.
 fn is_down(outcome: Outcome, took: Millis, limits: &Limits) -> bool {
     outcome == Outcome::ConnectFailed && took < 0.9 * limits.connect_timeout
@@ -11,7 +9,8 @@
 
 impl Balancer {
     fn eject(&mut self, id: ServerId, sure: bool) {
-        let too_many = (self.ejected.len() + 1) as f64 > EJECT_AT_MOST * self.subset.len() as f64;
+        let too_many =
+            (self.ejected.len() + 1) as f64 > self.set.tuning.eject_at_most * self.subset.len() as f64;
         if let Some(server) = self.servers.get_mut(&id) {
             if server.ejected.is_none() && too_many && !sure {
                 return;
@@ -96,7 +95,7 @@
                 server.consecutive_failures += 1;
                 if together {
                     self.suspect(id, outcome, took);
-                } else if server.consecutive_failures >= OUTLIER_FAILURES {
+                } else if server.consecutive_failures >= self.set.tuning.outlier_failures {
                     server.consecutive_failures = 0;
                     self.eject(id, false);
                 }
--- a/crates/policy/src/balance/overload.rs
+++ b/crates/policy/src/balance/overload.rs
@@ -16,7 +16,7 @@
         if class >= self.set.classes.len() {
             return actions.push(Action::Fail(id));
         }
-        self.retry_budget = (self.retry_budget + RETRY_BUDGET_SHARE).min(RETRY_BUDGET_MAX);
+        self.retry_budget = (self.retry_budget + self.set.tuning.retry_share).min(self.set.tuning.retry_most);
         let (size, _) = self.sizes();
         self.arrivals.add(self.now, self.set.rules.fall_window, 1.0 / size.max(1.0));
         let tenant = tenant.filter(|t| *t < self.set.tenants.len());
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 //!     discovery: Discovery::Pushed,
 //!     weights: Weights::None,
 //!     tick: 1.0,
+//!     tuning: Tuning::default(),
 //! };
 //! let mut balancer = Balancer::new(settings, 42)?;
 //! let (mut actions, server) = (Vec::new(), ServerId(7));
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -44,6 +44,7 @@
         discovery: Discovery::Pushed,
         weights: Weights::Listed,
         tick: 2.0,
+        ..Settings::default()
     }
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,7 +3,7 @@
 //! malformed is named.
 
 use magpietally_policy::{
-    Class, Discovery, Effect, Goal, Group, Limits, Millis, Rules, Settings, Tenant, Weights,
+    Class, Discovery, Effect, Goal, Group, Limits, Millis, Rules, Settings, Tenant, Tuning, Weights,
 };
 use serde_json::{Map, Value};
 
@@ -234,6 +234,7 @@
             Some(other) => return Err(format!("Weights: {other} is unknown")),
         },
         tick: f.number_or("Tick", 1.0)?,
+        tuning: Tuning::default(),
     };
     let open_cap = l.amount_or("OpenCap", 20_000.0)? as usize;
     if open_cap == 0 {
--- a/crates/site/src/model/spec.rs
+++ b/crates/site/src/model/spec.rs
@@ -697,6 +697,7 @@
             discovery: if self.list.watched { policy::Discovery::Asked } else { policy::Discovery::Pushed },
             weights: policy::Weights::Listed,
             tick: n.tick_ms,
+            tuning: policy::Tuning::default(),
         }
     }
 }
