simnet: one network in virtual time for all rooms, with streams, sessions, pauses and clocks

Need: each room had or would have had a network of its own for its tests (membership's moved in steps of 5 ms over all nodes, knew datagrams only and no clocks). One is wanted that every room and the transports' contracts can stand on.

Change: Net (events from a heap; loss, delay, jitter, duplicates, reordering, one-way cuts, partitions, held links, per network and per link; datagrams and streams with sessions, acknowledgements that take the way back, a bound after which what waits is lost and told), Port (a Transport on a shared Net), World (rooms with kill, vanish, start, pause, resume in a drawn order, boot clocks with an origin and a rate, wall clocks that jump). Every queue is bounded and told.

Ruled out: parts of clocks in floating point (whole numbers are the same on every machine), and a walk over all nodes each step.

The checks name a network that reorders a stream, doubles, alters, or mixes sessions.

--- a/crates/simnet/src/lib.rs
+++ b/crates/simnet/src/lib.rs
@@ -1,1 +1,42 @@
 //! One network in virtual time for all rooms: faults, kills, pauses, clocks; seeded.
+//!
+//! The network is pure: no socket, no thread, no clock. The same seed and the same calls give the same run on every
+//! machine, and [`Net::trace`] is a number that says so. It is driven by events, so that time in which nothing happens
+//! costs nothing. What is modelled and what is not is written in `docs/design/simnet.md`.
+//!
+//! Central types: [`Net`] (the network alone), [`Port`] (one node's end of it as a `Transport`), [`World`] (rooms on it,
+//! with their [`Clocks`]), [`Faults`] and [`Limits`].
+//!
+//! ```
+//! use std::time::Duration;
+//! use magpietally_simnet::{Faults, Limits, Net, Port};
+//! use magpietally_transport::{Event, Kind, Name, Transport};
+//!
+//! let (a, b) = (Name::new("a").unwrap(), Name::new("b").unwrap());
+//! let net = Net::new(1, Faults::default(), Limits::default()).shared();
+//! let mut at_a = Port::open(&net, &a, Kind::Stream).unwrap();
+//! let mut at_b = Port::open(&net, &b, Kind::Stream).unwrap();
+//! at_a.send(&b, b"salaam").unwrap();
+//! let later = Duration::from_secs(1);
+//! assert_eq!(at_b.poll(later), Some(Event::Met(at_a.me().clone())));
+//! assert_eq!(at_b.poll(later), Some(Event::Message { from: at_a.me().clone(), bytes: b"salaam".to_vec() }));
+//! ```
+
+mod clocks;
+mod faults;
+mod flight;
+mod inbox;
+mod net;
+mod port;
+mod stream;
+#[cfg(test)]
+mod tests;
+mod trace;
+mod world;
+
+pub use clocks::Clocks;
+pub use faults::{Faults, Limits};
+pub use net::{Counts, Net, NODES_MAX, ON_THEIR_WAY_MAX};
+pub use port::{Port, SharedNet};
+pub use stream::RESEND;
+pub use world::{World, LOOK, OUTGOING_MAX, TICK_LEAST};
--- /dev/null
+++ b/crates/simnet/src/tests/datagrams.rs
@@ -0,0 +1,163 @@
+//! What a network does to datagrams.
+
+use std::time::Duration;
+
+use magpietally_transport::{Event, Kind, SendError};
+
+use super::check::*;
+use crate::{Faults, Limits};
+
+fn pair(faults: Faults) -> Pair {
+    Pair::new(Kind::Datagram, 7, faults)
+}
+
+#[test]
+fn without_faults_every_datagram_comes_once_between_its_least_and_most_time() {
+    let mut p = pair(Faults { delay: 10 * MS, jitter: 5 * MS, ..Faults::default() });
+    p.send_many(100);
+    p.run(10 * MS - MS / 100);
+    assert_eq!(p.numbers(), [] as [u64; 0]);
+    p.run(5 * MS + MS / 100);
+    let mut numbers = p.numbers();
+    numbers.sort_unstable();
+    assert_eq!(numbers, (0..100).collect::<Vec<u64>>());
+    assert_eq!(p.got[0], Event::Met(p.net.peer(0)));
+}
+
+#[test]
+fn loss_and_duplicates_are_the_shares_that_were_asked_for() {
+    let mut p = pair(Faults { loss: 0.25, ..Faults::default() });
+    p.talk(10 * S);
+    let came = p.numbers().len();
+    assert!((7_200..7_800).contains(&came), "{came} of 10,000 came at 25% loss");
+    let mut p = pair(Faults { duplicate: 0.25, ..Faults::default() });
+    p.talk(10 * S);
+    let came = p.numbers().len();
+    assert!((12_200..12_800).contains(&came), "{came} of 10,000 came at 25% duplicates");
+    assert_eq!(check(Kind::Datagram, &p.got), Ok(()));
+}
+
+#[test]
+fn reordering_holds_back_its_share_and_jitter_alone_reorders_too() {
+    let overtaken = |faults| {
+        let mut p = pair(faults);
+        p.talk(S);
+        let numbers = p.numbers();
+        numbers.windows(2).filter(|w| w[0] > w[1]).count()
+    };
+    let still = Faults { jitter: Duration::ZERO, ..Faults::default() };
+    assert_eq!(overtaken(still.clone()), 0);
+    let held = overtaken(Faults { reorder: 0.1, ..still.clone() });
+    assert!((50..150).contains(&held), "{held} of 1,000 were overtaken at 10%");
+    assert!(overtaken(Faults { jitter: 20 * MS, ..still }) > 100);
+}
+
+#[test]
+fn a_cut_works_one_way_and_mends() {
+    let mut p = pair(Faults::default());
+    p.net.cut(0, 1);
+    p.send_many(5);
+    p.net.send(1, &name(0), Kind::Datagram, vec![1]).expect("taken");
+    p.run(S);
+    assert_eq!(p.numbers().len(), 0);
+    assert_eq!(p.told.len(), 2, "the way back works: met, and a message");
+    p.net.mend(0, 1);
+    p.send_many(5);
+    p.run(S);
+    assert_eq!(p.numbers().len(), 5);
+}
+
+#[test]
+fn a_partition_parts_groups_both_ways_until_it_heals() {
+    let mut net = net(4, 1, Faults::default(), Limits::default());
+    let came = |net: &mut crate::Net| {
+        for from in 0..4 {
+            for to in 0..4 {
+                net.send(from, &name(to), Kind::Datagram, vec![from as u8]).expect("taken");
+            }
+        }
+        let end = net.now() + S;
+        while net.step(end).is_some() {}
+        let mut pairs = Vec::new();
+        for to in 0..4 {
+            while let Some(event) = net.read(to, None) {
+                if let Event::Message { bytes, .. } = event {
+                    pairs.push((bytes[0] as usize, to));
+                }
+            }
+        }
+        pairs
+    };
+    net.partition(&[0, 1], &[2, 3]);
+    let parted = came(&mut net);
+    assert_eq!(parted.len(), 8);
+    assert!(parted.iter().all(|(from, to)| from / 2 == to / 2));
+    net.heal();
+    assert_eq!(came(&mut net).len(), 16);
+}
+
+#[test]
+fn a_held_link_keeps_its_datagrams_within_its_bound_and_then_all_come() {
+    let limits = Limits { waiting: 10, ..Limits::default() };
+    let mut p = Pair::bounded(Kind::Datagram, 1, Faults::default(), limits);
+    p.net.hold(0, 1);
+    p.send_many(10);
+    assert_eq!(p.send(), Err(SendError::Full { to: name(1), most: 10 }));
+    p.run(60 * S);
+    assert_eq!(p.numbers().len(), 0);
+    p.net.release(0, 1);
+    p.run(S);
+    assert_eq!(p.numbers().len(), 10);
+    assert_eq!(p.net.counts(0).refused, 1);
+}
+
+#[test]
+fn one_link_may_have_faults_of_its_own() {
+    let mut p = pair(Faults { loss: 1.0, ..Faults::default() });
+    p.net.set_link(0, 1, Some(Faults::default()));
+    p.send_many(5);
+    p.run(S);
+    assert_eq!(p.numbers().len(), 5);
+    p.net.set_link(0, 1, None);
+    p.send_many(5);
+    p.run(S);
+    assert_eq!(p.numbers().len(), 5);
+}
+
+#[test]
+fn a_reader_that_does_not_read_keeps_a_bounded_backlog_and_is_told_of_the_rest() {
+    let limits = Limits { backlog: 16, ..Limits::default() };
+    let mut p = Pair::bounded(Kind::Datagram, 1, Faults::default(), limits);
+    p.send_many(40);
+    p.run(S);
+    // The first entry says that a peer was met.
+    assert_eq!(p.numbers().len(), 15);
+    assert_eq!(p.net.counts(1).overflowed, 25);
+    assert_eq!(p.got[0], Event::Dropped("the backlog was full"));
+}
+
+#[test]
+fn after_a_new_session_is_met_nothing_of_the_older_one_comes() {
+    let mut p = pair(Faults { jitter: 500 * MS, ..Faults::default() });
+    p.send_many(50);
+    p.run(100 * MS);
+    p.net.start(0);
+    p.send_many(50);
+    p.run(S);
+    assert_eq!(check(Kind::Datagram, &p.got), Ok(()));
+    let dropped = p.got.iter().filter(|e| matches!(e, Event::Dropped(_))).count();
+    assert!(dropped > 10 && dropped as u64 == p.net.counts(1).outdated, "{dropped} were told as dropped");
+}
+
+#[test]
+fn what_can_not_be_sent_is_refused_with_its_reason() {
+    let mut p = pair(Faults::default());
+    let largest = Limits::default().datagram;
+    let mut send = |from, to, size| p.net.send(from, &name(to), Kind::Datagram, vec![0; size]);
+    assert_eq!(send(0, 1, largest + 1), Err(SendError::TooLarge { size: largest + 1, most: largest }));
+    assert_eq!(send(0, 1, largest), Ok(()));
+    assert_eq!(send(0, 5, 1), Err(SendError::Unknown(name(5))));
+    p.net.kill(0);
+    assert_eq!(p.send(), Err(SendError::Closed("n0 does not run".to_owned())));
+    assert_eq!(p.net.counts(0).sent_bytes, largest as u64);
+}
--- /dev/null
+++ b/crates/simnet/src/tests/ports.rs
@@ -0,0 +1,34 @@
+//! One node's end as a `Transport`.
+
+use std::time::Duration;
+
+use magpietally_transport::{Event, Kind, SendError, Transport};
+
+use super::check::*;
+use crate::{Faults, Limits, Net, Port};
+
+#[test]
+fn a_port_carries_messages_of_its_kind_and_ends_with_its_session() {
+    let net = Net::new(1, Faults::default(), Limits::default()).shared();
+    let mut a = Port::open(&net, &name(0), Kind::Stream).expect("place");
+    let mut b = Port::open(&net, &name(1), Kind::Stream).expect("place");
+    let mut datagrams = b.beside(Kind::Datagram);
+    assert_eq!(a.promise(), Limits::default().promise(Kind::Stream));
+    a.beside(Kind::Datagram).send(&name(1), b"datagram").expect("taken");
+    a.send(&name(1), b"stream").expect("taken");
+    let from = a.me().clone();
+    let message = |bytes: &[u8]| Some(Event::Message { from: from.clone(), bytes: bytes.to_vec() });
+    assert_eq!(b.poll(Duration::ZERO), None);
+    assert_eq!(b.poll(S), Some(Event::Met(from.clone())));
+    assert_eq!(b.poll(S), message(b"stream"));
+    assert_eq!(b.poll(S), None);
+    assert_eq!(datagrams.poll(S), Some(Event::Met(from.clone())));
+    assert_eq!(datagrams.poll(S), message(b"datagram"));
+    assert_eq!(a.send(&name(9), b""), Err(SendError::Unknown(name(9))));
+
+    let mut again = Port::open(&net, &name(0), Kind::Stream).expect("place");
+    assert_eq!(a.send(&name(1), b"late"), Err(SendError::Closed("n0#1 is over".to_owned())));
+    again.send(&name(1), b"anew").expect("taken");
+    assert_eq!(b.poll(2 * S), Some(Event::Met(again.me().clone())));
+    assert_eq!(b.poll(2 * S), Some(Event::Message { from: again.me().clone(), bytes: b"anew".to_vec() }));
+}
