Membership in virtual time plays on simnet; its own network, clock and backlog go

Need: membership's fleet had its own heap, cuts, faults and backlog, and moved all nodes each 5 ms.

Change: sim.rs keeps its calls for tests and examples and maps addresses to names and membership's room to the Room of the seams; all else is simnet's. A node is ticked when it is due, not at the next step of 5 ms, and on waking from a pause the order of its timers and its waiting datagrams is drawn. sent_bytes is a method now.

--- a/crates/membership/examples/measure.rs
+++ b/crates/membership/examples/measure.rs
@@ -22,9 +22,9 @@
         let mut fleet = Fleet::new(n, &settings, Faults::default(), SEED);
         let joined = converge(&mut fleet, n);
         // Bytes in calm, after the start's feeds.
-        let (bytes_before, calm) = (fleet.sent_bytes, Duration::from_secs(60));
+        let (bytes_before, calm) = (fleet.sent_bytes(), Duration::from_secs(60));
         fleet.run(calm);
-        let rate = (fleet.sent_bytes - bytes_before) as f64 / n as f64 / calm.as_secs_f64();
+        let rate = (fleet.sent_bytes() - bytes_before) as f64 / n as f64 / calm.as_secs_f64();
         // A death.
         let victim = n / 2;
         fleet.kill(victim);
--- a/crates/membership/src/sim.rs
+++ b/crates/membership/src/sim.rs
@@ -1,26 +1,20 @@
-//! A fleet of rooms on a network in virtual time, with the faults of a real one between them: loss, delay,
-//! duplication, links cut one way or both, nodes killed, paused and restarted. Pure and seeded: the same seed gives the
-//! same run on every machine. The tests and the measurements of `docs/measurements/membership.md` play on it.
+//! A fleet of rooms in virtual time, on the network that all rooms share (`magpietally_simnet`), with the faults of a
+//! real one between them: loss, delay, duplication, links cut one way or both, nodes killed, paused and restarted. Pure
+//! and seeded: the same seed gives the same run on every machine. The tests and the measurements of
+//! `docs/measurements/membership.md` play on it.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
 use std::time::Duration;
 
-use rand::{RngExt, SeedableRng};
-use rand_pcg::Pcg64;
+use magpietally_simnet::{Clocks, Limits, World};
+use magpietally_transport::{Kind, Name, Now, Outgoing, Peer};
 
+use crate::codec::DATAGRAM_MAX;
 use crate::id::NodeId;
 use crate::room::{Room, Settings};
 use crate::view::{Liveness, View};
-use magpietally_transport::Name;
-
-/// How far the fleet's clock moves in one step.
-pub const STEP: Duration = Duration::from_millis(5);
-/// Datagrams a paused node's socket holds at most; as a kernel would, it drops the rest.
-pub const PAUSED_BACKLOG: usize = 256;
-/// Datagrams on their way at most; past that the network drops them.
-pub const IN_FLIGHT_MAX: usize = 1 << 20;
 
 /// What the network does to every datagram.
 #[derive(Clone, Debug, PartialEq)]
@@ -41,50 +35,62 @@
     }
 }
 
-struct Node {
-    room: Option<Room>,
-    paused: bool,
-    backlog: VecDeque<Vec<u8>>,
-    generation: u32,
+impl From<Faults> for magpietally_simnet::Faults {
+    fn from(f: Faults) -> Self {
+        Self { loss: f.loss, delay: f.delay, jitter: f.jitter, duplicate: f.duplicate, ..Self::default() }
+    }
+}
+
+/// A room whose peers are addresses, on a network whose nodes are names.
+struct Named {
+    room: Room,
+    names: Rc<BTreeMap<SocketAddrV4, Name>>,
+}
+
+impl magpietally_transport::Room for Named {
+    fn on_message(&mut self, now: Now, _from: &Peer, bytes: &[u8]) {
+        self.room.on_datagram(now.boot, bytes);
+    }
+
+    fn tick(&mut self, now: Now) {
+        self.room.tick(now.boot);
+    }
+
+    fn next_due(&self) -> Option<Duration> {
+        self.room.next_due()
+    }
+
+    fn take_outgoing(&mut self) -> Option<Outgoing> {
+        loop {
+            let (to, bytes) = self.room.take_outgoing()?;
+            // An address that is nobody's swallows what is sent there.
+            if let Some(to) = self.names.get(&to) {
+                return Some(Outgoing { to: to.clone(), kind: Kind::Datagram, bytes });
+            }
+        }
+    }
 }
 
 /// The fleet.
 pub struct Fleet {
     settings: Settings,
-    nodes: Vec<Node>,
-    by_addr: BTreeMap<SocketAddrV4, usize>,
-    in_flight: BinaryHeap<Reverse<(Duration, u64, usize)>>,
-    payloads: BTreeMap<u64, Vec<u8>>,
-    next_id: u64,
-    cut: BTreeSet<(usize, usize)>,
-    faults: Faults,
-    rng: Pcg64,
-    now: Duration,
+    world: World<Named>,
+    names: Rc<BTreeMap<SocketAddrV4, Name>>,
     seed: u64,
-    /// Bytes sent by all nodes, for the cost a node and second.
-    pub sent_bytes: u64,
 }
 
 impl Fleet {
-    /// `n` nodes named `n0`…, each joining through node 0, on a network with `faults`.
+    /// `n` nodes named `n0`…, each joining through node 0, on a network with `faults`. At most
+    /// [`magpietally_simnet::NODES_MAX`]; what is over is not there.
     pub fn new(n: usize, settings: &Settings, faults: Faults, seed: u64) -> Self {
-        let mut fleet = Self {
-            settings: settings.clone(),
-            nodes: Vec::with_capacity(n),
-            by_addr: BTreeMap::new(),
-            in_flight: BinaryHeap::new(),
-            payloads: BTreeMap::new(),
-            next_id: 0,
-            cut: BTreeSet::new(),
-            faults,
-            rng: Pcg64::seed_from_u64(seed),
-            now: Duration::ZERO,
-            seed,
-            sent_bytes: 0,
-        };
-        for i in 0..n {
-            fleet.by_addr.insert(addr(i), i);
-            fleet.nodes.push(Node { room: None, paused: false, backlog: VecDeque::new(), generation: 0 });
+        let limits = Limits { datagram: DATAGRAM_MAX, ..Limits::default() };
+        let mut world = World::new(seed, faults.into(), limits, 0);
+        let names: BTreeMap<SocketAddrV4, Name> = (0..n)
+            .map(|i| (addr(i), name(i)))
+            .take_while(|(_, name)| world.add(name, Clocks::default()).is_ok())
+            .collect();
+        let mut fleet = Self { settings: settings.clone(), world, names: Rc::new(names), seed };
+        for i in 0..fleet.len() {
             fleet.start(i);
         }
         fleet
@@ -92,127 +98,128 @@
 
     /// The identity of node `i` at its current start.
     pub fn id(&self, i: usize) -> NodeId {
-        NodeId { addr: addr(i), name: name(i), generation: self.nodes[i].generation }
+        id(i, &self.world.net().peer(i))
     }
 
     /// The clock.
     pub fn now(&self) -> Duration {
-        self.now
+        self.world.now()
     }
 
     /// How many nodes there are, dead or alive.
     pub fn len(&self) -> usize {
-        self.nodes.len()
+        self.world.len()
     }
 
     /// No node at all.
     pub fn is_empty(&self) -> bool {
-        self.nodes.is_empty()
+        self.world.is_empty()
+    }
+
+    /// Bytes sent by all nodes, for the cost a node and second.
+    pub fn sent_bytes(&self) -> u64 {
+        self.world.net().sent_bytes()
+    }
+
+    /// A number for the whole run so far: equal for the same seed and calls.
+    pub fn trace(&self) -> u64 {
+        self.world.trace()
     }
 
     /// The network's faults from now on.
     pub fn set_faults(&mut self, faults: Faults) {
-        self.faults = faults;
+        self.world.net_mut().set_faults(faults.into());
     }
 
     /// Datagrams from `from` to `to` are lost from now on (one way).
     pub fn cut(&mut self, from: usize, to: usize) {
-        self.cut.insert((from, to));
+        self.world.net_mut().cut(from, to);
     }
 
     /// Every link between a node of `a` and one of `b` is cut both ways.
     pub fn partition(&mut self, a: &[usize], b: &[usize]) {
-        for &x in a {
-            for &y in b {
-                self.cut.insert((x, y));
-                self.cut.insert((y, x));
-            }
-        }
+        self.world.net_mut().partition(a, b);
     }
 
     /// All links work again.
     pub fn heal(&mut self) {
-        self.cut.clear();
+        self.world.net_mut().heal();
     }
 
     /// Node `i` is killed: it says nothing, and what comes to it is lost.
     pub fn kill(&mut self, i: usize) {
-        self.nodes[i].room = None;
-        self.nodes[i].backlog.clear();
+        self.world.kill(i);
     }
 
     /// Node `i` starts again from nothing, under its name and address, with a later generation.
     pub fn start(&mut self, i: usize) {
-        let node = &mut self.nodes[i];
-        node.generation += 1;
-        node.paused = false;
-        node.backlog.clear();
-        let id = NodeId { addr: addr(i), name: name(i), generation: node.generation };
-        let seed = self.seed ^ ((i as u64) << 20) ^ u64::from(node.generation);
-        let mut room = Room::new(id, &self.settings, seed);
-        if i != 0 {
-            room.join(self.now, &[addr(0)]);
-        } else if self.nodes.len() > 1 {
-            room.join(self.now, &[addr(1)]);
-        }
-        self.nodes[i].room = Some(room);
+        let (settings, names, seed) = (&self.settings, &self.names, self.seed);
+        let seeds: &[SocketAddrV4] = match i {
+            0 if names.len() > 1 => &[addr(1)],
+            0 => &[],
+            _ => &[addr(0)],
+        };
+        self.world.start(i, |peer, now| {
+            let id = id(i, &peer);
+            let seed = seed ^ ((i as u64) << 20) ^ u64::from(id.generation);
+            let mut room = Room::new(id, settings, seed);
+            room.join(now.boot, seeds);
+            Named { room, names: Rc::clone(names) }
+        });
     }
 
     /// Node `i` stops running (SIGSTOP) or runs again (SIGCONT); what came meanwhile waits in its socket.
     pub fn pause(&mut self, i: usize, paused: bool) {
-        self.nodes[i].paused = paused;
+        if paused {
+            self.world.pause(i);
+        } else {
+            self.world.resume(i);
+        }
     }
 
     /// Node `i` leaves on purpose.
     pub fn leave(&mut self, i: usize) {
-        let now = self.now;
-        if let Some(room) = self.nodes[i].room.as_mut() {
-            room.leave(now);
-        }
-        self.flush(i);
+        self.world.act(i, |named, now| named.room.leave(now.boot));
     }
 
     /// Node `i`'s view, if it runs.
     pub fn view(&mut self, i: usize) -> Option<&View> {
-        self.nodes[i].room.as_mut().map(|r| r.view())
+        self.world.room_mut(i).map(|named| named.room.view())
     }
 
     /// The stats of node `i`, if it runs.
     pub fn room(&self, i: usize) -> Option<&Room> {
-        self.nodes[i].room.as_ref()
+        self.world.room(i).map(|named| &named.room)
     }
 
     /// Runs the fleet for `d`.
     pub fn run(&mut self, d: Duration) {
-        let end = self.now + d;
-        while self.now < end {
-            self.now += STEP;
-            self.step();
-        }
+        self.world.run(d);
     }
 
-    /// Runs until `done` holds, checked every step, for at most `limit`; the time it took, if it came.
+    /// Runs until `done` holds, checked every [`magpietally_simnet::LOOK`], for at most `limit`; the time it took, if it
+    /// came.
     pub fn run_until(
         &mut self,
         limit: Duration,
         mut done: impl FnMut(&mut Self) -> bool,
     ) -> Option<Duration> {
-        let start = self.now;
-        while self.now - start < limit {
-            if done(self) {
-                return Some(self.now - start);
+        let start = self.now();
+        while !done(self) {
+            let left = (start + limit).saturating_sub(self.now());
+            if left.is_zero() {
+                return None;
             }
-            self.now += STEP;
-            self.step();
+            self.run(left.min(magpietally_simnet::LOOK));
         }
-        done(self).then(|| self.now - start)
+        Some(self.now() - start)
     }
 
     /// Whether every running, unpaused node among `who` takes each of `who` for `liveness` and each of `others` for
     /// neither alive nor suspect.
     pub fn all_see(&mut self, who: &[usize], liveness: Liveness, others: &[usize]) -> bool {
         for &i in who {
-            if self.nodes[i].paused || self.nodes[i].room.is_none() {
+            if self.world.is_paused(i) || self.room(i).is_none() {
                 continue;
             }
             for &j in who {
@@ -234,73 +241,17 @@
     /// How many running nodes take node `j` for `liveness`.
     pub fn count_seeing(&mut self, j: usize, liveness: Liveness) -> usize {
         let name = name(j);
-        (0..self.nodes.len())
+        (0..self.len())
             .filter(|&i| i != j)
             .filter(|&i| self.view(i).and_then(|v| v.liveness_of(name.as_str())) == Some(liveness))
             .count()
     }
+}
 
-    fn step(&mut self) {
-        let now = self.now;
-        while let Some(Reverse((due, id, to))) = self.in_flight.peek().copied() {
-            if due > now {
-                break;
-            }
-            self.in_flight.pop();
-            let Some(bytes) = self.payloads.remove(&id) else { continue };
-            let node = &mut self.nodes[to];
-            let Some(room) = node.room.as_mut() else { continue };
-            if node.paused {
-                if node.backlog.len() < PAUSED_BACKLOG {
-                    node.backlog.push_back(bytes);
-                }
-                continue;
-            }
-            room.on_datagram(now, &bytes);
-        }
-        for i in 0..self.nodes.len() {
-            let node = &mut self.nodes[i];
-            if node.paused {
-                continue;
-            }
-            let Some(room) = node.room.as_mut() else { continue };
-            while let Some(bytes) = node.backlog.pop_front() {
-                room.on_datagram(now, &bytes);
-            }
-            if room.next_due().is_some_and(|due| due <= now) {
-                room.tick(now);
-            }
-            self.flush(i);
-        }
-    }
-
-    fn flush(&mut self, from: usize) {
-        let mut out = Vec::new();
-        if let Some(room) = self.nodes[from].room.as_mut() {
-            while let Some(d) = room.take_outgoing() {
-                out.push(d);
-            }
-        }
-        for (to, bytes) in out {
-            self.sent_bytes += bytes.len() as u64;
-            let Some(&to) = self.by_addr.get(&to) else { continue };
-            if self.cut.contains(&(from, to)) || self.rng.random_bool(self.faults.loss.clamp(0.0, 1.0)) {
-                continue;
-            }
-            let copies = if self.rng.random_bool(self.faults.duplicate.clamp(0.0, 1.0)) { 2 } else { 1 };
-            for _ in 0..copies {
-                if self.in_flight.len() >= IN_FLIGHT_MAX {
-                    return;
-                }
-                let jitter = self.faults.jitter.as_micros() as u64;
-                let extra = if jitter == 0 { 0 } else { self.rng.random_range(0..=jitter) };
-                let due = self.now + self.faults.delay + Duration::from_micros(extra);
-                self.next_id += 1;
-                self.payloads.insert(self.next_id, bytes.clone());
-                self.in_flight.push(Reverse((due, self.next_id, to)));
-            }
-        }
-    }
+fn id(i: usize, peer: &Peer) -> NodeId {
+    // No test starts a node four billion times.
+    let generation = u32::try_from(peer.session.0).unwrap_or(u32::MAX);
+    NodeId { addr: addr(i), name: peer.name.clone(), generation }
 }
 
 fn addr(i: usize) -> SocketAddrV4 {
