Transports for real: datagrams over UDP and streams over framed TCP, one envelope for both

The rooms of the fleet need carriers. One envelope (version, CRC-32, fleet, sender and session, number) stands around every message; UDP is a socket that is polled, TCP one thread with a current-thread runtime, one connection a direction, numbered and acknowledged, so that a break is told as lost and nothing comes twice. Behind the feature `carriers`, so that the pure rooms still pull in no runtime.

--- /dev/null
+++ b/crates/transport/src/envelope.rs
@@ -0,0 +1,223 @@
+//! What every message on the wire carries around its body, whatever the carrier: see `docs/design/transport.md`.
+//!
+//! ```text
+//! version (1) | CRC-32 of all else (4, little endian) | head (postcard, at most 94) | body (the rest)
+//! ```
+//!
+//! The version stands first and alone, so that every later format can be told from this one before anything else is
+//! believed; then the checksum, so that nothing of a damaged message is believed either.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::transport::Peer;
+
+/// The format of what is written here.
+pub const VERSION: u8 = 1;
+
+/// The most an envelope takes, in bytes: version 1, checksum 4, fleet 8, kind 1, name 1 + 64, session and number up to
+/// 10 each.
+pub const ENVELOPE_MAX: usize = 99;
+
+/// Where the head begins: behind the version and the checksum.
+const HEAD_AT: usize = 5;
+
+/// A fleet, as messages name it: 64 bits of the SHA-256 of its name. A fixed size bounds the message, and two fleets of
+/// different names meet in it once in 2^64. It keeps apart those who were mixed up, not those who lie.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Fleet(#[serde(with = "postcard::fixint::le")] u64);
+
+impl Fleet {
+    /// The fleet of this name.
+    pub fn named(name: &str) -> Self {
+        let digest = Sha256::digest(name.as_bytes());
+        let mut first = [0; 8];
+        first.copy_from_slice(&digest[..8]);
+        Self(u64::from_le_bytes(first))
+    }
+}
+
+/// What a message is to the carrier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum What {
+    /// The first frame of a connection, by who dialled.
+    Hello,
+    /// Its answer.
+    Welcome,
+    /// A message of the sender's rooms; its number counts from 1 within the sender's session where order is promised,
+    /// and is 0 where not.
+    Message,
+    /// Nothing but a sign of life.
+    Ping,
+    /// Messages up to this number were taken.
+    Ack,
+}
+
+/// What stands before the body.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// The sender's fleet.
+    pub fleet: Fleet,
+    /// What it is.
+    pub what: What,
+    /// The sender.
+    pub from: Peer,
+    /// See [`What`].
+    pub number: u64,
+}
+
+/// Why a message could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Strange {
+    /// It ends before its head does.
+    Short,
+    /// Another version of the format.
+    Version,
+    /// Altered on the way, or none of ours.
+    Checksum,
+    /// A field out of its range.
+    Field,
+    /// A sender without a name.
+    Nameless,
+}
+
+impl Strange {
+    /// In words, for [`crate::Event::Dropped`].
+    pub fn why(self) -> &'static str {
+        match self {
+            Self::Short => "a message that ends inside its envelope",
+            Self::Version => "a message in another version of the format",
+            Self::Checksum => "a message whose checksum is wrong",
+            Self::Field => "a message with a field out of its range",
+            Self::Nameless => "a message without its sender's name",
+        }
+    }
+}
+
+impl fmt::Display for Strange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.why())
+    }
+}
+
+impl std::error::Error for Strange {}
+
+/// The message on the wire.
+pub fn encode(head: &Head, body: &[u8]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(ENVELOPE_MAX + body.len());
+    out.extend_from_slice(&[VERSION, 0, 0, 0, 0]);
+    // A growing vector and plain fields: there is nothing that postcard could refuse.
+    let mut out = postcard::to_extend(head, out).expect("a head of plain fields is always encoded");
+    out.extend_from_slice(body);
+    let sum = checksum(&out);
+    out[1..HEAD_AT].copy_from_slice(&sum.to_le_bytes());
+    out
+}
+
+/// Its head and its body.
+///
+/// # Errors
+/// See [`Strange`]. Whose fleet and session it is, is the caller's to judge.
+pub fn decode(bytes: &[u8]) -> Result<(Head, &[u8]), Strange> {
+    let (&version, _) = bytes.split_first().ok_or(Strange::Short)?;
+    if version != VERSION {
+        return Err(Strange::Version);
+    }
+    let sum = bytes.get(1..HEAD_AT).and_then(|s| s.try_into().ok()).ok_or(Strange::Short)?;
+    if u32::from_le_bytes(sum) != checksum(bytes) {
+        return Err(Strange::Checksum);
+    }
+    // Memory: a name's text is taken from the message, so never more than the message itself.
+    let (head, body) = postcard::take_from_bytes::<Head>(&bytes[HEAD_AT..]).map_err(|e| match e {
+        postcard::Error::DeserializeUnexpectedEnd => Strange::Short,
+        _ => Strange::Field,
+    })?;
+    if head.from.name.as_str().is_empty() {
+        return Err(Strange::Nameless);
+    }
+    Ok((head, body))
+}
+
+/// Over the version and all that stands behind the checksum; `bytes` has at least [`HEAD_AT`].
+fn checksum(bytes: &[u8]) -> u32 {
+    let mut sum = crc32fast::Hasher::new();
+    sum.update(&bytes[..1]);
+    sum.update(&bytes[HEAD_AT..]);
+    sum.finalize()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{Name, Session};
+    use proptest::prelude::*;
+
+    fn head(name: &str, session: u64, number: u64) -> Head {
+        let from = Peer { name: Name::new(name).expect("a name"), session: Session(session) };
+        Head { fleet: Fleet::named("lahore"), what: What::Message, from, number }
+    }
+
+    #[test]
+    fn the_largest_envelope_is_as_stated() {
+        let largest = encode(&head(&"a".repeat(64), u64::MAX, u64::MAX), b"");
+        assert_eq!(largest.len(), ENVELOPE_MAX);
+    }
+
+    #[test]
+    fn what_is_wrong_is_named() {
+        let good = encode(&head("n1", 7, 9), b"body");
+        let mut version = good.clone();
+        version[0] = 2;
+        let mut sum = good.clone();
+        *sum.last_mut().expect("bytes") ^= 1;
+        assert_eq!(decode(&version), Err(Strange::Version));
+        assert_eq!(decode(&sum), Err(Strange::Checksum));
+        assert_eq!(decode(&good[..3]), Err(Strange::Short));
+        assert_eq!(decode(b""), Err(Strange::Short));
+        let mut nameless = head("n1", 7, 9);
+        nameless.from.name = Name::default();
+        assert_eq!(decode(&encode(&nameless, b"")), Err(Strange::Nameless));
+        // Summed rightly, and still no head: a kind that does not exist.
+        let mut field = good;
+        field[HEAD_AT + 8] = 77;
+        let sum = checksum(&field).to_le_bytes();
+        field[1..HEAD_AT].copy_from_slice(&sum);
+        assert_eq!(decode(&field), Err(Strange::Field));
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(28), failure_persistence: None, ..ProptestConfig::default() })]
+
+        #[test]
+        fn what_was_encoded_is_read_back(session: u64, number: u64, body in prop::collection::vec(any::<u8>(), 0..300)) {
+            let head = head("lhr-1", session, number);
+            let wire = encode(&head, &body);
+            prop_assert_eq!(decode(&wire), Ok((head, &body[..])));
+        }
+
+        #[test]
+        fn anything_strange_is_an_error_and_never_a_panic(bytes in prop::collection::vec(any::<u8>(), 0..300), sum: bool) {
+            let mut bytes = bytes;
+            if sum && bytes.len() >= HEAD_AT {
+                // As a liar would send it: version and checksum right, the rest anything.
+                bytes[0] = VERSION;
+                let sum = checksum(&bytes).to_le_bytes();
+                bytes[1..HEAD_AT].copy_from_slice(&sum);
+                if let Ok((head, _)) = decode(&bytes) {
+                    prop_assert!(!head.from.name.as_str().is_empty());
+                }
+            } else {
+                prop_assert!(decode(&bytes).is_err());
+            }
+        }
+
+        #[test]
+        fn one_flipped_bit_is_found(at in 0usize..40, bit in 0u8..8) {
+            let mut wire = encode(&head("lhr-1", 1, 2), b"some forty bytes of a body, or a few more");
+            wire[at] ^= 1 << bit;
+            prop_assert!(decode(&wire).is_err());
+        }
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,9 +8,17 @@
 //!
 //! Central types: [`Name`], [`Peer`] (a name and one start of it), [`Now`], [`Room`], [`Transport`].
 
+#[cfg(feature = "carriers")]
+pub mod envelope;
 mod name;
 mod room;
+#[cfg(feature = "carriers")]
+mod sessions;
+#[cfg(feature = "carriers")]
+pub mod tcp;
 mod transport;
+#[cfg(feature = "carriers")]
+pub mod udp;
 
 pub use name::{Name, NameError, NAME_MAX};
 pub use room::{Now, Outgoing, Room};
--- /dev/null
+++ b/crates/transport/src/sessions.rs
@@ -0,0 +1,78 @@
+//! At which session each peer was met last.
+
+use std::collections::BTreeMap;
+
+use crate::name::Name;
+use crate::transport::{Peer, Session};
+
+/// Names that are kept at most: twice the largest fleet that is thought of (500), so that restarts under new names
+/// leave room. Past it an unknown sender is dropped, as a name that was forgotten could come back with an old session.
+pub const PEERS_MOST: usize = 1024;
+
+/// What a sender's session is to us.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// The one we know.
+    Same,
+    /// Later than the one we knew, or the first of this name.
+    New,
+    /// Earlier than the one we know.
+    Older,
+    /// A new name, and no room for it.
+    TooMany,
+}
+
+/// The last session of each name.
+#[derive(Debug, Default)]
+pub struct Sessions(BTreeMap<Name, Session>);
+
+impl Sessions {
+    /// Notes a sender, and says what it is to us.
+    pub fn see(&mut self, peer: &Peer) -> Seen {
+        let room = self.0.len() < PEERS_MOST;
+        match self.0.get_mut(&peer.name) {
+            Some(known) if *known == peer.session => Seen::Same,
+            Some(known) if *known > peer.session => Seen::Older,
+            Some(known) => {
+                *known = peer.session;
+                Seen::New
+            }
+            None if !room => Seen::TooMany,
+            None => {
+                self.0.insert(peer.name.clone(), peer.session);
+                Seen::New
+            }
+        }
+    }
+}
+
+/// Why a sender was dropped, in words that both carriers use.
+pub const OTHER_FLEET: &str = "a message of another fleet";
+/// See [`OTHER_FLEET`].
+pub const OLDER: &str = "a message of an older session";
+/// See [`OTHER_FLEET`].
+pub const TOO_MANY: &str = "a message of one name more than are kept";
+/// See [`OTHER_FLEET`].
+pub const OWN_NAME: &str = "a message under this node's own name";
+/// See [`OTHER_FLEET`].
+pub const MISPLACED: &str = "a message of a kind that has no place here";
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_later_session_replaces_an_earlier_and_names_are_bounded() {
+        let peer = |name: &str, s| Peer { name: Name::new(name).expect("a name"), session: Session(s) };
+        let mut seen = Sessions::default();
+        assert_eq!(seen.see(&peer("a", 5)), Seen::New);
+        assert_eq!(seen.see(&peer("a", 5)), Seen::Same);
+        assert_eq!(seen.see(&peer("a", 6)), Seen::New);
+        assert_eq!(seen.see(&peer("a", 5)), Seen::Older);
+        for i in 1..PEERS_MOST {
+            assert_eq!(seen.see(&peer(&format!("n{i}"), 1)), Seen::New);
+        }
+        assert_eq!(seen.see(&peer("one-more", 1)), Seen::TooMany);
+        assert_eq!(seen.see(&peer("a", 7)), Seen::New);
+    }
+}
--- /dev/null
+++ b/crates/transport/src/tcp/accept.rs
@@ -0,0 +1,126 @@
+//! The receiving side: whoever dials us says who it is, then brings its messages, and hears up to where they were taken.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+use super::frames::{halves, read, write, Reader, Writer};
+use super::shared::Shared;
+use crate::envelope::What;
+use crate::sessions::MISPLACED;
+use crate::transport::Peer;
+
+/// The wait after a failed accept (no descriptors): long enough not to spin, short enough not to be felt.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
+
+/// Accepts until the end is closed.
+pub(super) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            () = shared.ended.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            sleep(ACCEPT_AGAIN).await;
+            continue;
+        };
+        let Ok(permit) = shared.inbound.clone().try_acquire_owned() else {
+            shared.turned_away();
+            continue;
+        };
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            serve(&shared, stream).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve(shared: &Shared, stream: TcpStream) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let (r, w) = stream.into_split();
+    let (mut reader, mut writer) = halves(shared, r, w);
+    let within = shared.settings.connect_within;
+    let Ok(Some(peer)) = timeout(within, hello(shared, &mut reader)).await else { return };
+    let Some((connection, last)) = shared.accepted(&peer) else { return };
+    if !matches!(timeout(within, write(shared, &mut writer, What::Welcome, last, &[])).await, Ok(true)) {
+        return;
+    }
+    let taken = Notify::new();
+    // Whichever ends first ends the connection.
+    tokio::select! {
+        () = messages(shared, &peer, connection, &mut reader, &taken) => {}
+        () = acknowledgements(shared, &peer, connection, &mut writer, &taken) => {}
+    }
+}
+
+async fn hello<R: tokio::io::AsyncRead + Unpin>(shared: &Shared, reader: &mut Reader<R>) -> Option<Peer> {
+    let (head, _) = read(shared, reader).await?;
+    if head.what != What::Hello {
+        shared.dropped(MISPLACED);
+        return None;
+    }
+    Some(head.from)
+}
+
+async fn messages<R: tokio::io::AsyncRead + Unpin>(
+    shared: &Shared,
+    peer: &Peer,
+    connection: u64,
+    reader: &mut Reader<R>,
+    taken: &Notify,
+) {
+    loop {
+        // A node that does not poll is not read for: its peers' queues fill, and they are told.
+        loop {
+            let room = shared.room.notified();
+            tokio::pin!(room);
+            room.as_mut().enable();
+            if shared.has_room() {
+                break;
+            }
+            room.await;
+        }
+        let Ok(Some((head, body))) = timeout(shared.settings.dead_after, read(shared, reader)).await else {
+            return;
+        };
+        if head.from != *peer {
+            shared.dropped("a frame of another sender than the connection's");
+            return;
+        }
+        match head.what {
+            What::Ping => {}
+            What::Message => {
+                if !shared.deliver(peer, connection, head.number, body) {
+                    return;
+                }
+                taken.notify_one();
+            }
+            What::Hello | What::Welcome | What::Ack => {
+                shared.dropped(MISPLACED);
+                return;
+            }
+        }
+    }
+}
+
+async fn acknowledgements<W: tokio::io::AsyncWrite + Unpin>(
+    shared: &Shared,
+    peer: &Peer,
+    connection: u64,
+    writer: &mut Writer<W>,
+    taken: &Notify,
+) {
+    while let Some(number) = shared.taken(peer, connection) {
+        if !write(shared, writer, What::Ack, number, &[]).await {
+            return;
+        }
+        // New messages, or the next sign of life.
+        let _ = timeout(shared.settings.heartbeat, taken.notified()).await;
+    }
+}
--- /dev/null
+++ b/crates/transport/src/tcp/dial.rs
@@ -0,0 +1,125 @@
+//! The sending side of one peer: dials it while something waits for it, writes, and reads what was taken.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout, Instant};
+
+use super::frames::{halves, read, write, Reader, Writer};
+use super::shared::{Next, Shared};
+use crate::envelope::What;
+use crate::name::Name;
+use crate::sessions::MISPLACED;
+
+/// A connection after its handshake.
+struct Link {
+    reader: Reader<tokio::net::tcp::OwnedReadHalf>,
+    writer: Writer<tokio::net::tcp::OwnedWriteHalf>,
+}
+
+/// Carries what is sent to `name` until it is forgotten.
+pub(super) async fn carry(shared: Arc<Shared>, name: Name, wake: Arc<Notify>) {
+    let seed = shared.settings.seed ^ u64::from(crc32fast::hash(name.as_str().as_bytes()));
+    let mut random = Pcg64::seed_from_u64(seed);
+    let mut backoff = shared.settings.backoff;
+    loop {
+        let Some(address) = shared.wanted(&name, &wake).await else { return };
+        // It is never closed; a peer without a permit waits for another's connection to end.
+        let Ok(permit) = shared.outbound.acquire().await else { return };
+        let dialled = timeout(shared.settings.connect_within, connect(&shared, &name, &wake, address)).await;
+        if let Ok(Some(link)) = dialled {
+            backoff = shared.settings.backoff;
+            run(&shared, &name, &wake, address, link).await;
+            shared.broke(&name, &wake);
+        }
+        drop(permit);
+        // Jitter, so that the peers of a node that comes back do not all dial it in one moment.
+        sleep(backoff.mul_f64(random.random_range(0.75..1.25))).await;
+        backoff = (backoff * 2).min(shared.settings.backoff_most);
+    }
+}
+
+async fn connect(shared: &Shared, name: &Name, wake: &Arc<Notify>, address: SocketAddr) -> Option<Link> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    shared.count_dial();
+    // Messages are small and somebody waits for each; without it an acknowledgement may wait 40 ms.
+    stream.set_nodelay(true).ok()?;
+    let (r, w) = stream.into_split();
+    let (mut reader, mut writer) = halves(shared, r, w);
+    if !write(shared, &mut writer, What::Hello, 0, &[]).await {
+        return None;
+    }
+    let (head, _) = read(shared, &mut reader).await?;
+    if head.what != What::Welcome {
+        shared.dropped(MISPLACED);
+        return None;
+    }
+    if head.from.name != *name {
+        shared.dropped("an answer by another node than was dialled");
+        return None;
+    }
+    if !shared.met(&head.from) {
+        return None;
+    }
+    shared.resume(name, wake, head.number);
+    Some(Link { reader, writer })
+}
+
+/// Ends with the connection: broken, silent, idle, or the peer forgotten or moved.
+async fn run(shared: &Shared, name: &Name, wake: &Arc<Notify>, address: SocketAddr, link: Link) {
+    let Link { mut reader, mut writer } = link;
+    let acknowledgements = async {
+        // Whoever does not read its messages still gives signs of life; whoever gives none is gone.
+        while let Ok(Some((head, _))) = timeout(shared.settings.dead_after, read(shared, &mut reader)).await {
+            if head.what != What::Ack {
+                shared.dropped(MISPLACED);
+                return;
+            }
+            shared.acknowledged(name, wake, head.number);
+        }
+    };
+    let messages = async {
+        let mut busy = Instant::now();
+        loop {
+            let (what, number, body) = match shared.next(name, wake, address) {
+                Next::End => return,
+                Next::Write(number, message) => (What::Message, number, message),
+                Next::Wait => {
+                    if timeout(shared.settings.heartbeat, wake.notified()).await.is_ok() {
+                        continue;
+                    }
+                    (What::Ping, 0, Vec::new())
+                }
+            };
+            if what == What::Message || !shared.idle(name) {
+                busy = Instant::now();
+            } else if busy.elapsed() > shared.settings.idle {
+                return;
+            }
+            if !write(shared, &mut writer, what, number, &body).await {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        () = acknowledgements => {}
+        () = messages => {}
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    #[test]
+    fn the_longest_backoff_stays_near_its_bound() {
+        let settings = super::super::Settings::default();
+        assert!(settings.backoff < settings.backoff_most && settings.backoff_most <= Duration::from_secs(2));
+        assert!(settings.heartbeat * 4 < settings.dead_after, "one late sign of life is not an end");
+        assert!(settings.inbound + settings.outbound < 128, "half of the platform's least, 256");
+    }
+}
--- /dev/null
+++ b/crates/transport/src/tcp/frames.rs
@@ -0,0 +1,53 @@
+//! One frame in, one frame out: a length of four bytes, then one envelope (see `docs/design/transport.md`).
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+
+use super::shared::Shared;
+use crate::envelope::{decode, encode, Head, What, ENVELOPE_MAX};
+use crate::sessions::OTHER_FLEET;
+
+pub(super) type Reader<R> = FramedRead<R, LengthDelimitedCodec>;
+pub(super) type Writer<W> = FramedWrite<W, LengthDelimitedCodec>;
+
+/// The two halves of a connection; frames larger than the largest message end it unread.
+pub(super) fn halves<R: AsyncRead, W: AsyncWrite>(shared: &Shared, r: R, w: W) -> (Reader<R>, Writer<W>) {
+    let most = shared.settings.largest + ENVELOPE_MAX;
+    let codec = || LengthDelimitedCodec::builder().max_frame_length(most).new_codec();
+    (FramedRead::new(r, codec()), FramedWrite::new(w, codec()))
+}
+
+/// The next frame of our fleet; `None` where the connection has ended, or brought what can't be read (told).
+pub(super) async fn read<R: AsyncRead + Unpin>(
+    shared: &Shared,
+    reader: &mut Reader<R>,
+) -> Option<(Head, Vec<u8>)> {
+    let frame = match reader.next().await? {
+        Ok(frame) => frame,
+        Err(e) if e.kind() == std::io::ErrorKind::InvalidData => {
+            shared.dropped("a frame larger than may be");
+            return None;
+        }
+        Err(_) => return None,
+    };
+    match decode(&frame) {
+        Ok((head, _)) if head.fleet != shared.fleet => shared.dropped(OTHER_FLEET),
+        Ok((head, body)) => return Some((head, body.to_vec())),
+        Err(strange) => shared.dropped(strange.why()),
+    }
+    None
+}
+
+/// Writes a frame; false where the connection has ended.
+pub(super) async fn write<W: AsyncWrite + Unpin>(
+    shared: &Shared,
+    writer: &mut Writer<W>,
+    what: What,
+    number: u64,
+    body: &[u8],
+) -> bool {
+    let frame = encode(&shared.head(what, number), body);
+    writer.send(Bytes::from(frame)).await.is_ok()
+}
--- /dev/null
+++ b/crates/transport/src/tcp/mod.rs
@@ -0,0 +1,176 @@
+//! Streams over framed TCP: one thread of its own carries all connections of a node.
+//!
+//! One connection a direction: a node dials a peer when it has something for it, and the connection carries messages
+//! one way and acknowledgements the other. So each side alone decides on its numbers, its backoff and its losses, and
+//! two that dial each other at once have nothing to settle; the price is a second descriptor a pair, bounded by
+//! [`Settings::outbound`] and [`Settings::inbound`].
+//!
+//! - `shared.rs`: what the thread and the node share, behind one lock that is never held over a wait.
+//! - `dial.rs`: the sending side of a peer. `accept.rs`: the receiving side. `frames.rs`: one frame in, one out.
+
+mod accept;
+mod dial;
+mod frames;
+mod shared;
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use crate::envelope::Fleet;
+use crate::name::Name;
+use crate::transport::{Event, Kind, Peer, Promise, SendError, Transport};
+pub use shared::Counts;
+use shared::Shared;
+
+/// The bounds of one end. [`Settings::default`] fits the platform, tests shorten the times.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The largest message in bytes: also what a stranger's frame can make us set aside a connection, so 64
+    /// connections hold 16 MiB at most. What is larger (a snapshot) goes in pieces.
+    pub largest: usize,
+    /// Messages that wait for one peer, beside the window: some seconds of the log's traffic.
+    pub waiting: usize,
+    /// Bytes that wait for all peers together.
+    pub waiting_bytes: usize,
+    /// Messages sent and not acknowledged, a peer: what a break of its connection can lose at most.
+    pub window: usize,
+    /// Messages that came and were not polled yet; past it (or [`Settings::inbox_bytes`]) nothing more is read from
+    /// any connection, and senders feel it. Each connection may add one more that it has in hand.
+    pub inbox: usize,
+    /// The same in bytes.
+    pub inbox_bytes: usize,
+    /// How often either side gives a sign of life.
+    pub heartbeat: Duration,
+    /// A connection without a sign of life for so long is broken: six heartbeats, so that a pause of the peer's thread
+    /// is not taken for its end, and well under the 6 s after which membership suspects.
+    pub dead_after: Duration,
+    /// How long a connection and its handshake may take.
+    pub connect_within: Duration,
+    /// The wait before a second attempt at a connection; doubled at each failure, give or take a quarter.
+    pub backoff: Duration,
+    /// The longest such wait.
+    pub backoff_most: Duration,
+    /// A connection that had nothing to carry for so long gives its descriptor back.
+    pub idle: Duration,
+    /// Connections dialled at a time; a peer without one waits for another's to end.
+    pub outbound: usize,
+    /// Connections accepted at a time; the next is closed at once. Both together stay under half of the least number
+    /// of descriptors that the platform gives (256).
+    pub inbound: usize,
+    /// For the jitter of the backoff.
+    pub seed: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            largest: 256 << 10,
+            waiting: 256,
+            waiting_bytes: 16 << 20,
+            window: 64,
+            inbox: 1024,
+            inbox_bytes: 16 << 20,
+            heartbeat: Duration::from_millis(500),
+            dead_after: Duration::from_secs(3),
+            connect_within: Duration::from_secs(2),
+            backoff: Duration::from_millis(50),
+            backoff_most: Duration::from_secs(2),
+            idle: Duration::from_secs(60),
+            outbound: 56,
+            inbound: 56,
+            seed: 0,
+        }
+    }
+}
+
+/// One node's end of streams over TCP. Dropping it closes every connection at once, what waits included.
+pub struct Tcp {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    handle: tokio::runtime::Handle,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Tcp {
+    /// Binds a listener (port 0 takes any that is free) and starts the thread.
+    ///
+    /// # Errors
+    /// The address can't be bound, or no thread or runtime can be had.
+    pub fn bind(me: Peer, fleet: Fleet, at: SocketAddr, settings: Settings) -> io::Result<Self> {
+        let listener = TcpListener::bind(at)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let handle = runtime.handle().clone();
+        let shared = Arc::new(Shared::new(me, fleet, settings));
+        let carried = shared.clone();
+        let thread = std::thread::Builder::new().name("fleet-tcp".into()).spawn(move || {
+            runtime.block_on(async {
+                match tokio::net::TcpListener::from_std(listener) {
+                    Ok(listener) => accept::accept(carried.clone(), listener).await,
+                    Err(e) => carried.end(format!("its listener broke: {e}")),
+                }
+            });
+            // Every task ends with the runtime, its connection with it.
+            drop(runtime);
+        })?;
+        Ok(Self { shared, address, handle, thread: Some(thread) })
+    }
+
+    /// Where it is bound.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Where messages to `name` go from now on (a connection to another address ends); false where so many peers are
+    /// known already (1,024).
+    pub fn set_peer(&mut self, name: Name, address: SocketAddr) -> bool {
+        let Some(new) = self.shared.set_peer(&name, address) else { return false };
+        if let Some(wake) = new {
+            self.handle.spawn(dial::carry(self.shared.clone(), name, wake));
+        }
+        true
+    }
+
+    /// No messages go to `name` any more; those that wait are told as lost.
+    pub fn forget_peer(&mut self, name: &Name) {
+        self.shared.forget_peer(name);
+    }
+
+    /// What was counted since the start.
+    pub fn counts(&self) -> Counts {
+        self.shared.counts()
+    }
+}
+
+impl Drop for Tcp {
+    fn drop(&mut self) {
+        self.shared.end("dropped".into());
+        if let Some(thread) = self.thread.take() {
+            // It can only have panicked, and there is nobody left to tell.
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Transport for Tcp {
+    fn me(&self) -> &Peer {
+        &self.shared.me
+    }
+
+    fn promise(&self) -> Promise {
+        let s = &self.shared.settings;
+        Promise { kind: Kind::Stream, largest: s.largest, waiting: s.waiting }
+    }
+
+    fn send(&mut self, to: &Name, message: &[u8]) -> Result<(), SendError> {
+        self.shared.send(to, message)
+    }
+
+    fn poll(&mut self, _now: Duration) -> Option<Event> {
+        self.shared.poll()
+    }
+}
