--- a/crates/contracts/src/lib.rs
+++ b/crates/contracts/src/lib.rs
@@ -2,5 +2,6 @@
 //!
 //! Each suite is itself held to deliberately broken implementations: it names the clause that each of them breaks.
 
+pub mod relay;
 pub mod store;
 pub mod transport;
--- a/tests/peers/relay.rs
+++ b/crates/contracts/src/relay.rs
@@ -1,5 +1,8 @@
-//! A fault-injecting UDP relay between nodes: each node is reached at a front socket of the relay, which passes what
-//! comes on to the node's own socket, or drops, delays, duplicates it, by link and by direction.
+//! Fault-injecting relays between nodes, for tests: each node is reached at a front of the relay, which passes what comes
+//! on to the node's own socket, with the faults that are set by link and by direction. [`Relay`] does so for datagrams,
+//! [`Streams`] for TCP connections.
+
+mod streams;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -8,6 +11,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+pub use streams::{Stream, Streams};
+
 /// What a link does to each datagram, one way.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Link {
@@ -31,7 +39,7 @@
     usual: Mutex<Link>,
     delayed: Mutex<BinaryHeap<Held>>,
     order: AtomicU64,
-    random: Mutex<u64>,
+    random: Mutex<Pcg64>,
     stop: AtomicBool,
     /// Datagrams passed on and dropped.
     passed: AtomicU64,
@@ -63,7 +71,7 @@
             usual: Mutex::new(Link::default()),
             delayed: Mutex::new(BinaryHeap::new()),
             order: AtomicU64::new(0),
-            random: Mutex::new(seed | 1),
+            random: Mutex::new(Pcg64::seed_from_u64(seed)),
             stop: AtomicBool::new(false),
             passed: AtomicU64::new(0),
             dropped: AtomicU64::new(0),
@@ -191,12 +199,8 @@
         }
     }
 
-    /// A draw in [0, 1) of xorshift64*, seeded.
+    /// A draw in [0, 1), seeded.
     fn draw(&self) -> f64 {
-        let mut x = self.random.lock().expect("no panic");
-        *x ^= *x >> 12;
-        *x ^= *x << 25;
-        *x ^= *x >> 27;
-        (x.wrapping_mul(0x2545_F491_4F6C_DD1D) >> 11) as f64 / (1u64 << 53) as f64
+        self.random.lock().expect("no panic").random()
     }
 }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::time::{Duration, Instant};
 
-use peers::relay::{Link, Relay};
+use magpietally_contracts::relay::{Link, Relay};
 use peers::*;
 use serde_json::Value;
 
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -11,8 +11,6 @@
 
 use serde_json::{json, Value};
 
-pub mod relay;
-
 /// How long anything that should happen is waited for: far more than it takes, on a busy machine too.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
