--- a/crates/contracts/src/transport/book.rs
+++ b/crates/contracts/src/transport/book.rs
@@ -32,6 +32,9 @@
 #[derive(Debug)]
 pub struct Book {
     kind: Kind,
+    /// Sessions before this one are of an earlier story: their last messages may still come to a node that has met no
+    /// later one, and are nothing to this book.
+    first: Session,
     ways: BTreeMap<Way, Sent>,
     /// The session at which a node met another last.
     met: BTreeMap<(usize, usize), Session>,
@@ -42,9 +45,10 @@
 }
 
 impl Book {
-    pub fn new(kind: Kind) -> Self {
+    pub fn new(kind: Kind, first: Session) -> Self {
         Self {
             kind,
+            first,
             ways: BTreeMap::new(),
             met: BTreeMap::new(),
             lost: BTreeMap::new(),
@@ -145,6 +149,9 @@
                         return broken(Clause::RestartTold, what);
                     }
                 }
+                if from.session < self.first {
+                    return Ok(());
+                }
                 self.message_came((sender, from.session, node), &bytes)?;
             }
         }
--- a/crates/transport/src/envelope.rs
+++ b/crates/transport/src/envelope.rs
@@ -1,7 +1,7 @@
 //! What every message on the wire carries around its body, whatever the carrier: see `docs/design/transport.md`.
 //!
 //! ```text
-//! version (1) | CRC-32 of all else (4, little endian) | head (postcard, at most 94) | body (the rest)
+//! version (1) | CRC-32 of all else (4, little endian) | head (postcard, at most 98) | body (the rest)
 //! ```
 //!
 //! The version stands first and alone, so that every later format can be told from this one before anything else is
@@ -12,14 +12,15 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use crate::name::Name;
 use crate::transport::Peer;
 
 /// The format of what is written here.
 pub const VERSION: u8 = 1;
 
-/// The most an envelope takes, in bytes: version 1, checksum 4, fleet 8, kind 1, name 1 + 64, session and number up to
-/// 10 each.
-pub const ENVELOPE_MAX: usize = 99;
+/// The most an envelope takes, in bytes: version 1, checksum 4, fleet 8, addressee 4, kind 1, name 1 + 64, session and
+/// number up to 10 each.
+pub const ENVELOPE_MAX: usize = 103;
 
 /// Where the head begins: behind the version and the checksum.
 const HEAD_AT: usize = 5;
@@ -39,6 +40,18 @@
     }
 }
 
+/// To whom a message was sent: 32 bits (CRC-32) of its name. Addresses are given to other nodes again, sooner than every
+/// table learns of it; a node must not take what was meant for the one that had its address before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Addressee(#[serde(with = "postcard::fixint::le")] u32);
+
+impl Addressee {
+    /// The node of this name.
+    pub fn named(name: &Name) -> Self {
+        Self(crc32fast::hash(name.as_str().as_bytes()))
+    }
+}
+
 /// What a message is to the carrier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum What {
@@ -60,6 +73,8 @@
 pub struct Head {
     /// The sender's fleet.
     pub fleet: Fleet,
+    /// For whom it is.
+    pub to: Addressee,
     /// What it is.
     pub what: What,
     /// The sender.
@@ -151,12 +166,13 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::{Name, Session};
+    use crate::Session;
     use proptest::prelude::*;
 
     fn head(name: &str, session: u64, number: u64) -> Head {
         let from = Peer { name: Name::new(name).expect("a name"), session: Session(session) };
-        Head { fleet: Fleet::named("lahore"), what: What::Message, from, number }
+        let to = Addressee::named(&Name::new("n0").expect("a name"));
+        Head { fleet: Fleet::named("lahore"), to, what: What::Message, from, number }
     }
 
     #[test]
@@ -181,7 +197,7 @@
         assert_eq!(decode(&encode(&nameless, b"")), Err(Strange::Nameless));
         // Summed rightly, and still no head: a kind that does not exist.
         let mut field = good;
-        field[HEAD_AT + 8] = 77;
+        field[HEAD_AT + 12] = 77;
         let sum = checksum(&field).to_le_bytes();
         field[1..HEAD_AT].copy_from_slice(&sum);
         assert_eq!(decode(&field), Err(Strange::Field));
--- a/crates/transport/src/sessions.rs
+++ b/crates/transport/src/sessions.rs
@@ -49,6 +49,8 @@
 /// Why a sender was dropped, in words that both carriers use.
 pub const OTHER_FLEET: &str = "a message of another fleet";
 /// See [`OTHER_FLEET`].
+pub const OTHER_NODE: &str = "a message for another node";
+/// See [`OTHER_FLEET`].
 pub const OLDER: &str = "a message of an older session";
 /// See [`OTHER_FLEET`].
 pub const TOO_MANY: &str = "a message of one name more than are kept";
--- a/crates/transport/src/tcp/accept.rs
+++ b/crates/transport/src/tcp/accept.rs
@@ -48,7 +48,10 @@
     let within = shared.settings.connect_within;
     let Ok(Some(peer)) = timeout(within, hello(shared, &mut reader)).await else { return };
     let Some((connection, last)) = shared.accepted(&peer) else { return };
-    if !matches!(timeout(within, write(shared, &mut writer, What::Welcome, last, &[])).await, Ok(true)) {
+    if !matches!(
+        timeout(within, write(shared, &mut writer, &peer.name, What::Welcome, last, &[])).await,
+        Ok(true)
+    ) {
         return;
     }
     let taken = Notify::new();
@@ -117,7 +120,7 @@
     taken: &Notify,
 ) {
     while let Some(number) = shared.taken(peer, connection) {
-        if !write(shared, writer, What::Ack, number, &[]).await {
+        if !write(shared, writer, &peer.name, What::Ack, number, &[]).await {
             return;
         }
         // New messages, or the next sign of life.
--- a/crates/transport/src/tcp/dial.rs
+++ b/crates/transport/src/tcp/dial.rs
@@ -50,7 +50,7 @@
     stream.set_nodelay(true).ok()?;
     let (r, w) = stream.into_split();
     let (mut reader, mut writer) = halves(shared, r, w);
-    if !write(shared, &mut writer, What::Hello, 0, &[]).await {
+    if !write(shared, &mut writer, name, What::Hello, 0, &[]).await {
         return None;
     }
     let (head, _) = read(shared, &mut reader).await?;
@@ -100,7 +100,7 @@
             } else if busy.elapsed() > shared.settings.idle {
                 return;
             }
-            if !write(shared, &mut writer, what, number, &body).await {
+            if !write(shared, &mut writer, name, what, number, &body).await {
                 return;
             }
         }
--- a/crates/transport/src/tcp/frames.rs
+++ b/crates/transport/src/tcp/frames.rs
@@ -6,8 +6,9 @@
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use super::shared::Shared;
-use crate::envelope::{decode, encode, Head, What, ENVELOPE_MAX};
-use crate::sessions::OTHER_FLEET;
+use crate::envelope::{decode, encode, Addressee, Head, What, ENVELOPE_MAX};
+use crate::name::Name;
+use crate::sessions::{OTHER_FLEET, OTHER_NODE};
 
 pub(super) type Reader<R> = FramedRead<R, LengthDelimitedCodec>;
 pub(super) type Writer<W> = FramedWrite<W, LengthDelimitedCodec>;
@@ -19,7 +20,7 @@
     (FramedRead::new(r, codec()), FramedWrite::new(w, codec()))
 }
 
-/// The next frame of our fleet; `None` where the connection has ended, or brought what can't be read (told).
+/// The next frame of our fleet and for us; `None` where the connection has ended, or brought what can't be read (told).
 pub(super) async fn read<R: AsyncRead + Unpin>(
     shared: &Shared,
     reader: &mut Reader<R>,
@@ -34,6 +35,7 @@
     };
     match decode(&frame) {
         Ok((head, _)) if head.fleet != shared.fleet => shared.dropped(OTHER_FLEET),
+        Ok((head, _)) if head.to != Addressee::named(&shared.me.name) => shared.dropped(OTHER_NODE),
         Ok((head, body)) => return Some((head, body.to_vec())),
         Err(strange) => shared.dropped(strange.why()),
     }
@@ -44,10 +46,11 @@
 pub(super) async fn write<W: AsyncWrite + Unpin>(
     shared: &Shared,
     writer: &mut Writer<W>,
+    to: &Name,
     what: What,
     number: u64,
     body: &[u8],
 ) -> bool {
-    let frame = encode(&shared.head(what, number), body);
+    let frame = encode(&shared.head(to, what, number), body);
     writer.send(Bytes::from(frame)).await.is_ok()
 }
--- a/crates/transport/src/tcp/shared.rs
+++ b/crates/transport/src/tcp/shared.rs
@@ -8,7 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Settings;
-use crate::envelope::{Fleet, Head, What};
+use crate::envelope::{Addressee, Fleet, Head, What};
 use crate::name::Name;
 use crate::sessions::{Seen, Sessions, OLDER, OWN_NAME, PEERS_MOST, TOO_MANY};
 use crate::transport::{Event, Peer, SendError, Session};
@@ -119,8 +119,8 @@
     }
 
     /// The head of a frame of ours.
-    pub fn head(&self, what: What, number: u64) -> Head {
-        Head { fleet: self.fleet, what, from: self.me.clone(), number }
+    pub fn head(&self, to: &Name, what: What, number: u64) -> Head {
+        Head { fleet: self.fleet, to: Addressee::named(to), what, from: self.me.clone(), number }
     }
 
     pub fn end(&self, why: String) {
--- a/crates/transport/src/udp.rs
+++ b/crates/transport/src/udp.rs
@@ -5,9 +5,11 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
 
-use crate::envelope::{self, Fleet, Head, What, ENVELOPE_MAX};
+use crate::envelope::{self, Addressee, Fleet, Head, What, ENVELOPE_MAX};
 use crate::name::Name;
-use crate::sessions::{Seen, Sessions, MISPLACED, OLDER, OTHER_FLEET, OWN_NAME, PEERS_MOST, TOO_MANY};
+use crate::sessions::{
+    Seen, Sessions, MISPLACED, OLDER, OTHER_FLEET, OTHER_NODE, OWN_NAME, PEERS_MOST, TOO_MANY,
+};
 use crate::transport::{Event, Kind, Peer, Promise, SendError, Transport};
 
 /// The largest datagram, envelope and all, in bytes: within one Ethernet frame, so that none is fragmented.
@@ -130,6 +132,9 @@
         if head.fleet != self.fleet {
             return self.dropped(OTHER_FLEET);
         }
+        if head.to != Addressee::named(&self.me.name) {
+            return self.dropped(OTHER_NODE);
+        }
         if head.what != What::Message {
             return self.dropped(MISPLACED);
         }
@@ -178,7 +183,13 @@
         if known.waiting.len() >= WAITING {
             return Err(SendError::Full { to: to.clone(), most: WAITING });
         }
-        let head = Head { fleet: self.fleet, what: What::Message, from: self.me.clone(), number: 0 };
+        let head = Head {
+            fleet: self.fleet,
+            to: Addressee::named(to),
+            what: What::Message,
+            from: self.me.clone(),
+            number: 0,
+        };
         let wire = envelope::encode(&head, message);
         if !known.waiting.is_empty() || !hand_over(&self.socket, &mut self.counts, &wire, known.address) {
             known.waiting.push_back(wire);
