--- a/crates/contracts/src/transport.rs
+++ b/crates/contracts/src/transport.rs
@@ -122,8 +122,8 @@
     /// How many nodes it can run at a time; at least 3.
     fn nodes(&self) -> usize;
 
-    /// Starts a node, which does not run.
-    fn start(&mut self, node: usize, session: Session);
+    /// Starts a node, which does not run, at a session later than any it had; which.
+    fn start(&mut self, node: usize) -> Session;
 
     /// Ends a node with no farewell, if it runs.
     fn kill(&mut self, node: usize);
@@ -171,7 +171,7 @@
     }
 }
 
-/// Plays the whole contract. Sessions grow with the run, so the rig must be new.
+/// Plays the whole contract.
 ///
 /// # Errors
 /// The first clause that does not hold.
--- a/crates/contracts/src/transport/book.rs
+++ b/crates/contracts/src/transport/book.rs
@@ -32,9 +32,9 @@
 #[derive(Debug)]
 pub struct Book {
     kind: Kind,
-    /// Sessions before this one are of an earlier story: their last messages may still come to a node that has met no
-    /// later one, and are nothing to this book.
-    first: Session,
+    /// The first session of each node in this story. What an earlier one sent may still come to a node that has met no
+    /// later one, and is nothing to this book.
+    first: BTreeMap<usize, Session>,
     ways: BTreeMap<Way, Sent>,
     /// The session at which a node met another last.
     met: BTreeMap<(usize, usize), Session>,
@@ -45,10 +45,10 @@
 }
 
 impl Book {
-    pub fn new(kind: Kind, first: Session) -> Self {
+    pub fn new(kind: Kind) -> Self {
         Self {
             kind,
-            first,
+            first: BTreeMap::new(),
             ways: BTreeMap::new(),
             met: BTreeMap::new(),
             lost: BTreeMap::new(),
@@ -106,6 +106,11 @@
         self.dropped.get(&node).copied().unwrap_or(0)
     }
 
+    /// A node began.
+    pub fn began(&mut self, node: usize, session: Session) {
+        self.first.entry(node).or_insert(session);
+    }
+
     /// A node was ended: what it knew went with it.
     pub fn ended(&mut self, node: usize) {
         self.met.retain(|(at, _), _| *at != node);
@@ -149,7 +154,7 @@
                         return broken(Clause::RestartTold, what);
                     }
                 }
-                if from.session < self.first {
+                if self.first.get(&sender).is_none_or(|first| from.session < *first) {
                     return Ok(());
                 }
                 self.message_came((sender, from.session, node), &bytes)?;
--- a/crates/contracts/src/transport/world.rs
+++ b/crates/contracts/src/transport/world.rs
@@ -17,7 +17,6 @@
     pub rig: &'r mut R,
     pub book: Book,
     pub promise: Promise,
-    sessions: u64,
     running: BTreeMap<usize, Session>,
     started: BTreeMap<usize, BTreeSet<Session>>,
     /// A node that is not polled.
@@ -27,13 +26,13 @@
 impl<'r, R: Rig> World<'r, R> {
     pub fn new(rig: &'r mut R) -> Self {
         // The promise is asked of an end, so one is started for it.
-        rig.start(0, Session(1));
+        let session = rig.start(0);
         let mut promise = Promise { kind: Kind::Datagram, largest: 0, waiting: 0 };
         rig.at(0, &mut |end, _| promise = end.promise());
         rig.kill(0);
-        let book = Book::new(promise.kind, Session(2));
-        let started = BTreeMap::from([(0, BTreeSet::from([Session(1)]))]);
-        Self { rig, book, promise, sessions: 1, running: BTreeMap::new(), started, stalled: None }
+        let book = Book::new(promise.kind);
+        let started = BTreeMap::from([(0, BTreeSet::from([session]))]);
+        Self { rig, book, promise, running: BTreeMap::new(), started, stalled: None }
     }
 
     pub fn stream(&self) -> bool {
@@ -45,7 +44,7 @@
         for node in 0..self.rig.nodes() {
             self.kill(node);
         }
-        self.book = Book::new(self.promise.kind, Session(self.sessions + 1));
+        self.book = Book::new(self.promise.kind);
         self.stalled = None;
         for &node in nodes {
             self.start(node);
@@ -53,9 +52,8 @@
     }
 
     pub fn start(&mut self, node: usize) {
-        self.sessions += 1;
-        let session = Session(self.sessions);
-        self.rig.start(node, session);
+        let session = self.rig.start(node);
+        self.book.began(node, session);
         self.running.insert(node, session);
         self.started.entry(node).or_default().insert(session);
     }
--- a/crates/contracts/tests/memory/mod.rs
+++ b/crates/contracts/tests/memory/mod.rs
@@ -67,6 +67,7 @@
 pub struct Memory {
     hub: Rc<RefCell<Hub>>,
     ends: BTreeMap<usize, End>,
+    sessions: u64,
 }
 
 impl Memory {
@@ -80,7 +81,7 @@
             broken: false,
             delivered: 0,
         };
-        Self { hub: Rc::new(RefCell::new(hub)), ends: BTreeMap::new() }
+        Self { hub: Rc::new(RefCell::new(hub)), ends: BTreeMap::new(), sessions: 0 }
     }
 }
 
@@ -243,7 +244,9 @@
         4
     }
 
-    fn start(&mut self, node: usize, session: Session) {
+    fn start(&mut self, node: usize) -> Session {
+        self.sessions += 1;
+        let session = Session(self.sessions);
         let me = Peer { name: name_of(node), session };
         let fresh = Node {
             me: me.clone(),
@@ -254,6 +257,7 @@
         };
         self.hub.borrow_mut().nodes.insert(me.name.clone(), fresh);
         self.ends.insert(node, End { me, hub: self.hub.clone() });
+        session
     }
 
     fn kill(&mut self, node: usize) {
--- a/crates/contracts/tests/sockets/mod.rs
+++ b/crates/contracts/tests/sockets/mod.rs
@@ -32,6 +32,7 @@
 /// UDP, with a relay where there is a link to put on every way.
 pub struct Datagrams {
     origin: Instant,
+    sessions: u64,
     relay: Option<(Relay, Link)>,
     ends: BTreeMap<usize, Udp>,
     at: BTreeMap<usize, SocketAddr>,
@@ -46,7 +47,7 @@
             relay.set_all(link);
             (relay, link)
         });
-        Self { origin: Instant::now(), relay, ends: BTreeMap::new(), at: BTreeMap::new() }
+        Self { origin: Instant::now(), sessions: 0, relay, ends: BTreeMap::new(), at: BTreeMap::new() }
     }
 
     /// Datagrams that the relay passed and dropped.
@@ -65,7 +66,9 @@
         Self::NODES
     }
 
-    fn start(&mut self, node: usize, session: Session) {
+    fn start(&mut self, node: usize) -> Session {
+        self.sessions += 1;
+        let session = Session(self.sessions);
         let me = Peer { name: name_of(node), session };
         let mut end = Udp::bind(me, fleet(false), any()).expect("a port");
         let own = end.address().expect("bound");
@@ -81,6 +84,7 @@
             assert!(other.set_peer(name_of(node), way));
         }
         self.ends.insert(node, end);
+        session
     }
 
     fn kill(&mut self, node: usize) {
@@ -135,6 +139,7 @@
 /// Framed TCP, with a relay where there is a link to put on every way.
 pub struct Frames {
     origin: Instant,
+    sessions: u64,
     settings: Settings,
     relay: Option<(Streams, Stream)>,
     ends: BTreeMap<usize, Tcp>,
@@ -170,6 +175,7 @@
         }
         Self {
             origin: Instant::now(),
+            sessions: 0,
             settings,
             relay,
             ends: BTreeMap::new(),
@@ -194,7 +200,9 @@
         Self::NODES
     }
 
-    fn start(&mut self, node: usize, session: Session) {
+    fn start(&mut self, node: usize) -> Session {
+        self.sessions += 1;
+        let session = Session(self.sessions);
         self.ghosts.clear();
         let me = Peer { name: name_of(node), session };
         let mut end = Tcp::bind(me, fleet(false), any(), self.settings.clone()).expect("a port");
@@ -210,6 +218,7 @@
             assert!(other.set_peer(name_of(node), way));
         }
         self.ends.insert(node, end);
+        session
     }
 
     fn kill(&mut self, node: usize) {
