--- a/crates/contracts/src/relay/streams.rs
+++ b/crates/contracts/src/relay/streams.rs
@@ -10,7 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, Notify};
 use tokio::time::{sleep, sleep_until, Instant};
@@ -189,24 +189,23 @@
         }
     }
 
-    async fn connection(self: Arc<Self>, way: (usize, usize), dialler: TcpStream) {
+    async fn connection(self: Arc<Self>, way: (usize, usize), mut dialler: TcpStream) {
         let resets = self.resets(way);
         let back = self.state().backs.get(&way.1).copied();
         let listener = match back.filter(|_| !self.link(way).refused) {
             Some(back) => TcpStream::connect(back).await.ok(),
             None => None,
         };
-        let Some(listener) = listener else {
+        let Some(mut listener) = listener else {
             self.state().broken += 1;
             abort(dialler);
             return;
         };
         self.state().connections += 1;
         let _ = (dialler.set_nodelay(true), listener.set_nodelay(true));
-        // Kept to reset the sockets at the end, whatever the halves are doing.
-        let both = [&dialler, &listener].map(|s| socket2::SockRef::from(s).try_clone());
-        let (from_dialler, to_dialler) = dialler.into_split();
-        let (from_listener, to_listener) = listener.into_split();
+        // Borrowed halves: an owned one says the end of its way when it is dropped, before any reset.
+        let (from_dialler, to_dialler) = dialler.split();
+        let (from_listener, to_listener) = listener.split();
         let back_way = (way.1, way.0);
         let broken = tokio::select! {
             ends = async { tokio::try_join!(
@@ -217,9 +216,8 @@
         };
         if broken {
             self.state().broken += 1;
-            for socket in both.into_iter().flatten() {
-                let _ = socket.set_linger(Some(Duration::ZERO));
-            }
+            abort(dialler);
+            abort(listener);
         }
     }
 
@@ -239,8 +237,8 @@
     async fn pass(
         &self,
         way: (usize, usize),
-        mut from: OwnedReadHalf,
-        mut to: OwnedWriteHalf,
+        mut from: ReadHalf<'_>,
+        mut to: WriteHalf<'_>,
     ) -> io::Result<()> {
         let (push, mut pull) = mpsc::channel::<(Instant, Vec<u8>)>(PIECES);
         let read = async move {
--- a/crates/transport/src/tcp/mod.rs
+++ b/crates/transport/src/tcp/mod.rs
@@ -86,6 +86,34 @@
     }
 }
 
+impl Settings {
+    /// Whether an end can work by these.
+    ///
+    /// # Errors
+    /// Which setting can't be, and why.
+    pub fn check(&self) -> Result<(), &'static str> {
+        let sizes = [self.largest, self.waiting, self.window, self.inbox, self.outbound, self.inbound];
+        if sizes.contains(&0) {
+            return Err("a bound of zero lets nothing pass");
+        }
+        if self.waiting_bytes < self.largest || self.inbox_bytes < self.largest {
+            return Err("the bytes that may wait must hold the largest message");
+        }
+        if self.largest > u32::MAX as usize / 2 {
+            return Err("the largest message must fit the four bytes of a frame's length");
+        }
+        if self.heartbeat.is_zero() || self.heartbeat * 2 > self.dead_after {
+            return Err(
+                "a connection must be given at least two signs of life before it is taken for broken",
+            );
+        }
+        if self.backoff.is_zero() || self.backoff > self.backoff_most {
+            return Err("the first wait before a new attempt must be above zero and not above the longest");
+        }
+        Ok(())
+    }
+}
+
 /// One node's end of streams over TCP. Dropping it closes every connection at once, what waits included.
 pub struct Tcp {
     shared: Arc<Shared>,
@@ -98,8 +126,9 @@
     /// Binds a listener (port 0 takes any that is free) and starts the thread.
     ///
     /// # Errors
-    /// The address can't be bound, or no thread or runtime can be had.
+    /// The settings can't work ([`Settings::check`]), the address can't be bound, or no thread or runtime can be had.
     pub fn bind(me: Peer, fleet: Fleet, at: SocketAddr, settings: Settings) -> io::Result<Self> {
+        settings.check().map_err(|why| io::Error::new(io::ErrorKind::InvalidInput, why))?;
         let listener = TcpListener::bind(at)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
--- a/crates/transport/src/udp.rs
+++ b/crates/transport/src/udp.rs
@@ -21,6 +21,9 @@
 /// Datagrams that wait for one peer while the socket takes none: 90 KB, what a socket's own buffer holds again.
 const WAITING: usize = 64;
 
+/// And for all peers together: 1.4 MB.
+const WAITING_ALL: usize = 1024;
+
 /// What was counted since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -45,6 +48,8 @@
     fleet: Fleet,
     socket: UdpSocket,
     peers: BTreeMap<Name, Known>,
+    /// Datagrams that wait, for all peers.
+    waiting: usize,
     sessions: Sessions,
     /// The message behind the `Met` that was just told.
     next: Option<Event>,
@@ -65,6 +70,7 @@
             fleet,
             socket,
             peers: BTreeMap::new(),
+            waiting: 0,
             sessions: Sessions::default(),
             next: None,
             // One byte more than may come, so that what is longer is seen to be.
@@ -96,7 +102,9 @@
 
     /// No messages go to `name` any more.
     pub fn forget_peer(&mut self, name: &Name) {
-        self.peers.remove(name);
+        if let Some(known) = self.peers.remove(name) {
+            self.waiting -= known.waiting.len();
+        }
     }
 
     /// What was counted since the start.
@@ -112,6 +120,7 @@
                     return;
                 }
                 known.waiting.pop_front();
+                self.waiting -= 1;
             }
         }
     }
@@ -180,7 +189,7 @@
             return Err(SendError::TooLarge { size: message.len(), most: LARGEST });
         }
         let known = self.peers.get_mut(to).ok_or_else(|| SendError::Unknown(to.clone()))?;
-        if known.waiting.len() >= WAITING {
+        if known.waiting.len() >= WAITING || self.waiting >= WAITING_ALL {
             return Err(SendError::Full { to: to.clone(), most: WAITING });
         }
         let head = Head {
@@ -193,6 +202,7 @@
         let wire = envelope::encode(&head, message);
         if !known.waiting.is_empty() || !hand_over(&self.socket, &mut self.counts, &wire, known.address) {
             known.waiting.push_back(wire);
+            self.waiting += 1;
         }
         Ok(())
     }
