--- a/crates/ledger/src/disk.rs
+++ b/crates/ledger/src/disk.rs
@@ -1,130 +1,12 @@
-//! What a ledger needs of a disk, and the one that the operating system has. Faults are injected behind this seam.
+//! Whose directory a ledger's is. The disk itself, its lock and the one that is simulated are the store's.
 
-use std::fs::{File, OpenOptions, TryLockError};
-use std::io::{self, ErrorKind, Read, Seek, SeekFrom, Write};
-use std::path::{Path, PathBuf};
+use std::fs::File;
+use std::io::{self, ErrorKind, Write};
+use std::path::Path;
 
-use crate::segment::{Identity, Owner};
-
-/// A directory of files that only grow.
-pub trait Disk {
-    /// A file that is open for writing.
-    type File;
-
-    /// Makes a file that is not there yet.
-    ///
-    /// # Errors
-    /// The system's.
-    fn create(&mut self, name: &str) -> io::Result<Self::File>;
-
-    /// Adds bytes at the end; how many of them, at least one.
-    ///
-    /// # Errors
-    /// The system's: no space, no such device, read-only.
-    fn append(&mut self, file: &mut Self::File, bytes: &[u8]) -> io::Result<usize>;
-
-    /// Waits until what the file holds would survive a loss of power.
-    ///
-    /// # Errors
-    /// The system's. After one nothing is known of what was written since the last sync, and asking again proves nothing.
-    fn sync(&mut self, file: &mut Self::File) -> io::Result<()>;
-
-    /// The same for the names in the directory.
-    ///
-    /// # Errors
-    /// The system's.
-    fn sync_names(&mut self) -> io::Result<()>;
-
-    /// The names in the directory.
-    ///
-    /// # Errors
-    /// The system's.
-    fn names(&mut self) -> io::Result<Vec<String>>;
-
-    /// Bytes of a file from a place on; none at its end.
-    ///
-    /// # Errors
-    /// The system's.
-    fn read(&mut self, name: &str, from: u64, to: &mut [u8]) -> io::Result<usize>;
-
-    /// Removes a file.
-    ///
-    /// # Errors
-    /// The system's.
-    fn remove(&mut self, name: &str) -> io::Result<()>;
-}
-
-/// A directory of the operating system's.
-#[derive(Debug)]
-pub struct Folder {
-    path: PathBuf,
-    /// The file that was read last, kept open for the next piece of it.
-    reads: Option<(String, File)>,
-}
-
-impl Folder {
-    /// A directory that should be there.
-    pub fn new(path: impl Into<PathBuf>) -> Self {
-        Self { path: path.into(), reads: None }
-    }
-}
-
-impl Disk for Folder {
-    type File = File;
+pub use magpietally_store::disk::{Disk, Folder, Lock};
 
-    fn create(&mut self, name: &str) -> io::Result<File> {
-        OpenOptions::new().append(true).create_new(true).open(self.path.join(name))
-    }
-
-    fn append(&mut self, file: &mut File, bytes: &[u8]) -> io::Result<usize> {
-        loop {
-            match file.write(bytes) {
-                Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                other => return other,
-            }
-        }
-    }
-
-    fn sync(&mut self, file: &mut File) -> io::Result<()> {
-        file.sync_data()
-    }
-
-    fn sync_names(&mut self) -> io::Result<()> {
-        File::open(&self.path)?.sync_all()
-    }
-
-    fn names(&mut self) -> io::Result<Vec<String>> {
-        let mut names = Vec::new();
-        for entry in std::fs::read_dir(&self.path)? {
-            // A name that is no text is none of ours.
-            names.extend(entry?.file_name().into_string());
-        }
-        Ok(names)
-    }
-
-    fn read(&mut self, name: &str, from: u64, to: &mut [u8]) -> io::Result<usize> {
-        let mut file = match self.reads.take() {
-            Some((open, file)) if open == name => file,
-            _ => File::open(self.path.join(name))?,
-        };
-        file.seek(SeekFrom::Start(from))?;
-        let count = file.read(to)?;
-        self.reads = Some((name.to_string(), file));
-        Ok(count)
-    }
-
-    fn remove(&mut self, name: &str) -> io::Result<()> {
-        std::fs::remove_file(self.path.join(name))
-    }
-}
-
-/// The right to write in a directory. It ends with the process, however that ends: a lock file that was left behind is
-/// locked by nobody.
-#[derive(Debug)]
-pub struct Lock {
-    _file: File,
-}
+use crate::segment::{Identity, Owner};
 
 /// Why a directory can't be had.
 #[derive(Debug)]
@@ -154,34 +36,17 @@
 
 impl std::error::Error for Refused {}
 
-const LOCK: &str = "lock";
-const IDENTITY: &str = "identity";
-
-impl Lock {
-    /// Takes the lock.
-    ///
-    /// # Errors
-    /// [`Refused::Held`] with what the holder wrote of itself; the system's word else.
-    pub fn take(folder: &Path) -> Result<Self, Refused> {
-        let path = folder.join(LOCK);
-        let open = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&path);
-        // On a disk that can only be read the lock of earlier is as good.
-        let mut file = open.or_else(|_| File::open(&path)).map_err(|e| Refused::Io(LOCK, e))?;
-        match file.try_lock() {
-            Ok(()) => {}
-            Err(TryLockError::WouldBlock) => {
-                let by = std::fs::read_to_string(&path).unwrap_or_default();
-                let by = by.trim();
-                return Err(Refused::Held(if by.is_empty() { "another process".into() } else { by.into() }));
-            }
-            Err(TryLockError::Error(error)) => return Err(Refused::Io(LOCK, error)),
+impl From<magpietally_store::disk::Refused> for Refused {
+    fn from(why: magpietally_store::disk::Refused) -> Self {
+        match why {
+            magpietally_store::disk::Refused::Held(by) => Self::Held(by),
+            magpietally_store::disk::Refused::Io(what, error) => Self::Io(what, error),
         }
-        // For people; what counts is the lock itself, so a full disk is no reason to go without.
-        let _ = file.set_len(0).and_then(|()| writeln!(file, "process {}", std::process::id()));
-        Ok(Self { _file: file })
     }
 }
 
+const IDENTITY: &str = "identity";
+
 /// Whose directory it is: read, or drawn where there is none yet.
 ///
 /// # Errors
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -18,10 +18,11 @@
 pub mod scan;
 pub mod segment;
 pub mod settings;
-pub mod sim;
 pub mod truth;
 pub mod writer;
 
+pub use magpietally_store::sim;
+
 pub use guard::{Right, Trouble, Why};
 pub use record::{How, KeyDigest, Told};
 pub use writer::{Draft, Ledger, Options, Pending, Running};
--- a/crates/ledger/src/writer.rs
+++ b/crates/ledger/src/writer.rs
@@ -168,7 +168,7 @@
     pub fn start(node: &str, options: Options) -> Result<(Self, Running, Recovered), StartError> {
         let folder = &options.directory;
         std::fs::create_dir_all(folder).map_err(|e| StartError::Io("directory", e))?;
-        let lock = Lock::take(folder).map_err(StartError::Refused)?;
+        let lock = Lock::take(folder).map_err(|why| StartError::Refused(why.into()))?;
         let owner = identity(folder, node).map_err(StartError::Refused)?;
         let opened = Journal::open(Folder::new(folder), owner, options.keeping);
         let (journal, recovered) = opened.map_err(|e| StartError::Io("directory", e))?;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,8 +4,19 @@
 //! What was synced is there after any crash; what was not may be there, in part, never altered: a torn tail is found at
 //! the next opening and cut. What every store must hold is written down in `crates/contracts`.
 //!
-//! Central types: [`Store`], [`Seq`], [`Recovered`], [`StoreError`].
+//! [`Log`] keeps it on a [`disk::Disk`], which is a directory or, in tests, the simulated [`sim::SimDisk`]; [`Memory`] keeps
+//! it for as long as the process lives. The ledger stands on the same disk.
+//!
+//! Central types: [`Store`], [`Log`], [`Seq`], [`Recovered`], [`StoreError`].
 
+pub mod disk;
+mod frame;
+mod log;
+mod memory;
+mod recover;
+pub mod sim;
 mod store;
 
+pub use log::{Log, SEGMENT_BYTES};
+pub use memory::{Memory, Shelf};
 pub use store::{Cut, Recovered, Seq, Store, StoreError, RECORD_MAX};
--- a/crates/ledger/src/sim.rs
+++ b/crates/store/src/sim.rs
@@ -1,11 +1,11 @@
 //! A simulated disk: it fails when told to, keeps the course of all that was done to it, and makes of any point of that
-//! course what a crash there may leave behind. Files only grow, as a ledger's do.
+//! course what a crash there may leave behind. Files only grow, as a ledger's and a store's do.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use crate::disk::Disk;
+use crate::disk::{Disk, Refused};
 
 /// Bytes of a page: what reaches the disk whole or not at all. Small, so that small files have many.
 pub const PAGE: usize = 64;
@@ -50,6 +50,10 @@
     fails: Vec<(std::ops::Range<usize>, Trouble)>,
     /// Makes each call last, to play a slow disk.
     pause: std::time::Duration,
+    /// Somebody writes here.
+    locked: bool,
+    /// There is no such directory.
+    missing: bool,
 }
 
 /// The disk; clones share it.
@@ -80,6 +84,7 @@
     pub fn repair(&self) {
         let mut state = self.state();
         state.fails.clear();
+        state.missing = false;
         state.pause = std::time::Duration::ZERO;
     }
 
@@ -88,6 +93,11 @@
         self.state().pause = pause;
     }
 
+    /// Takes the directory away until the repair.
+    pub fn vanish(&self) {
+        self.state().missing = true;
+    }
+
     /// Notes that something was promised.
     pub fn mark(&self, what: usize) {
         self.state().ops.push(Op::Mark(what));
@@ -132,8 +142,30 @@
     }
 }
 
+/// The right to write to a simulated disk.
+#[derive(Debug)]
+pub struct SimLock(SimDisk);
+
+impl Drop for SimLock {
+    fn drop(&mut self) {
+        self.0.state().locked = false;
+    }
+}
+
 impl Disk for SimDisk {
     type File = SimFile;
+    type Lock = SimLock;
+
+    fn lock(&mut self) -> Result<SimLock, Refused> {
+        let mut state = self.state();
+        if state.missing {
+            return Err(Refused::Io("lock", io::ErrorKind::NotFound.into()));
+        }
+        if std::mem::replace(&mut state.locked, true) {
+            return Err(Refused::Held("another process".into()));
+        }
+        Ok(SimLock(self.clone()))
+    }
 
     fn create(&mut self, name: &str) -> io::Result<SimFile> {
         if let Some(trouble) = self.call().filter(|t| *t != Trouble::Short) {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -48,6 +48,8 @@
     Missing(String),
     /// Another process has it open.
     Held(String),
+    /// It is the store of another owner, named here.
+    OtherOwner(String),
     /// What was synced once is damaged (a flipped bit, a missing file): the store does not open, and says where.
     Damaged {
         /// In which file.
@@ -71,6 +73,7 @@
             Self::ReadOnly => write!(f, "the store can only be read"),
             Self::Missing(path) => write!(f, "{path}: there is no such directory"),
             Self::Held(by) => write!(f, "the store is held by {by}"),
+            Self::OtherOwner(name) => write!(f, "this is the store of {name}"),
             Self::Damaged { file, at, what } => write!(f, "{file}: byte {at}: {what}"),
             Self::Doubted(why) => write!(f, "the store must be opened again: {why}"),
             Self::Io(what, error) => write!(f, "{what}: {error}"),
