--- a/crates/store/src/sim.rs
+++ b/crates/store/src/sim.rs
@@ -54,6 +54,8 @@
     locked: bool,
     /// There is no such directory.
     missing: bool,
+    /// How many bytes more there is space for; as many as one likes where it is none.
+    room: Option<usize>,
 }
 
 /// The disk; clones share it.
@@ -85,6 +87,7 @@
         let mut state = self.state();
         state.fails.clear();
         state.missing = false;
+        state.room = None;
         state.pause = std::time::Duration::ZERO;
     }
 
@@ -93,6 +96,12 @@
         self.state().pause = pause;
     }
 
+    /// Leaves space for so many bytes, until the repair. Other than with [`Trouble::NoSpace`] a write does what it can, and
+    /// syncs and removals are done, as on a disk of the system's.
+    pub fn limit(&self, bytes: usize) {
+        self.state().room = Some(bytes);
+    }
+
     /// Takes the directory away until the repair.
     pub fn vanish(&self) {
         self.state().missing = true;
@@ -188,6 +197,12 @@
             Some(Trouble::Io | Trouble::Short) => bytes.len().div_ceil(2),
         };
         let mut state = self.state();
+        let room = state.room.unwrap_or(usize::MAX);
+        if room == 0 && trouble.is_none() {
+            return Err(error(Trouble::NoSpace));
+        }
+        let count = count.min(room);
+        state.room = state.room.map(|room| room - count);
         let Some(content) = state.files.get_mut(&file.0) else {
             return Err(io::ErrorKind::NotFound.into());
         };
