--- a/crates/ledger/src/sim.rs
+++ b/crates/store/src/sim.rs
@@ -1,11 +1,11 @@
 //! A simulated disk: it fails when told to, keeps the course of all that was done to it, and makes of any point of that
-//! course what a crash there may leave behind. Files only grow, as a ledger's do.
+//! course what a crash there may leave behind. Files only grow, as a ledger's and a store's do.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use crate::disk::Disk;
+use crate::disk::{Disk, Refused};
 
 /// Bytes of a page: what reaches the disk whole or not at all. Small, so that small files have many.
 pub const PAGE: usize = 64;
@@ -50,6 +50,12 @@
     fails: Vec<(std::ops::Range<usize>, Trouble)>,
     /// Makes each call last, to play a slow disk.
     pause: std::time::Duration,
+    /// Somebody writes here.
+    locked: bool,
+    /// There is no such directory.
+    missing: bool,
+    /// How many bytes more there is space for; as many as one likes where it is none.
+    room: Option<usize>,
 }
 
 /// The disk; clones share it.
@@ -80,6 +86,8 @@
     pub fn repair(&self) {
         let mut state = self.state();
         state.fails.clear();
+        state.missing = false;
+        state.room = None;
         state.pause = std::time::Duration::ZERO;
     }
 
@@ -88,6 +96,17 @@
         self.state().pause = pause;
     }
 
+    /// Leaves space for so many bytes, until the repair. Other than with [`Trouble::NoSpace`] a write does what it can, and
+    /// syncs and removals are done, as on a disk of the system's.
+    pub fn limit(&self, bytes: usize) {
+        self.state().room = Some(bytes);
+    }
+
+    /// Takes the directory away until the repair.
+    pub fn vanish(&self) {
+        self.state().missing = true;
+    }
+
     /// Notes that something was promised.
     pub fn mark(&self, what: usize) {
         self.state().ops.push(Op::Mark(what));
@@ -132,8 +151,30 @@
     }
 }
 
+/// The right to write to a simulated disk.
+#[derive(Debug)]
+pub struct SimLock(SimDisk);
+
+impl Drop for SimLock {
+    fn drop(&mut self) {
+        self.0.state().locked = false;
+    }
+}
+
 impl Disk for SimDisk {
     type File = SimFile;
+    type Lock = SimLock;
+
+    fn lock(&mut self) -> Result<SimLock, Refused> {
+        let mut state = self.state();
+        if state.missing {
+            return Err(Refused::Io("lock", io::ErrorKind::NotFound.into()));
+        }
+        if std::mem::replace(&mut state.locked, true) {
+            return Err(Refused::Held("another process".into()));
+        }
+        Ok(SimLock(self.clone()))
+    }
 
     fn create(&mut self, name: &str) -> io::Result<SimFile> {
         if let Some(trouble) = self.call().filter(|t| *t != Trouble::Short) {
@@ -156,6 +197,12 @@
             Some(Trouble::Io | Trouble::Short) => bytes.len().div_ceil(2),
         };
         let mut state = self.state();
+        let room = state.room.unwrap_or(usize::MAX);
+        if room == 0 && trouble.is_none() {
+            return Err(error(Trouble::NoSpace));
+        }
+        let count = count.min(room);
+        state.room = state.room.map(|room| room - count);
         let Some(content) = state.files.get_mut(&file.0) else {
             return Err(io::ErrorKind::NotFound.into());
         };
