Quotas a tenant over all nodes: parts of a million leased from the log, spent without a message

A tenant's quota held by each node alone lets N nodes admit N times as much; an equal split leaves most of it unused. The log's state divides every pool by demand, one number a node; buckets begin empty and are filled by time alone.

--- /dev/null
+++ b/crates/quota/examples/measure.rs
@@ -0,0 +1,149 @@
+//! What a quota costs and how much of it is used: `cargo run --release -p magpietally-quota --example measure`.
+//!
+//! Sizes as arguments; without any 10, 100 and 500. One table: use and bytes in virtual time, nanoseconds by this
+//! machine's clock.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use magpietally_consensus::{Proposal, Topic};
+use magpietally_quota::check::{check, Fault, What};
+use magpietally_quota::sim::Sim;
+use magpietally_quota::{Policy, Settings, Tenant, Verdict};
+
+const S: Duration = Duration::from_secs(1);
+const TENANTS: usize = 16;
+/// Tokens a second and a tenant, each node; demand is three times the quota.
+const PER_NODE: u64 = 20;
+
+fn name(t: usize) -> String {
+    format!("club-{t}")
+}
+
+fn policy(tenants: usize, nodes: usize, share: u64) -> Policy {
+    let rate = PER_NODE * nodes as u64;
+    let tenant = |t| Tenant {
+        name: name(t),
+        rate_milli: rate * 1000 / share,
+        burst: (2 * rate / share).max(1),
+        ..Tenant::default()
+    };
+    Policy { version: 1, tenants: (0..tenants).map(tenant).collect() }
+}
+
+/// Demand three times the quota: every tenant's falls on a third of the nodes (hot there), all of it.
+fn demand(sim: &mut Sim, nodes: usize, tenants: usize, spread: bool) {
+    sim.demand.clear();
+    let rate = 3.0 * (PER_NODE * nodes as u64) as f64;
+    for t in 0..tenants {
+        if spread {
+            sim.ask(0..nodes, &name(t), "lookup", rate);
+        } else {
+            let third = (nodes / 3).max(1);
+            let from = (t * third) % nodes;
+            sim.ask(from..(from + third).min(nodes), &name(t), "lookup", rate);
+        }
+    }
+}
+
+/// One bucket a node and no log: what an equal split (`share` = nodes) or each node alone (1) admits, as a share of
+/// the quota. By count: each node is asked for `asked` a second and has `has`.
+fn unshared(nodes: usize, spread: bool, share: f64) -> f64 {
+    let quota = (PER_NODE * nodes as u64) as f64;
+    let busy = if spread { nodes } else { (nodes / 3).max(1) } as f64;
+    busy * (3.0 * quota / busy).min(quota / share) / quota
+}
+
+struct Fleet {
+    used: f64,
+    moved: f64,
+    sent: f64,
+    learnt: f64,
+    entries: f64,
+    over: usize,
+}
+
+fn fleet(nodes: usize, tenants: usize, spread: bool) -> Fleet {
+    let mut sim = Sim::new(1, nodes, &policy(tenants, nodes, 1), Settings::default());
+    sim.refusals = false;
+    demand(&mut sim, nodes, tenants, spread);
+    sim.run(8 * S);
+    let (from, first) = (sim.model.now(), sim.model.log().len());
+    let secs = 10;
+    sim.run(secs * S);
+    let quota = (PER_NODE * nodes as u64 * tenants as u64) as f64;
+    let used = sim.admitted(from) as f64 / quota / f64::from(secs);
+    let log = &sim.model.log()[first..];
+    let size = |p: &Proposal| postcard::to_stdvec(p).map_or(0, |b| b.len());
+    let sent: usize = log.iter().map(|d| size(&d.proposal)).sum();
+    let learnt: usize = log.iter().map(|d| postcard::to_stdvec(d).map_or(0, |b| b.len())).sum();
+    assert!(log.iter().all(|d| d.proposal.topic == Topic::Quota));
+    let entries = log.len() as f64 / f64::from(secs);
+    // All demand moves by one node along.
+    if !spread {
+        for d in &mut sim.demand {
+            d.node = (d.node + nodes / 2) % nodes;
+        }
+    }
+    sim.run(2 * S);
+    let from = sim.model.now();
+    sim.run(2 * S);
+    let moved = sim.admitted(from) as f64 / quota / 2.0;
+    let over = check(&sim.records).iter().filter(|f| matches!(f, Fault::Over { .. })).count();
+    assert!(sim.records.iter().any(|r| matches!(r.what, What::Admitted { .. })));
+    let each = f64::from(secs) * nodes as f64;
+    Fleet { used, moved, sent: sent as f64 / each, learnt: learnt as f64 / f64::from(secs), entries, over }
+}
+
+/// Nanoseconds a decision: one of `tenants` tenants after the other, half admitted or so.
+fn nanos(tenants: usize, key: bool) -> (f64, f64) {
+    let mut sim = Sim::new(1, 1, &policy(tenants, 10, 1), Settings { term: 600 * S, reserve: 600 * S });
+    sim.refusals = false;
+    for t in 0..tenants {
+        sim.ask(0..1, &name(t), "lookup", 2.0);
+    }
+    sim.run(3 * S);
+    let names: Vec<String> = (0..tenants).map(name).collect();
+    let Some((q, now)) = sim.model.machine(0) else { return (0.0, 0.0) };
+    let (rounds, mut admitted, mut at) = (2_000_000u64, 0u64, now.boot);
+    let begun = Instant::now();
+    for n in 0..rounds {
+        at += Duration::from_nanos(2_500_000 / tenants as u64);
+        let tenant = &names[n as usize % tenants];
+        let spent = q.spend(black_box(at), black_box(tenant), "lookup", key.then_some(n));
+        admitted += u64::from(spent.verdict == Verdict::Admitted);
+    }
+    (begun.elapsed().as_nanos() as f64 / rounds as f64, admitted as f64 / rounds as f64)
+}
+
+fn main() {
+    let sizes: Vec<usize> = std::env::args().skip(1).filter_map(|a| a.parse().ok()).collect();
+    let sizes = if sizes.is_empty() { vec![10, 100, 500] } else { sizes };
+    println!("| nodes | demand | used | used 2 s after a move | times over | equal split | each node alone | entries a second | bytes a node proposes a second | bytes a node learns a second |");
+    println!("| ---: | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |");
+    for nodes in sizes {
+        // At 500 every entry is applied by every node in turn: fewer tenants keep a run within minutes.
+        let tenants = if nodes > 100 { TENANTS / 4 } else { TENANTS };
+        for spread in [true, false] {
+            let f = fleet(nodes, tenants, spread);
+            let on = if spread { "on all nodes" } else { "on a third" };
+            let moved = if spread { "-".to_owned() } else { format!("{:.1}%", 100.0 * f.moved) };
+            println!(
+                "| {nodes} | {tenants} tenants, {on} | {:.1}% | {moved} | {} | {:.1}% | {:.0}% | {:.1} | {:.1} | {:.0} |",
+                100.0 * f.used,
+                f.over,
+                100.0 * unshared(nodes, spread, nodes as f64),
+                100.0 * unshared(nodes, spread, 1.0),
+                f.entries,
+                f.sent,
+                f.learnt,
+            );
+        }
+    }
+    println!("\n| decision | nanoseconds | admitted |\n| --- | ---: | ---: |");
+    for (tenants, key) in [(1, false), (1024, false), (1024, true)] {
+        let (ns, admitted) = nanos(tenants, key);
+        let with = if key { ", each with a key" } else { "" };
+        println!("| {tenants} tenants{with} | {ns:.0} | {:.0}% |", 100.0 * admitted);
+    }
+}
--- /dev/null
+++ b/crates/quota/src/division.rs
@@ -0,0 +1,107 @@
+//! How a pool is divided: parts of a million, by demand.
+
+/// The whole of a pool, in the unit of parts.
+pub const UNIT: u32 = 1_000_000;
+/// What of every pool's rate is set aside for the nodes in advance, in parts of a million: what no demand can call for is
+/// lost where only some nodes are asked, so it is small; with it and the slowed clock 96% remain for a single busy node.
+pub const RATE_RESERVE: u64 = 30_000;
+/// What of every pool's burst is set aside in advance. A bucket that holds less than a request costs serves nobody, so
+/// this is more than of the rate; the burst that is lost thereby is only a matter of how high a single peak may be.
+pub const CAP_RESERVE: u64 = 200_000;
+
+/// A node's part of one pool: by demand, and set aside in advance; both in parts of a million.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Share {
+    /// By demand.
+    pub main: u32,
+    /// Set aside in advance.
+    pub reserve: u32,
+}
+
+impl Share {
+    fn of(self, whole: u64, reserve: u64) -> u64 {
+        let unit = u64::from(UNIT);
+        let parts = u64::from(self.main) * (unit - reserve) + u64::from(self.reserve) * reserve;
+        // Rounded down: the sum over all nodes stays within the whole.
+        (u128::from(whole) * u128::from(parts) / (u128::from(unit) * u128::from(unit))) as u64
+    }
+
+    /// Its part of a rate.
+    pub fn rate(self, whole: u64) -> u64 {
+        self.of(whole, RATE_RESERVE)
+    }
+
+    /// Its part of a burst.
+    pub fn cap(self, whole: u64) -> u64 {
+        self.of(whole, CAP_RESERVE)
+    }
+}
+
+/// One holder's claim on a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Claim {
+    /// Demand, in parts of a million of the pool's rate, at most [`UNIT`].
+    pub want: u32,
+    /// Less than this serves nobody.
+    pub least: u32,
+    /// What it has.
+    pub held: u32,
+}
+
+/// What each claim should have: a fair share by demand (nobody gets more than it wants while another wants for some);
+/// what is left over goes to all in proportion, for demand that grows. Where the pool is too small for so many, those
+/// that hold some come first, then those that want most.
+pub(crate) fn targets(claims: &[Claim]) -> Vec<u32> {
+    let mut out = vec![0; claims.len()];
+    let mut who: Vec<usize> = (0..claims.len()).filter(|&i| claims[i].want > 0).collect();
+    let Some(least) = who.iter().map(|&i| claims[i].least).max() else { return out };
+    let least = least.clamp(1, UNIT);
+    let fit = (UNIT / least) as usize;
+    if who.len() > fit {
+        who.sort_by_key(|&i| (std::cmp::Reverse((claims[i].held, claims[i].want)), i));
+        who.truncate(fit);
+    }
+    let want = |i: usize| u64::from(claims[i].want.max(least).min(UNIT));
+    who.sort_by_key(|&i| (want(i), i));
+    let sum: u64 = who.iter().map(|&i| want(i)).sum();
+    let mut left = u64::from(UNIT);
+    if sum <= left {
+        for &i in &who {
+            out[i] = (want(i) * left / sum) as u32;
+        }
+        return out;
+    }
+    for (n, &i) in who.iter().enumerate() {
+        let part = want(i).min(left / (who.len() - n) as u64);
+        out[i] = part as u32;
+        left -= part;
+    }
+    out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn claim(want: u32) -> Claim {
+        Claim { want, least: 1, held: 0 }
+    }
+
+    #[test]
+    fn nobody_gets_more_than_it_wants_while_another_wants_for_some() {
+        let t = targets(&[claim(100_000), claim(UNIT), claim(900_000), claim(0)]);
+        assert_eq!(t, [100_000, 450_000, 450_000, 0]);
+    }
+
+    #[test]
+    fn what_is_left_over_goes_to_all_in_proportion() {
+        assert_eq!(targets(&[claim(100_000), claim(300_000)]), [250_000, 750_000]);
+    }
+
+    #[test]
+    fn a_pool_too_small_for_all_serves_as_many_as_it_can_and_holders_first() {
+        let least = 400_000;
+        let c = |want, held| Claim { want, least, held };
+        assert_eq!(targets(&[c(UNIT, 0), c(5, 0), c(7, 1)]), [600_000, 0, 400_000]);
+    }
+}
--- /dev/null
+++ b/crates/quota/src/properties.rs
@@ -0,0 +1,332 @@
+//! What part 4 promises, each sentence a test; and the checker shown what it has to catch.
+
+use std::time::Duration;
+
+use magpietally_consensus::Machine;
+use magpietally_transport::{Name, Peer, Session};
+
+use crate::check::{check, Fault, Record, What};
+use crate::quota::Planted;
+use crate::sim::Sim;
+use crate::{Kept, Policy, Quota, Settings, Tenant, Verdict, Why};
+
+const MS: Duration = Duration::from_millis(1);
+const S: Duration = Duration::from_secs(1);
+const CLUBS: &str = "punjab-clubs";
+
+fn policy(version: u64, rate: u64, burst: u64, signups: u64) -> Policy {
+    let kept = Kept { class: "fee-payment".into(), rate_milli: rate * 100, burst: burst / 4 };
+    let tenant = Tenant {
+        name: CLUBS.into(),
+        rate_milli: rate * 1000,
+        burst,
+        costs: vec![("signup".into(), 5)],
+        kept: vec![kept],
+        per_day: vec![("signup".into(), signups)],
+    };
+    Policy { version, tenants: vec![tenant] }
+}
+
+fn plain(rate: u64, burst: u64) -> Policy {
+    let tenant = Tenant { name: CLUBS.into(), rate_milli: rate * 1000, burst, ..Tenant::default() };
+    Policy { version: 1, tenants: vec![tenant] }
+}
+
+fn short() -> Settings {
+    Settings { term: 2 * S, reserve: 5 * S }
+}
+
+/// A mixed run: 5 nodes, all classes, faults every 150 ms and, if asked, changes of quota.
+fn mixed(seed: u64, settings: Settings, plant: fn(&mut Quota), changes: bool) -> Sim {
+    let mut sim = Sim::planted(seed, 5, &policy(1, 200, 100, 60), settings, plant);
+    sim.ask(0..5, CLUBS, "lookup", 150.0);
+    sim.ask(0..5, CLUBS, "fee-payment", 60.0);
+    sim.ask(1..3, CLUBS, "signup", 20.0);
+    sim.run(S);
+    for n in 0..50u64 {
+        sim.any_fault();
+        if changes && n % 12 == 5 {
+            let (rate, burst) = [(80, 50), (300, 200), (40, 180), (200, 100)][(n / 12) as usize % 4];
+            sim.set_policy(&policy(2 + n, rate, burst, 60 - n));
+        }
+        sim.run(150 * MS);
+    }
+    sim.heal();
+    sim.run(S);
+    sim.count(CLUBS, "signup");
+    sim
+}
+
+fn whole(sim: &Sim, seed: u64) {
+    assert_eq!(check(&sim.records), [], "seed {seed}");
+    let most = (sim.sums.0.max(sim.in_hands.0), sim.sums.1.max(sim.in_hands.1));
+    assert!(most.0 <= 1_000_000 && most.1 <= 1_000_000, "seed {seed}: parts of {most:?}");
+}
+
+#[test]
+fn never_over_in_any_window_through_cuts_kills_pauses_restarts_doubles_and_wrong_clocks() {
+    let mut admitted = 0;
+    for seed in 0..160 {
+        let sim = mixed(seed, short(), |_| {}, false);
+        whole(&sim, seed);
+        admitted += sim.admitted(Duration::ZERO);
+    }
+    assert!(admitted > 160 * 300, "only {admitted} tokens were spent: nothing was put to the test");
+}
+
+#[test]
+fn a_change_of_quota_is_never_over_the_old_limit_before_nor_over_the_new_one_after() {
+    for seed in 1000..1060 {
+        whole(&mixed(seed, short(), |_| {}, true), seed);
+    }
+}
+
+#[test]
+fn with_steady_demand_above_quota_at_least_95_percent_of_it_is_admitted() {
+    for (seed, nodes) in [(1, 10), (2, 10), (3, 1)] {
+        let mut sim = Sim::new(seed, 10, &plain(200, 400), Settings::default());
+        sim.ask(0..nodes, CLUBS, "lookup", 600.0);
+        sim.run(5 * S);
+        let from = sim.model.now();
+        sim.run(20 * S);
+        let used = sim.admitted(from) as f64 / (200.0 * 20.0);
+        assert!(used >= 0.95, "{nodes} busy nodes: {used:.3}");
+        whole(&sim, seed);
+    }
+}
+
+#[test]
+fn two_seconds_after_all_demand_moved_to_another_node_at_least_90_percent_is_admitted() {
+    for seed in 0..5 {
+        let mut sim = Sim::new(seed, 10, &plain(200, 400), Settings::default());
+        sim.ask(0..1, CLUBS, "lookup", 300.0);
+        sim.run(10 * S);
+        sim.demand.clear();
+        sim.ask(7..8, CLUBS, "lookup", 300.0);
+        sim.run(2 * S);
+        let from = sim.model.now();
+        sim.run(S);
+        let used = sim.admitted(from) as f64 / 200.0;
+        assert!(used >= 0.9, "seed {seed}: {used:.3}");
+        whole(&sim, seed);
+    }
+}
+
+#[test]
+fn after_a_node_dies_its_share_comes_back_once_its_lease_is_over() {
+    let mut sim = Sim::new(4, 10, &plain(200, 400), Settings::default());
+    sim.ask(0..2, CLUBS, "lookup", 600.0);
+    sim.run(5 * S);
+    sim.kill(1);
+    let from = sim.model.now();
+    sim.run(3 * S);
+    let meanwhile = sim.admitted(from) as f64 / 600.0;
+    assert!(meanwhile < 0.6, "its share was given away under its lease: {meanwhile:.3}");
+    // Its lease from its last asking, the waiter's margin, the leader's next chore, the log.
+    sim.run(Settings::default().term.mul_f64(1.02) + S - 3 * S);
+    let from = sim.model.now();
+    sim.run(5 * S);
+    let used = sim.admitted(from) as f64 / 1000.0;
+    assert!(used >= 0.9, "{used:.3}");
+    whole(&sim, 4);
+}
+
+#[test]
+fn a_node_that_is_cut_off_serves_from_what_was_set_aside_and_nothing_is_over() {
+    let mut sim = Sim::new(5, 5, &plain(200, 400), Settings::default());
+    sim.ask(0..5, CLUBS, "lookup", 600.0);
+    sim.run(5 * S);
+    sim.model.cut(3, true);
+    sim.run(20 * S);
+    let from = sim.model.now();
+    sim.run(20 * S);
+    let own = |r: &&Record| r.node == 3 && r.at >= from && matches!(r.what, What::Admitted { .. });
+    let served = sim.records.iter().filter(own).count();
+    assert!(served >= 5, "{served} served by the one cut off");
+    whole(&sim, 5);
+}
+
+#[test]
+fn a_kept_class_is_never_starved_by_the_same_tenants_others() {
+    let mut sim = Sim::new(6, 3, &policy(1, 200, 400, 60), Settings::default());
+    sim.ask(0..3, CLUBS, "lookup", 3000.0);
+    sim.ask(0..3, CLUBS, "fee-payment", 15.0);
+    sim.run(9 * S);
+    // Every node has had its first payment by then: buckets begin empty.
+    let (from, mut asked, mut got) = (3 * S, 0, 0);
+    for r in sim.records.iter().filter(|r| r.at >= from) {
+        match &r.what {
+            What::Admitted { class, .. } if class == "fee-payment" => (asked, got) = (asked + 1, got + 1),
+            What::Refused { class, .. } if class == "fee-payment" => asked += 1,
+            _ => {}
+        }
+    }
+    assert!(asked > 30 && got == asked, "{got} of {asked}");
+}
+
+#[test]
+fn the_days_count_survives_a_restart_of_every_node_at_once_and_never_counts_less_than_was_admitted() {
+    let mut sim = Sim::new(7, 4, &policy(1, 200, 400, 60), short());
+    for _ in 0..3 {
+        sim.ask(0..4, CLUBS, "signup", 10.0);
+        sim.run(2 * S);
+        for i in 0..4 {
+            sim.kill(i);
+        }
+        for i in 0..4 {
+            sim.start(i);
+        }
+        sim.count(CLUBS, "signup");
+    }
+    sim.run(5 * S);
+    sim.count(CLUBS, "signup");
+    whole(&sim, 7);
+    let days = sim.records.iter().filter(|r| matches!(r.what, What::Admitted { day: Some(_), .. })).count();
+    assert!((30..=60).contains(&days), "{days} signups");
+    // And through a snapshot, as a store keeps it.
+    let (old, now) = sim.model.machine(0).expect("running");
+    let (count, bytes) = (old.day_count(CLUBS, "signup"), old.snapshot());
+    let mut new = Quota::new(Peer { name: Name::default(), session: Session(9) }, short(), now);
+    new.restore(now, &bytes).expect("a snapshot");
+    assert_eq!(new.day_count(CLUBS, "signup"), count);
+    assert!(count >= days as u64 && new.restore(now, &bytes[..bytes.len() - 1]).is_err());
+}
+
+#[test]
+fn a_new_day_begins_by_the_logs_word_and_old_tokens_are_void() {
+    let mut sim = Sim::new(8, 3, &policy(1, 200, 400, 10), short());
+    sim.ask(0..3, CLUBS, "signup", 30.0);
+    sim.run(4 * S);
+    let day = sim.model.machine(1).expect("running").0.state().day().0;
+    for i in 0..3 {
+        sim.model.set_wall(i, 86_400_000);
+    }
+    sim.run(4 * S);
+    assert_eq!(sim.model.machine(1).expect("running").0.state().day().0, day + 1);
+    whole(&sim, 8);
+    for d in [day, day + 1] {
+        let of = |r: &&Record| matches!(r.what, What::Admitted { day, .. } if day == Some(d));
+        let n = sim.records.iter().filter(of).count();
+        assert!((5..=10).contains(&n), "{n} signups on day {d}");
+    }
+}
+
+#[test]
+fn a_repeat_of_an_admitted_request_costs_nothing_twice_and_then_costs_again() {
+    let mut sim = Sim::new(9, 1, &plain(10, 10), Settings::default());
+    sim.ask(0..1, CLUBS, "lookup", 5.0);
+    sim.run(5 * S);
+    let (q, now) = sim.model.machine(0).expect("running");
+    let mut say = |key| q.spend(now.boot, CLUBS, "lookup", key).verdict;
+    assert_eq!(say(Some(7)), Verdict::Admitted);
+    assert_eq!([say(Some(7)), say(Some(7))], [Verdict::Repeat; 2]);
+    assert_eq!(say(Some(7)), Verdict::Admitted);
+    while say(None) == Verdict::Admitted {}
+    assert_eq!(say(Some(7)), Verdict::Repeat);
+    assert!(matches!(say(Some(8)), Verdict::Refused { why: Why::Rate, .. }));
+    assert_eq!(q.spend(now.boot, "nobody", "lookup", None).verdict, Verdict::Unlimited);
+}
+
+#[test]
+fn the_checker_catches_a_node_that_serves_after_its_lease() {
+    let plant: fn(&mut Quota) = |q| q.planted = Some(Planted::AfterLease);
+    let caught = |s| check(&mixed(s, short(), plant, false).records);
+    assert!((0..10).any(|s| caught(s).iter().any(|f| matches!(f, Fault::AfterLease { .. }))));
+}
+
+#[test]
+fn the_checker_catches_a_node_that_forgets_what_it_spent() {
+    let plant: fn(&mut Quota) = |q| q.planted = Some(Planted::ForgetsSpent);
+    for (plant, caught) in [(plant, true), (|_| {}, false)] {
+        let mut sim = Sim::planted(1, 3, &plain(50, 400), short(), plant);
+        sim.ask(0..1, CLUBS, "lookup", 1000.0);
+        sim.run(3 * S);
+        sim.kill(0);
+        sim.start(0);
+        sim.run(4 * S);
+        let faults = check(&sim.records);
+        let told = faults.iter().any(|f| matches!(f, Fault::NotEmptyAtStart { node: 0, session: 2, .. }));
+        assert_eq!(told, caught, "{faults:?}");
+    }
+}
+
+#[test]
+fn the_checker_catches_a_share_that_moves_with_its_level() {
+    let plant: fn(&mut Quota) = |q| q.planted = Some(Planted::LevelMoves);
+    for (plant, caught) in [(plant, true), (|_| {}, false)] {
+        let mut sim = Sim::planted(2, 3, &plain(50, 400), short(), plant);
+        for n in 0..4 {
+            sim.demand.clear();
+            sim.ask(n % 3..n % 3 + 1, CLUBS, "lookup", 400.0);
+            sim.run(3 * S);
+        }
+        let faults = check(&sim.records);
+        assert_eq!(faults.iter().any(|f| matches!(f, Fault::Over { .. })), caught, "{faults:?}");
+        assert_eq!(faults.iter().any(|f| matches!(f, Fault::PartOver { .. })), caught, "{faults:?}");
+    }
+}
+
+#[test]
+fn the_checker_catches_a_grant_that_is_taken_twice() {
+    let plant: fn(&mut Quota) = |q| q.planted = Some(Planted::GrantTwice);
+    for (plant, caught) in [(plant, true), (|_| {}, false)] {
+        let mut sim = Sim::planted(3, 2, &policy(1, 200, 400, 20), short(), plant);
+        sim.ask(0..2, CLUBS, "signup", 20.0);
+        sim.run(6 * S);
+        let faults = check(&sim.records);
+        assert_eq!(faults.iter().any(|f| matches!(f, Fault::DayOver { .. })), caught, "{faults:?}");
+    }
+}
+
+#[test]
+fn the_checker_catches_a_count_that_forgets_and_a_retry_after_that_lies() {
+    let mut sim = Sim::new(10, 2, &policy(1, 200, 400, 60), Settings::default());
+    sim.ask(0..2, CLUBS, "signup", 20.0);
+    sim.ask(0..2, CLUBS, "lookup", 200.0);
+    sim.run(4 * S);
+    sim.count(CLUBS, "signup");
+    whole(&sim, 10);
+    let mut records = sim.records.clone();
+    for r in &mut records {
+        match &mut r.what {
+            What::Counted { count, .. } => *count = 1,
+            What::Refused { retry_after, .. } => *retry_after = Duration::ZERO,
+            _ => {}
+        }
+    }
+    let faults = check(&records);
+    assert!(faults.iter().any(|f| matches!(f, Fault::DayForgotten { .. })), "{faults:?}");
+    assert!(faults.iter().any(|f| matches!(f, Fault::RetryAfterBroken { .. })), "{faults:?}");
+}
+
+#[test]
+fn the_fleets_one_bucket_finds_what_all_pairs_of_moments_find() {
+    use rand::{RngExt, SeedableRng};
+    let mut rng = rand_pcg::Pcg64::seed_from_u64(11);
+    let (mut found, mut clean) = (0, 0);
+    for _ in 0..400 {
+        let mut times: Vec<u64> = (0..12).map(|_| rng.random_range(0..9000)).collect();
+        times.sort_unstable();
+        let mut records =
+            vec![Record { at: Duration::ZERO, node: 0, session: 0, what: What::Policy(plain(2, 4)) }];
+        records.extend(times.iter().map(|&t| Record {
+            at: MS * t as u32,
+            node: 0,
+            session: 1,
+            what: What::Admitted {
+                tenant: CLUBS.into(),
+                class: "lookup".into(),
+                cost: 1,
+                kept: false,
+                day: None,
+                rate: 0,
+            },
+        }));
+        let pairs = |i: usize, j: usize| (j - i + 1) as u64 * 1000 > 4000 + 2 * (times[j] - times[i]);
+        let want = (0..12).any(|i| (i..12).any(|j| pairs(i, j)));
+        let got = check(&records).iter().any(|f| matches!(f, Fault::Over { .. }));
+        assert_eq!(got, want, "{times:?}");
+        (found, clean) = (found + u32::from(got), clean + u32::from(!got));
+    }
+    assert!(found > 20 && clean > 20, "{found} and {clean}");
+}
