--- a/crates/quota/src/properties.rs
+++ b/crates/quota/src/properties.rs
@@ -97,7 +97,7 @@
 
 #[test]
 fn two_seconds_after_all_demand_moved_to_another_node_at_least_90_percent_is_admitted() {
-    for seed in 0..5 {
+    for seed in 0..20 {
         let mut sim = Sim::new(seed, 10, &plain(200, 400), Settings::default());
         sim.ask(0..1, CLUBS, "lookup", 300.0);
         sim.run(10 * S);
@@ -211,6 +211,62 @@
     }
 }
 
+#[test]
+fn a_replayed_entry_changes_nothing_in_the_log_nor_in_any_hand() {
+    let mut sim = Sim::new(12, 4, &policy(1, 200, 400, 60), Settings::default());
+    sim.ask(0..4, CLUBS, "lookup", 300.0);
+    sim.ask(0..2, CLUBS, "signup", 10.0);
+    sim.run(5 * S);
+    let log = sim.model.log().to_vec();
+    assert!(log.len() > 20, "{} entries", log.len());
+    for i in 0..4 {
+        let (q, now) = sim.model.machine(i).expect("running");
+        let (before, hand) = (q.snapshot(), q.in_hand(now.boot));
+        for d in &log {
+            q.apply(now, d);
+        }
+        assert!(q.snapshot() == before && q.in_hand(now.boot) == hand, "node {i}");
+    }
+    sim.run(2 * S);
+    whole(&sim, 12);
+}
+
+#[test]
+fn what_strangers_propose_breaks_no_bound_and_no_sum() {
+    use magpietally_consensus::{Decided, Index, Proposal, Stamp, Topic};
+    use rand::{RngExt, SeedableRng};
+    let mut rng = rand_pcg::Pcg64::seed_from_u64(13);
+    let peer = |n: u64| Peer { name: Name::new("x").expect("a name"), session: Session(n) };
+    let mut q = Quota::new(peer(0), short(), magpietally_transport::Now::at(S));
+    for index in 1..20_000 {
+        let mut byte = || rng.random_range(0..=255u8);
+        let body = match index % 3 {
+            0 => (0..40).map(|_| byte()).collect(),
+            _ => {
+                let mut n = || u32::from_le_bytes([byte(), byte(), byte() & 15, 0]);
+                let items = vec![crate::Item { pool: n() % 4, want: n(), least: n(), keep: n() }; 2];
+                let (day, pool) = (0, n() % 4);
+                let days = vec![crate::DayItem { pool, day, want: n(), give: n(), limit: 1000 }];
+                let (seq, keep_reserve) = (n() % 50, n());
+                let (term_ms, reserve_ms, version) = (1, 2, 1);
+                let report = crate::Report { seq, version, term_ms, reserve_ms, keep_reserve, items, days };
+                crate::Body::Report(report).encode()
+            }
+        };
+        let proposal = Proposal { topic: Topic::Quota, by: peer(1 + index % 7), id: index, body };
+        q.apply(
+            magpietally_transport::Now::at(S),
+            &Decided { index: Index(index), stamp: Stamp(0), proposal },
+        );
+        let sums = q.state().sums();
+        assert!(sums.0 <= 1_000_000 && sums.1 <= 1_000_000, "{sums:?} at {index}");
+    }
+    assert!(q.state().sums().0 > 500_000 && q.state().members() == 7);
+    let mut again = Quota::new(peer(0), short(), magpietally_transport::Now::at(S));
+    again.restore(magpietally_transport::Now::at(S), &q.snapshot()).expect("its own snapshot");
+    assert!(again.snapshot() == q.snapshot());
+}
+
 #[test]
 fn a_repeat_of_an_admitted_request_costs_nothing_twice_and_then_costs_again() {
     let mut sim = Sim::new(9, 1, &plain(10, 10), Settings::default());
@@ -230,8 +286,17 @@
 #[test]
 fn the_checker_catches_a_node_that_serves_after_its_lease() {
     let plant: fn(&mut Quota) = |q| q.planted = Some(Planted::AfterLease);
-    let caught = |s| check(&mixed(s, short(), plant, false).records);
-    assert!((0..10).any(|s| caught(s).iter().any(|f| matches!(f, Fault::AfterLease { .. }))));
+    for (plant, caught) in [(plant, true), (|_| {}, false)] {
+        let mut sim = Sim::planted(2, 3, &plain(200, 100), short(), plant);
+        sim.ask(0..3, CLUBS, "lookup", 600.0);
+        sim.run(3 * S);
+        sim.model.cut(2, true);
+        sim.run(6 * S);
+        let faults = check(&sim.records);
+        let told = faults.iter().any(|f| matches!(f, Fault::AfterLease { node: 2, .. }));
+        assert_eq!(told, caught, "{faults:?}");
+        assert_eq!(faults.iter().any(|f| matches!(f, Fault::Over { .. })), caught, "{faults:?}");
+    }
 }
 
 #[test]
--- a/crates/quota/src/quota.rs
+++ b/crates/quota/src/quota.rs
@@ -408,7 +408,8 @@
             let lower = another && log_held > target && far(log_held, target);
             let less = another && told > target && far(told, target);
             let lacks = held < want + want / 4;
-            let more = lacks && ((target > told && far(told, target)) || want > log_want + log_want / 2);
+            let more =
+                lacks && ((target > told && far(told, target)) || (want > log_want && far(want, log_want)));
             if lower || less || more {
                 items.push(Item {
                     pool: id,
--- a/crates/quota/src/state.rs
+++ b/crates/quota/src/state.rs
@@ -282,7 +282,7 @@
     }
 
     /// What a member should have of a pool: as the log knows its demand, and if it wanted `want`. And whether another
-    /// clearly has less than it wants and should have.
+    /// clearly has less than it wants and should have, or, `want` being nothing, than it wants.
     pub(crate) fn target(&self, pool: u32, sid: u32, want: u32, least: u32) -> (u32, u32, bool) {
         let none = BTreeMap::new();
         let parts = self.common.pools.get(&pool).unwrap_or(&none);
@@ -297,7 +297,9 @@
         (claims[place].want, claims[place].least) = (want, least);
         let targets = targets(&claims);
         let lacks = |(c, t): (&Claim, &u32)| {
+            // While many nodes' demand moves away at once, the log's old word of the others' keeps targets low.
             let needs = (*t).min(c.want.saturating_add(c.want / 4));
+            let needs = if want == 0 { needs.max(c.want) } else { needs };
             needs > c.held + c.held / 8 + 2_000
         };
         let another = claims.iter().zip(&targets).enumerate().any(|(i, ct)| i != place && lacks(ct));
