--- a/crates/consensus/src/learn.rs
+++ b/crates/consensus/src/learn.rs
@@ -9,12 +9,17 @@
 use crate::entry::Index;
 use crate::node::Node;
 use crate::settings::Settings;
+use crate::voter::ROUND_MAX;
 use crate::wire::Wire;
 
 /// The most peers that are known: twice the largest fleet.
 pub const PEERS_MAX: usize = 1024;
 /// The largest piece of what is missing, in bytes: several fit a queue of a stream beside the rest.
 const PIECE: usize = 32 << 10;
+/// After it has learnt something new a node compares with so many peers, this far apart, before it falls back to the usual
+/// pace: the few whom a random spread missed are found within a tenth of a second, for some 60 bytes each.
+const HURRY: u8 = 4;
+const HURRIED: Duration = Duration::from_millis(20);
 /// A peer that has not answered by now is not asked again at once; another is.
 const PATIENCE: Duration = Duration::from_millis(500);
 
@@ -62,8 +67,11 @@
     /// The last entry known to be decided, and who said so.
     pub known: u64,
     ahead: Option<Name>,
-    pub leader: Option<Name>,
+    /// Who leads, and since which election.
+    pub leader: Option<(u32, Name)>,
     gossip_at: Duration,
+    /// Comparisons that are in a hurry yet.
+    hurry: u8,
     /// Whom this node waits for, and until when.
     asked: Option<(Name, Duration)>,
     fetch: Option<Fetch>,
@@ -80,6 +88,7 @@
             ahead: None,
             leader: None,
             gossip_at: now + settings.gossip.mul_f64(rng.random_range(0.0..1.0)),
+            hurry: 0,
             asked: None,
             fetch: None,
             takes: purse(),
@@ -111,14 +120,16 @@
     }
 
     fn beat(&self) -> Wire {
-        Wire::Beat { index: self.chain.head.index, hash: self.chain.head.hash, leader: self.leader() }
+        Wire::Beat { index: self.chain.head.index, hash: self.chain.head.hash, leader: self.newest_leader() }
     }
 
     /// Passes what was learnt since `from` on to a few peers, not to the one it came from.
-    pub(crate) fn pass_on(&mut self, from: u64, but: Option<&Name>) {
+    pub(crate) fn pass_on(&mut self, now: Now, from: u64, but: Option<&Name>) {
         if self.chain.end() <= from {
             return;
         }
+        self.learner.hurry = HURRY;
+        self.learner.gossip_at = self.learner.gossip_at.min(now.boot + HURRIED);
         let Some((prev, items)) = self.chain.after(from, PIECE) else { return };
         let wire =
             Wire::Items { from: Index(from + 1), prev, items, head: self.chain.head.index, asked: false };
@@ -187,8 +198,11 @@
                     self.broken = Some(index);
                     return;
                 }
-                if index >= self.chain.head.index && leader.is_some() {
-                    self.learner.leader = leader.filter(|l| self.settings.voters.contains(l));
+                let sound = |l: &(u32, Name)| l.0 < ROUND_MAX && self.settings.voters.contains(&l.1);
+                if let Some(newer) = leader.filter(sound) {
+                    if self.learner.leader.as_ref().is_none_or(|l| newer.0 > l.0) {
+                        self.learner.leader = Some(newer);
+                    }
                 }
                 if index < self.chain.head.index {
                     let beat = self.beat();
@@ -249,7 +263,7 @@
         }
         // What was asked for is old: the others have it.
         if !asked {
-            self.pass_on(end, Some(&from.name));
+            self.pass_on(now, end, Some(&from.name));
         }
     }
 
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -220,7 +220,7 @@
         self.next_id += 1;
         let proposal = Proposal { topic, by: self.me.clone(), id, body };
         self.own.push_back(Own { proposal: proposal.clone(), tries: 1, at: now.boot + AGAIN });
-        self.route(now, vec![proposal], 0);
+        self.route(now, vec![proposal], 0, false);
         self.pump(now);
         Ok(id)
     }
@@ -328,10 +328,20 @@
     }
 
     /// Who leads, as far as known.
-    pub(crate) fn leader(&self) -> Option<Name> {
-        let by_vote =
-            self.voter.as_ref().and_then(Voter::leader).and_then(|i| self.settings.voters.get(i)).cloned();
-        by_vote.or_else(|| self.learner.leader.clone())
+    fn leader(&self) -> Option<Name> {
+        self.newest_leader().map(|(_, name)| name)
+    }
+
+    /// The leader of the last election known of, by the own vote or by others' word.
+    pub(crate) fn newest_leader(&self) -> Option<(u32, Name)> {
+        let voted = self
+            .voter
+            .as_ref()
+            .and_then(|v| Some((v.round(), self.settings.voters.get(v.leader()?)?.clone())));
+        match (voted, self.learner.leader.clone()) {
+            (Some(voted), Some(told)) => Some(if told.0 > voted.0 { told } else { voted }),
+            (voted, told) => voted.or(told),
+        }
     }
 
     /// Whether the voter may take part: what it has to write does not pile up.
@@ -339,7 +349,8 @@
         self.refused.is_none() && self.writes.len() < WAITING_MAX
     }
 
-    fn route(&mut self, now: Now, proposals: Vec<Proposal>, hops: u8) {
+    /// Sends proposals to where they can be decided: to the leader, or to any voter where none is known or `anyhow`.
+    fn route(&mut self, now: Now, proposals: Vec<Proposal>, hops: u8, anyhow: bool) {
         if self.leading() {
             for p in proposals {
                 let size = p.body.len() + 128;
@@ -353,7 +364,7 @@
             }
             return;
         }
-        let to = match self.leader().filter(|l| *l != self.me.name) {
+        let to = match self.leader().filter(|l| *l != self.me.name && !anyhow) {
             Some(leader) => leader,
             // A voter without a leader has nobody better to ask.
             None if hops > 0 => return,
@@ -392,7 +403,6 @@
     /// Moves what the voter has done to where it belongs: changes to the writes, messages behind them, decided entries to
     /// the user and the peers.
     fn pump(&mut self, now: Now) {
-        let _ = now;
         let Some(voter) = &mut self.voter else { return };
         let messages = voter.take_out();
         if let Some(ops) = voter.disk().take_ops() {
@@ -424,7 +434,7 @@
             items.into_iter().for_each(|item| self.learn(item));
             self.compared = self.chain.end();
         }
-        self.pass_on(from, None);
+        self.pass_on(now, from, None);
     }
 
     /// Compares what the voter's log decided with what was learnt from others first.
@@ -516,7 +526,8 @@
             o.tries <= TRIES
         });
         for proposal in again {
-            self.route(now, vec![proposal], 0);
+            // The leader as known did not answer, or the way to it is broken: another voter may know better.
+            self.route(now, vec![proposal], 0, true);
         }
     }
 
@@ -529,7 +540,7 @@
         if self.voter.is_none() || !self.hears() || hops > HOPS_MAX || proposals.is_empty() {
             self.dropped += 1;
         } else if self.leading() || hops < HOPS_MAX {
-            self.route(now, proposals, hops + 1);
+            self.route(now, proposals, hops + 1, false);
         }
     }
 }
--- a/crates/consensus/src/ready.rs
+++ b/crates/consensus/src/ready.rs
@@ -11,6 +11,8 @@
 
 /// Changes that one record holds at most: several calls' changes are written together while the carrier is busy.
 const OPS_MAX: usize = 64;
+/// Messages that wait for one write: a second of a busy voter's. What is past that is lost, as messages may be.
+const HELD_MAX: usize = 1024;
 /// Writes that may wait for the carrier; past that the voter hears nothing until it catches up.
 pub(crate) const WAITING_MAX: usize = 64;
 
@@ -133,7 +135,9 @@
     pub fn hold(&mut self, message: Outgoing) -> Option<Outgoing> {
         match self.waiting.back_mut() {
             Some(batch) => {
-                batch.held.push(message);
+                if batch.held.len() < HELD_MAX {
+                    batch.held.push(message);
+                }
                 None
             }
             None => Some(message),
--- a/crates/consensus/src/storage.rs
+++ b/crates/consensus/src/storage.rs
@@ -44,6 +44,12 @@
     pub decided: u64,
     pub compacted: u64,
     pub log: Vec<Item>,
+    /// The log's size.
+    pub bytes: usize,
+}
+
+fn size(items: &[Item]) -> usize {
+    items.iter().map(Item::size).sum()
 }
 
 impl Votes {
@@ -51,7 +57,10 @@
     pub fn apply(&mut self, op: Op) -> Result<(), &'static str> {
         match op {
             Op::Standing(standing) => self.standing = Some(standing),
-            Op::Append(mut items) => self.log.append(&mut items),
+            Op::Append(mut items) => {
+                self.bytes += size(&items);
+                self.log.append(&mut items);
+            }
             Op::AppendAt(from, mut items) => {
                 let at =
                     from.checked_sub(self.compacted).ok_or("entries below the trimmed part of the log")?;
@@ -59,6 +68,7 @@
                 if at > self.log.len() {
                     return Err("entries beyond the end of the log");
                 }
+                self.bytes = self.bytes + size(&items) - size(&self.log[at..]);
                 self.log.truncate(at);
                 self.log.append(&mut items);
             }
@@ -74,6 +84,7 @@
     pub fn trim(&mut self, to: u64) {
         if to > self.compacted {
             let drop = usize::try_from(to - self.compacted).unwrap_or(usize::MAX).min(self.log.len());
+            self.bytes -= size(&self.log[..drop]);
             self.log.drain(..drop);
             self.compacted = to;
             self.decided = self.decided.max(to);
--- a/crates/consensus/src/voter.rs
+++ b/crates/consensus/src/voter.rs
@@ -27,8 +27,10 @@
 /// What may be accepted and not decided: past that the leader's proposals wait.
 const OPEN_ENTRIES: u64 = 1024;
 const OPEN_BYTES: usize = 256 << 10;
+/// The most the leader's log holds, in bytes, where its user gives no snapshots to trim it by.
+const LOG_BYTES: usize = 4 << 20;
 /// No fleet has so many elections; a greater round is damage, and the library would overflow by adding to it.
-const ROUND_MAX: u32 = 1 << 30;
+pub(crate) const ROUND_MAX: u32 = 1 << 30;
 
 /// Numbers on both lanes (datagrams and streams) of one other voter.
 #[derive(Clone, Copy, Debug, Default)]
@@ -123,6 +125,11 @@
         usize::try_from(pid).ok()?.checked_sub(1).filter(|i| *i < self.voters)
     }
 
+    /// The number of the election that made it so.
+    pub fn round(&self) -> u32 {
+        self.omni.as_ref().map_or(0, |o| o.get_promise().n)
+    }
+
     /// Whether this voter leads and may append.
     pub fn leads(&self) -> bool {
         let me = self.me as NodeId + 1;
@@ -138,7 +145,9 @@
     pub fn has_room(&self) -> bool {
         let inner = self.disk.lock();
         let open = inner.votes.items(inner.votes.decided.max(inner.votes.compacted), inner.votes.accepted());
-        (open.len() as u64) < OPEN_ENTRIES && open.iter().map(Item::size).sum::<usize>() < OPEN_BYTES
+        inner.votes.bytes < LOG_BYTES
+            && (open.len() as u64) < OPEN_ENTRIES
+            && open.iter().map(Item::size).sum::<usize>() < OPEN_BYTES
     }
 
     /// Appends an item, where this voter leads; gives it back where not.
--- a/crates/consensus/src/wire.rs
+++ b/crates/consensus/src/wire.rs
@@ -10,8 +10,8 @@
 /// The first byte of every message and record; one of another format is dropped and counted.
 pub(crate) const FORMAT: u8 = 1;
 
-/// The largest message, in bytes: the log's tail that voters bring each other up to date with (see
-/// [`crate::storage::KEEP_BYTES`]) and as much again in flight.
+/// The largest message, in bytes: the tail of the log that voters keep behind a checkpoint (256 KiB), what came since it (as
+/// much) and what is not decided yet (as much) go together to a voter that is behind.
 pub const MESSAGE_MAX: usize = 1 << 20;
 
 /// How far a voter is with the founding of the fleet.
@@ -38,8 +38,8 @@
     Propose { hops: u8, proposals: Vec<Proposal> },
     /// Entries right after the one with hash `prev`, from index `from` on; `head` is the sender's last.
     Items { from: Index, prev: Hash, items: Vec<Item>, head: Index, asked: bool },
-    /// Where the sender's log ends, and whom it takes for the leader.
-    Beat { index: Index, hash: Hash, leader: Option<Name> },
+    /// Where the sender's log ends, and whom it takes for the leader, since which election.
+    Beat { index: Index, hash: Hash, leader: Option<(u32, Name)> },
     /// The sender has all up to and with `have` and wants what follows.
     Want { have: Index },
     /// A piece of a snapshot, wanted from `offset` on.
