--- a/crates/consensus/src/founding.rs
+++ b/crates/consensus/src/founding.rs
@@ -168,7 +168,7 @@
 
     #[test]
     fn a_disk_lost_at_any_step_of_the_founding_never_makes_two_sets_that_vote() {
-        // All orders of nine words, drawn by a plain counter, with the second voter's disk lost before any one of them.
+        // All orders of six words (the seventh is always the same), with the second disk lost before any one of them.
         for seed in 0..6_u64.pow(6) {
             for lost in 0..7 {
                 let mut all = [fresh(0, 10), fresh(1, 11), fresh(2, 12)];
