--- /dev/null
+++ b/crates/config/src/fleet_policy.rs
@@ -0,0 +1,432 @@
+//! The fleet's policy as operators write it: one checked document, with what the decision module and the quotas are set
+//! with. `deploy/fleet-policy.toml` shows every setting. Pure: text in, settings or one clear error out.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use magpietally_policy::{Effect, Group, Millis, Settings};
+use magpietally_quota as quota;
+use serde::Deserialize;
+
+/// What a document is checked against: the node's own settings, which the platform gave it.
+#[derive(Clone, Debug)]
+pub struct Ground {
+    /// The decision module's.
+    pub settings: Settings,
+    /// The names of the classes, by index.
+    pub classes: Vec<String>,
+    /// The names of the tenants, by index.
+    pub tenants: Vec<String>,
+}
+
+/// A document that passed its check.
+#[derive(Clone, Debug)]
+pub struct Document {
+    /// The decision module's settings under it; `None` where it changes none of the platform's.
+    pub settings: Option<Settings>,
+    /// The tenants' quotas; their version is the log's to give.
+    pub quotas: quota::Policy,
+}
+
+/// Why a document is refused, with the line and the field.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wrong {
+    /// From 1.
+    pub line: usize,
+    /// The field's path, as `tenants.punjab-clubs.burst`; empty where the text is no TOML.
+    pub field: String,
+    /// What is wrong with it.
+    pub what: String,
+}
+
+impl fmt::Display for Wrong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.field.as_str() {
+            "" => write!(f, "line {}: {}", self.line, self.what),
+            field => write!(f, "line {}: {field}: {}", self.line, self.what),
+        }
+    }
+}
+
+impl std::error::Error for Wrong {}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct File {
+    classes: BTreeMap<String, Class>,
+    limits: Limits,
+    retry: Retry,
+    ejection: Ejection,
+    tenants: BTreeMap<String, Tenant>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct Class {
+    effect: Option<EffectWord>,
+    group: Option<GroupWord>,
+    memory_ms: Option<Millis>,
+    aim_ms: Option<Millis>,
+    worth: Option<f64>,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "lowercase")]
+enum EffectWord {
+    Safe,
+    Keyed,
+    Once,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "lowercase")]
+enum GroupWord {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct Limits {
+    attempts: Option<usize>,
+    second_copies: Option<bool>,
+    connect_timeout_ms: Option<Millis>,
+    max_retry_after_ms: Option<Millis>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct Retry {
+    share: Option<f64>,
+    most: Option<f64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct Ejection {
+    failures: Option<u32>,
+    at_most: Option<f64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct Tenant {
+    share_per_s: Option<f64>,
+    rate_per_s: Option<f64>,
+    burst: Option<u64>,
+    cost: BTreeMap<String, u64>,
+    kept: BTreeMap<String, Kept>,
+    per_day: BTreeMap<String, u64>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Kept {
+    rate_per_s: f64,
+    burst: u64,
+}
+
+/// A fault by its path; the line is found afterwards.
+struct At(Vec<String>, String);
+
+fn at(path: &[&str], what: impl Into<String>) -> At {
+    At(path.iter().map(ToString::to_string).collect(), what.into())
+}
+
+/// Reads and checks a document. The same text has the same verdict at every node with the same ground.
+///
+/// # Errors
+/// The first fault, with its line and field.
+pub fn read(text: &[u8], ground: &Ground) -> Result<Document, Wrong> {
+    let whole = |what: String| Wrong { line: 1, field: String::new(), what };
+    let text = std::str::from_utf8(text).map_err(|e| whole(format!("not UTF-8: {e}")))?;
+    let file: File = toml::from_str(text).map_err(|error| Wrong {
+        line: error.span().map_or(1, |span| line_at(text, span.start)),
+        field: String::new(),
+        what: error.message().to_string(),
+    })?;
+    let checked = file.check(ground);
+    checked.map_err(|At(path, what)| Wrong { line: line_of(text, &path), field: path.join("."), what })
+}
+
+fn line_at(text: &str, byte: usize) -> usize {
+    1 + text.as_bytes()[..byte.min(text.len())].iter().filter(|b| **b == b'\n').count()
+}
+
+/// The line of the value at a path, or of the deepest part of the path that is there.
+fn line_of(text: &str, path: &[String]) -> usize {
+    let Ok(table) = toml::de::DeTable::parse(text) else { return 1 };
+    let (mut table, mut line) = (table.into_inner(), 1);
+    for key in path {
+        let Some((found, value)) = table.into_iter().find(|(k, _)| k.get_ref().as_ref() == key.as_str())
+        else {
+            return line;
+        };
+        line = line_at(text, found.span().start);
+        match value.into_inner() {
+            toml::de::DeValue::Table(inner) => table = inner,
+            _ => return line,
+        }
+    }
+    line
+}
+
+impl File {
+    fn check(&self, ground: &Ground) -> Result<Document, At> {
+        let mut settings = ground.settings.clone();
+        let mut changed = false;
+        for (name, class) in &self.classes {
+            let index = ground.classes.iter().position(|c| c == name);
+            let index = index.ok_or_else(|| at(&["classes", name], "no such class at this node"))?;
+            changed |= class.apply(name, &mut settings.classes[index])?;
+        }
+        changed |= self.limits.apply(&mut settings)?;
+        let set = |to: &mut f64, told: Option<f64>| told.is_some_and(|v| std::mem::replace(to, v) != v);
+        changed |= set(&mut settings.tuning.retry_share, self.retry.share);
+        changed |= set(&mut settings.tuning.retry_most, self.retry.most);
+        changed |= set(&mut settings.tuning.eject_at_most, self.ejection.at_most);
+        if let Some(failures) = self.ejection.failures {
+            changed |= std::mem::replace(&mut settings.tuning.outlier_failures, failures) != failures;
+        }
+        let mut quotas = Vec::new();
+        for (name, tenant) in &self.tenants {
+            let index = ground.tenants.iter().position(|t| t == name);
+            let index = index.ok_or_else(|| at(&["tenants", name], "no such tenant at this node"))?;
+            changed |= set(&mut settings.tenants[index].quota_per_s, tenant.share_per_s);
+            quotas.extend(tenant.quota(name, ground)?);
+        }
+        // What is left for the decision module to say, in its own words for the fields.
+        settings.check().map_err(|e| {
+            let path: &[&str] = match e.0.split([':', '[', '.']).next() {
+                Some("classes") => &["classes"],
+                Some("limits") => &["limits"],
+                Some("tenants") => &["tenants"],
+                Some("tuning") if e.0.contains("retry") => &["retry"],
+                Some("tuning") => &["ejection"],
+                _ => &[],
+            };
+            at(path, e.0)
+        })?;
+        let quotas = quota::Policy { version: 0, tenants: quotas };
+        quotas.check().map_err(|e| at(&["tenants"], e.to_string()))?;
+        Ok(Document { settings: changed.then_some(settings), quotas })
+    }
+}
+
+impl Class {
+    /// Whether anything changed. A document may narrow what the platform allows a class, never widen it: what a class
+    /// may do twice is a fact of the servers.
+    fn apply(&self, name: &str, to: &mut magpietally_policy::Class) -> Result<bool, At> {
+        let path = |field| at(&["classes", name, field], "");
+        let before = to.clone();
+        if let Some(effect) = self.effect {
+            to.effect = match (effect, to.effect) {
+                (EffectWord::Once, _) => Effect::Unsafe,
+                (EffectWord::Safe, Effect::Safe) => Effect::Safe,
+                (EffectWord::Keyed, Effect::Safe) => Effect::Keyed { group: Group::Cell, memory: 0.0 },
+                (EffectWord::Keyed, Effect::Keyed { group, memory }) => Effect::Keyed { group, memory },
+                (EffectWord::Safe, _) | (EffectWord::Keyed, Effect::Unsafe) => {
+                    return Err(At(path("effect").0, "wider than the platform allows".into()))
+                }
+            };
+        }
+        let keyed = |field| match to.effect {
+            Effect::Keyed { group, memory } => Ok((group, memory)),
+            _ => Err(At(path(field).0, "only for a class with the effect \"keyed\"".into())),
+        };
+        let was_keyed = matches!(before.effect, Effect::Keyed { .. });
+        if let Some(word) = self.group {
+            let (had, memory) = keyed("group")?;
+            let group = match word {
+                GroupWord::All => Group::All,
+                GroupWord::Zone => Group::Zone,
+                GroupWord::Cell => Group::Cell,
+            };
+            let width = |g| match g {
+                Group::All => 2,
+                Group::Zone => 1,
+                Group::Cell => 0,
+            };
+            if was_keyed && width(group) > width(had) {
+                return Err(At(path("group").0, "wider than the platform allows".into()));
+            }
+            to.effect = Effect::Keyed { group, memory };
+        }
+        if let Some(ms) = self.memory_ms {
+            let (group, had) = match to.effect {
+                Effect::Keyed { group, memory } => (group, memory),
+                _ => {
+                    return Err(At(path("memory_ms").0, "only for a class with the effect \"keyed\"".into()))
+                }
+            };
+            if was_keyed && ms > had {
+                return Err(At(path("memory_ms").0, format!("{ms} is more than the platform's {had}")));
+            }
+            to.effect = Effect::Keyed { group, memory: ms };
+        }
+        to.aim = self.aim_ms.unwrap_or(to.aim);
+        to.worth = self.worth.unwrap_or(to.worth);
+        Ok((before.effect, before.aim, before.worth) != (to.effect, to.aim, to.worth))
+    }
+}
+
+impl Limits {
+    fn apply(&self, settings: &mut Settings) -> Result<bool, At> {
+        let (had, to) = (settings.limits.clone(), &mut settings.limits);
+        let wide = |field: &str, what: String| Err(at(&["limits", field], what));
+        if let Some(attempts) = self.attempts {
+            if attempts > had.attempts {
+                return wide("attempts", format!("{attempts} is more than the platform's {}", had.attempts));
+            }
+            to.attempts = attempts;
+        }
+        if let Some(second) = self.second_copies {
+            if second && !had.second_copies {
+                return wide("second_copies", "the platform does not allow them".into());
+            }
+            to.second_copies = second;
+        }
+        if let Some(ms) = self.max_retry_after_ms {
+            if ms > had.max_retry_after {
+                let most = had.max_retry_after;
+                return wide("max_retry_after_ms", format!("{ms} is more than the platform's {most}"));
+            }
+            to.max_retry_after = ms;
+        }
+        to.connect_timeout = self.connect_timeout_ms.unwrap_or(had.connect_timeout);
+        Ok((had.attempts, had.second_copies, had.max_retry_after, had.connect_timeout)
+            != (to.attempts, to.second_copies, to.max_retry_after, to.connect_timeout))
+    }
+}
+
+impl Tenant {
+    /// Its quota over the fleet, where it has one.
+    fn quota(&self, name: &str, ground: &Ground) -> Result<Option<quota::Tenant>, At> {
+        let (rate, burst) = match (self.rate_per_s, self.burst) {
+            (Some(rate), Some(burst)) => (rate, burst),
+            (None, None) if self.cost.is_empty() && self.kept.is_empty() && self.per_day.is_empty() => {
+                return Ok(None)
+            }
+            (None, _) => return Err(at(&["tenants", name, "rate_per_s"], "a quota needs it")),
+            (_, None) => return Err(at(&["tenants", name, "burst"], "a quota needs it")),
+        };
+        let named = self.cost.keys().map(|c| ("cost", c)).chain(self.kept.keys().map(|c| ("kept", c)));
+        for (list, class) in named.chain(self.per_day.keys().map(|c| ("per_day", c))) {
+            if !ground.classes.contains(class) {
+                return Err(at(&["tenants", name, list, class], "no such class at this node"));
+            }
+        }
+        let kept = self.kept.iter().map(|(class, k)| {
+            let rate_milli = milli(k.rate_per_s, &["tenants", name, "kept", class, "rate_per_s"])?;
+            Ok(quota::Kept { class: class.clone(), rate_milli, burst: k.burst })
+        });
+        let counts = |map: &BTreeMap<String, u64>| map.iter().map(|(c, n)| (c.clone(), *n)).collect();
+        Ok(Some(quota::Tenant {
+            name: name.to_string(),
+            rate_milli: milli(rate, &["tenants", name, "rate_per_s"])?,
+            burst,
+            costs: counts(&self.cost),
+            kept: kept.collect::<Result<_, At>>()?,
+            per_day: counts(&self.per_day),
+        }))
+    }
+}
+
+/// A rate in thousandths, rounded down so that no more is admitted than was written.
+fn milli(per_s: f64, path: &[&str]) -> Result<u64, At> {
+    if !(per_s > 0.0 && per_s <= quota::TOKENS_MAX as f64) {
+        return Err(at(path, format!("{per_s} is outside 0 to {}", quota::TOKENS_MAX)));
+    }
+    Ok((per_s * 1000.0) as u64)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ground() -> Ground {
+        let class = |effect| magpietally_policy::Class { aim: 300.0, worth: 1.0, late_worth: 0.0, effect };
+        let mut settings = Settings {
+            nodes: 1,
+            classes: vec![
+                class(Effect::Safe),
+                class(Effect::Unsafe),
+                class(Effect::Keyed { group: Group::Zone, memory: 1200.0 }),
+            ],
+            tenants: vec![magpietally_policy::Tenant { quota_per_s: 100.0 }; 2],
+            ..Settings::default()
+        };
+        settings.limits.attempts = 3;
+        settings.limits.max_retry_after = 2000.0;
+        let names = |all: &[&str]| all.iter().map(ToString::to_string).collect();
+        Ground {
+            settings,
+            classes: names(&["lookup", "signup", "fee-payment"]),
+            tenants: names(&["punjab-clubs", "karachi-clubs"]),
+        }
+    }
+
+    #[test]
+    fn the_document_that_is_shipped_is_good() {
+        let shipped = std::fs::read(concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/fleet-policy.toml"));
+        let document = read(&shipped.expect("it is shipped"), &ground()).expect("it is good");
+        assert_eq!(document.quotas.tenants.len(), 1);
+        assert!(document.settings.is_some_and(|s| s.limits.attempts == 2));
+    }
+
+    #[test]
+    fn a_document_changes_what_it_names_and_leaves_the_rest() {
+        assert!(read(b"", &ground()).expect("empty is good").settings.is_none());
+        let text = "[classes.lookup]\neffect = \"once\"\n[retry]\nshare = 0.05\n\
+                    [tenants.karachi-clubs]\nrate_per_s = 200.0005\nburst = 400\ncost.signup = 5\n\
+                    kept.fee-payment = { rate_per_s = 20.0, burst = 40 }\nper_day.signup = 1000\n";
+        let document = read(text.as_bytes(), &ground()).expect("good");
+        let settings = document.settings.expect("it changes some");
+        assert_eq!(settings.classes[0].effect, Effect::Unsafe);
+        assert_eq!((settings.tuning.retry_share, settings.tuning.retry_most), (0.05, 10.0));
+        let tenant = &document.quotas.tenants[0];
+        assert_eq!((tenant.rate_milli, tenant.burst), (200_000, 400), "a rate is rounded down");
+        assert_eq!(tenant.per_day, [("signup".to_string(), 1000)]);
+        // What it says again changes nothing, so that the module that runs is kept.
+        assert!(read(b"[classes.lookup]\neffect = \"safe\"\n", &ground()).expect("good").settings.is_none());
+    }
+
+    #[test]
+    fn a_bad_document_is_refused_with_its_line_and_field() {
+        for (text, words) in [
+            ("[classes]\nx =", "line 2: "),
+            ("\n[limit]\n", "line 2: unknown field `limit`"),
+            ("[classes.refund]\neffect = \"once\"\n", "line 1: classes.refund: no such class"),
+            ("[classes.signup]\neffect = \"safe\"\n", "line 2: classes.signup.effect: wider than"),
+            ("[classes.fee-payment]\n\nmemory_ms = 5000\n", "line 3: classes.fee-payment.memory_ms: 5000 is"),
+            ("[classes.fee-payment]\ngroup = \"all\"\n", "line 2: classes.fee-payment.group: wider"),
+            ("[classes.lookup]\ngroup = \"all\"\n", "line 2: classes.lookup.group: only for"),
+            ("[classes.lookup]\naim_ms = 0\n", "line 1: classes: classes[0].aim: must be above 0"),
+            ("[limits]\nattempts = 4\n", "line 2: limits.attempts: 4 is more than the platform's 3"),
+            ("[limits]\nattempts = 0\n", "line 1: limits: limits.attempts: no attempts"),
+            ("[limits]\nsecond_copies = true\n", "line 2: limits.second_copies: the platform"),
+            ("[ejection]\nat_most = 1.5\n", "line 1: ejection: tuning.eject_at_most: 1.5 is a share"),
+            ("[retry]\nmost = -1.0\n", "line 1: retry: tuning.retry_most: -1"),
+            ("[tenants.x]\nburst = 1\n", "line 1: tenants.x: no such tenant"),
+            ("[tenants.punjab-clubs]\nburst = 4\n", "line 1: tenants.punjab-clubs.rate_per_s: a quota needs"),
+            (
+                "[tenants.punjab-clubs]\nrate_per_s = -2\nburst = 4\n",
+                "line 2: tenants.punjab-clubs.rate_per_s: -2 is outside",
+            ),
+            (
+                "[tenants.punjab-clubs]\nrate_per_s = 2\nburst = 4\n[tenants.punjab-clubs.per_day]\nx = 3\n",
+                "line 5: tenants.punjab-clubs.per_day.x: no such class",
+            ),
+            (
+                "[tenants.punjab-clubs]\nrate_per_s = 2\nburst = 4\ncost.signup = 5\n",
+                "line 1: tenants: tenant punjab-clubs: a signup costs more than",
+            ),
+            ("\u{0}", "line 1: "),
+        ] {
+            let told = read(text.as_bytes(), &ground()).map(|_| ()).expect_err(text).to_string();
+            assert!(told.starts_with(words), "{text}: {told}");
+        }
+        assert!(read(&[0xff], &ground()).is_err());
+    }
+}
