--- a/crates/contracts/src/store/clauses.rs
+++ b/crates/contracts/src/store/clauses.rs
@@ -309,7 +309,8 @@
     let (place, mut store, mut all) = filled::<P>(clause, 4)?;
     store.snapshot(Seq(3), b"the state of three").breaks(clause, "snapshot")?;
     for n in 5..=7 {
-        all.push(record(n));
+        // Short, so that they lie in one file, the later ones behind the earlier.
+        all.push(vec![n as u8; 10]);
         store.append(&all[n - 1]).breaks(clause, "append")?;
         store.sync().breaks(clause, "sync")?;
     }
--- a/crates/contracts/src/store/places.rs
+++ b/crates/contracts/src/store/places.rs
@@ -12,7 +12,7 @@
 use super::{Broken, Left, Place, Trouble, Visit};
 
 /// Small, so that a course of a few records goes through several.
-const SEGMENT_BYTES: usize = 300;
+const SEGMENT_BYTES: usize = 200;
 const OWNER: &str = "node-1";
 
 /// A [`Log`] on a simulated disk. It crashes behind each operation, within each write at each byte, and loses of what was
--- a/crates/contracts/tests/broken_stores.rs
+++ b/crates/contracts/tests/broken_stores.rs
@@ -132,10 +132,10 @@
     }
 
     fn open(&self) -> Result<(BadStore<FAULT>, Recovered), StoreError> {
-        let (log, mut got) = match Log::open_sized(BadDisk(self.0.clone()), "node-1", 300) {
+        let (log, mut got) = match Log::open_sized(BadDisk(self.0.clone()), "node-1", 200) {
             Err(StoreError::Damaged { .. }) if FAULT == GIVES_OUT_A_FLIPPED_RECORD => {
                 // As a store without checksums does: what lies there is what it gives out.
-                let (log, mut got) = Log::open_sized(BadDisk(SimDisk::default()), "node-1", 300)?;
+                let (log, mut got) = Log::open_sized(BadDisk(SimDisk::default()), "node-1", 200)?;
                 got.records.push((Seq(1), b"altered".to_vec()));
                 (log, got)
             }
