--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -482,25 +482,22 @@
         self.state.borrow_mut().members.version = None;
     }
 
-    /// Notes that the list's source was heard; true the first time.
-    fn first_heard(&self) -> bool {
-        let first = !self.informed.replace(true);
-        if first {
+    /// Notes that the list's source was heard.
+    fn source_heard(&self) {
+        if !self.informed.replace(true) {
             self.heard.notify_one();
         }
-        first
     }
 
-    /// The source stands, with no news.
+    /// The source has answered a call, with no news: to be told once a call, as the policy waits for that.
     pub fn list_alive(self: &Rc<Self>) {
-        if self.first_heard() {
-            self.feed(Event::ListChange(Vec::new()));
-        }
+        self.source_heard();
+        self.feed(Event::ListChange(Vec::new()));
     }
 
     /// The source has brought a list, or changes.
     pub fn listed(self: &Rc<Self>, listing: Listing) {
-        self.first_heard();
+        self.source_heard();
         self.take_list(listing, false);
     }
 
--- a/crates/http/src/config.rs
+++ b/crates/http/src/config.rs
@@ -4,6 +4,7 @@
 
 use magpietally_config::file::read_plain;
 use magpietally_core::Listing;
+use magpietally_policy::Discovery;
 use magpietally_settings::{told, Told};
 use magpietally_structures::GOLDEN;
 use serde_json::Value;
@@ -145,7 +146,12 @@
         None | Some(Value::Null) => None,
         Some(known) => Some(listing(known.clone()).map_err(|e| format!("known: {e}"))?),
     };
-    let told = told(value.get("settings").unwrap_or(&Value::Null)).map_err(|e| format!("settings: {e}"))?;
+    let mut told =
+        told(value.get("settings").unwrap_or(&Value::Null)).map_err(|e| format!("settings: {e}"))?;
+    // Nothing comes by itself over HTTP: where lists are pushed, it is an agent that has them, and it has to be watched.
+    if told.settings.discovery == Discovery::Pushed {
+        told.settings.discovery = Discovery::Agent;
+    }
     Ok(Config {
         name: text("name")?.1,
         listen: address("listen")?,
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -1,5 +1,7 @@
 //! Calls to discovery: the whole list, and the watch that brings its changes.
 
+use std::fmt::Display;
+use std::future::{pending, Future};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,21 +10,34 @@
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper::{Request, Response, StatusCode};
+use hyper::{rt, Request, Response, StatusCode};
 use magpietally_core::{Carrier, Core, Listing};
 use tokio::net::TcpStream;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
 use crate::list;
-use crate::sock::{io, Sock};
+use crate::sock::{io, Io, Sock};
 
 /// The longest line that is taken.
 const LINE_MOST: usize = 4 << 20;
-/// How long a connection may take.
-const CONNECT: Duration = Duration::from_millis(1000);
-/// How long a call may wait in the service's queue. The service itself fails calls after 3 s; with no answer at all
-/// there must be time for another call before news counts as told, 4 s after a reload.
-const FIRST: Duration = Duration::from_millis(3400);
+
+// What a call that falls silent has missed counts as told 6 s after it fell silent, and 4 s after a reload that began it. All
+// times but SILENCE run from a call's beginning, so that parts that are each just in time do not add up to more. Behind each
+// comes the policy's pause, 0.5 s at most after a first failure, and the next call, which has the rest.
+
+/// How long a connection is waited for before another is tried beside it. The kernel would say its first word again after
+/// 1 s, then after 2 s and 4 s: a link that is back would be found too late.
+const TRY: Duration = Duration::from_millis(500);
+/// Who refuses a connection does it sooner. One that hung so long and is reset then was on a link that is back.
+const REFUSED: Duration = Duration::from_millis(100);
+/// How long a call may wait for its answer to begin. The service itself fails calls that had to wait in its queue for 3 s.
+const ANSWER: Duration = Duration::from_millis(3400);
+/// When the whole list must be there: half a second more than its answer may wait, and with the pause behind it within the
+/// 4 s of a reload and the 750 ms in which a drain must hold.
+const WHOLE: Duration = Duration::from_millis(3900);
+/// When the first line of a watch must be there: 2 s later than the latest answer, as it may be the first of those that come
+/// while nothing changes; with the pause behind it within 6 s.
+const FIRST_LINE: Duration = Duration::from_millis(5400);
 /// A watch brings a line every 2 s: a longer silence is a dead link, which TCP alone would not notice.
 const SILENCE: Duration = Duration::from_millis(3200);
 
@@ -34,6 +49,53 @@
     Unreadable(String),
 }
 
+/// Who the list is read for.
+trait Reader {
+    /// The version to follow from; `None` where the whole list is needed first.
+    fn version(&self) -> Option<u64>;
+    /// What was read last can't be trusted to follow on what it has.
+    fn forget_version(&self);
+    /// The source has answered a call, with no news.
+    fn list_alive(&self);
+    /// The source has brought a list, or changes.
+    fn listed(&self, listing: Listing);
+}
+
+impl<C: Carrier> Reader for Rc<Core<C>> {
+    fn version(&self) -> Option<u64> {
+        Core::version(self)
+    }
+
+    fn forget_version(&self) {
+        Core::forget_version(self);
+    }
+
+    fn list_alive(&self) {
+        Core::list_alive(self);
+    }
+
+    fn listed(&self, listing: Listing) {
+        Core::listed(self, listing);
+    }
+}
+
+/// Where calls go.
+trait Dial: Display {
+    /// A connection.
+    type Io: rt::Read + rt::Write + Unpin + 'static;
+
+    /// Connects once, for as long as it takes.
+    fn dial(&self) -> impl Future<Output = std::io::Result<Self::Io>>;
+}
+
+impl Dial for SocketAddr {
+    type Io = Io;
+
+    async fn dial(&self) -> std::io::Result<Io> {
+        Ok(io(Sock::new(TcpStream::connect(self).await?)?))
+    }
+}
+
 impl From<hyper::Error> for Ended {
     fn from(error: hyper::Error) -> Self {
         Self::Broken(error.to_string())
@@ -43,24 +105,29 @@
 /// Watches from the version that the core has, or asks for the whole list first where it has to. Ends when
 /// the watch ends, with words on why.
 pub async fn follow<C: Carrier>(core: Rc<Core<C>>, to: SocketAddr) -> String {
-    match watch(&core, to).await {
+    follow_by(&core, &to).await
+}
+
+async fn follow_by(reader: &impl Reader, to: &impl Dial) -> String {
+    match watch(reader, to).await {
         Ok(()) => "the watch ended".to_string(),
         Err(Ended::Broken(words)) => words,
         Err(Ended::Unreadable(words)) => {
-            core.forget_version();
+            reader.forget_version();
             format!("unreadable line dropped: {words}")
         }
     }
 }
 
-async fn watch<C: Carrier>(core: &Rc<Core<C>>, to: SocketAddr) -> Result<(), Ended> {
-    let version = match core.version() {
+async fn watch(reader: &impl Reader, to: &impl Dial) -> Result<(), Ended> {
+    let version = match reader.version() {
         Some(version) => version,
-        None => whole(core, to).await?,
+        None => whole(reader, to).await?,
     };
     let mut body = call(to, &format!("/v1/endpoints?watch=1&from={version}")).await?;
     let mut lines = Lines::default();
-    let mut due = Instant::now() + FIRST;
+    let mut due = (Instant::now() + SILENCE).min(body.began + FIRST_LINE);
+    let mut heard = false;
     loop {
         let frame = timeout_at(due, body.answer.frame()).await;
         let Some(frame) = frame.map_err(|_| Ended::Broken("silent watch".into()))? else { return Ok(()) };
@@ -69,33 +136,34 @@
         while let Some(line) = lines.next() {
             // Bytes that make no line are no sign of life: news waits behind them.
             due = Instant::now() + SILENCE;
-            if line.is_empty() {
-                core.list_alive();
-            } else {
-                follow_on(core, read(&line)?)?;
+            if !line.is_empty() {
+                follow_on(reader, read(&line)?)?;
+            } else if !heard {
+                reader.list_alive();
             }
+            heard = true;
         }
     }
 }
 
 /// Takes a line of a watch. Changes of an older version than the node has would bring back what has been told to be over.
-fn follow_on<C: Carrier>(core: &Rc<Core<C>>, listing: Listing) -> Result<(), Ended> {
-    match core.version() {
+fn follow_on(reader: &impl Reader, listing: Listing) -> Result<(), Ended> {
+    match reader.version() {
         Some(had) if !listing.whole && listing.version < had => {
             Err(Ended::Unreadable(format!("seq: {} after {had}", listing.version)))
         }
         _ => {
-            core.listed(listing);
+            reader.listed(listing);
             Ok(())
         }
     }
 }
 
 /// Asks for the whole list once.
-async fn whole<C: Carrier>(core: &Rc<Core<C>>, to: SocketAddr) -> Result<u64, Ended> {
+async fn whole(reader: &impl Reader, to: &impl Dial) -> Result<u64, Ended> {
     let mut body = call(to, "/v1/endpoints").await?;
     let mut text = Lines::default();
-    let due = Instant::now() + FIRST;
+    let due = body.began + WHOLE;
     loop {
         let frame = timeout_at(due, body.answer.frame()).await;
         let Some(frame) = frame.map_err(|_| Ended::Broken("silent list".into()))? else { break };
@@ -105,7 +173,7 @@
     }
     let listing = read(&text.held)?;
     let version = listing.version;
-    core.listed(listing);
+    reader.listed(listing);
     Ok(version)
 }
 
@@ -113,36 +181,76 @@
     list::read(line).map_err(Ended::Unreadable)
 }
 
-/// A call's answer; the connection ends with it.
-struct Call {
-    answer: Incoming,
-    driver: tokio::task::JoinHandle<()>,
-}
+/// What moves a call's bytes; the connection ends with it.
+struct Driver(tokio::task::JoinHandle<()>);
 
-impl Drop for Call {
+impl Drop for Driver {
     fn drop(&mut self) {
-        self.driver.abort();
+        self.0.abort();
     }
 }
 
-async fn call(to: SocketAddr, path: &str) -> Result<Call, Ended> {
+/// A call's answer.
+struct Call {
+    answer: Incoming,
+    /// When the connection was asked for that it came by.
+    began: Instant,
+    _driver: Driver,
+}
+
+async fn call(to: &impl Dial, path: &str) -> Result<Call, Ended> {
     let broken = |words: &str| Ended::Broken(words.to_string());
-    let stream = timeout(CONNECT, TcpStream::connect(to)).await.map_err(|_| broken("no connection"))?;
-    let sock = stream.and_then(Sock::new).map_err(|e| broken(&e.to_string()))?;
-    let (mut send, conn) = http1::handshake(io(sock)).await?;
-    let driver = tokio::task::spawn_local(async move {
+    let (io, began) = connect(to).await?;
+    let (mut send, conn) = http1::handshake(io).await?;
+    let driver = Driver(tokio::task::spawn_local(async move {
         // What breaks the connection breaks the call too, and is seen there.
         let _ = conn.await;
-    });
+    }));
     let request = Request::get(path).header("host", to.to_string()).body(Empty::<Bytes>::new());
     let request = request.map_err(|e| broken(&e.to_string()))?;
-    let answer = timeout(FIRST, send.send_request(request)).await;
+    let answer = timeout_at(began + ANSWER, send.send_request(request)).await;
     let answer: Response<Incoming> = answer.map_err(|_| broken("no answer"))??;
     if answer.status() != StatusCode::OK {
-        driver.abort();
         return Err(Ended::Broken(format!("status {}", answer.status())));
     }
-    Ok(Call { answer: answer.into_body(), driver })
+    Ok(Call { answer: answer.into_body(), began, _driver: driver })
+}
+
+/// A connection, and when it was asked for. On a dead link none comes up and none is refused. As the service never hears of
+/// these, they need no pause that grows: another is tried all the time, beside the one before, which may only be late. What
+/// is refused has failed.
+async fn connect<D: Dial>(to: &D) -> Result<(D::Io, Instant), Ended> {
+    let mut before = None;
+    let mut told = false;
+    loop {
+        let began = Instant::now();
+        let mut newest = Box::pin(to.dial());
+        let late = async {
+            match &mut before {
+                Some((dial, began)) => (std::pin::Pin::as_mut(dial).await, *began),
+                None => pending().await,
+            }
+        };
+        let ended = tokio::select! {
+            io = &mut newest => Some((io, began)),
+            late = late => Some(late),
+            () = sleep(TRY) => None,
+        };
+        match ended {
+            Some((Ok(io), began)) => return Ok((io, began)),
+            Some((Err(error), began)) if began.elapsed() < REFUSED => {
+                return Err(Ended::Broken(error.to_string()));
+            }
+            // The link is back, and says that what hung on it is lost.
+            Some((Err(_), _)) => before = None,
+            None => {
+                if !std::mem::replace(&mut told, true) {
+                    tracing::info!(target: "list", "{to}: no connection comes up, tried on");
+                }
+                before = Some((newest, began));
+            }
+        }
+    }
 }
 
 /// Cuts a stream into lines.
@@ -178,6 +286,9 @@
     }
 }
 
+#[cfg(test)]
+mod clock;
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/http/src/discovery/clock.rs
@@ -0,0 +1,404 @@
+//! One clock for the list: how long after each trouble the node has what it missed. The calls are the real ones and the pauses
+//! between them the policy's own, over links in memory and in virtual time.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::fmt;
+use std::future::pending;
+use std::io;
+use std::rc::Rc;
+
+use hyper_util::rt::TokioIo;
+use magpietally_policy::{
+    Action, Balancer, Class, Discovery, Effect, Event, Goal, Limits, Millis, Rules, Settings,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::task::{spawn_local, AbortHandle, LocalSet};
+
+use super::*;
+
+/// When what a silent call has missed counts as told, and when what a new address has does, after a reload.
+const TOLD: u64 = 6000;
+const TOLD_AFTER_RELOAD: u64 = 4000;
+/// How long after that a drain must hold, and what is left of it for the call that brings the news.
+const GRACE: u64 = 750;
+/// Jitter is drawn from the seed: what holds has to hold for all of them.
+const SEEDS: u64 = 20;
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const LIST: &str = r#"{"seq":1,"whole":true,"hosts":[]}"#;
+const NEWS: &str = r#"{"seq":2,"whole":true,"hosts":[]}"#;
+
+/// What comes on a connection once it was asked: after so long, these bytes. Then nothing, and it stays open.
+type Says = Vec<(u64, String)>;
+
+/// What becomes of one connection.
+#[derive(Clone)]
+enum Link {
+    /// It comes up.
+    Up(Says),
+    /// It is refused.
+    Refused,
+    /// It hangs, and is reset at this time or never.
+    Hangs(Option<u64>),
+}
+
+fn chunk(words: &str) -> String {
+    format!("{:x}\r\n{words}\r\n", words.len())
+}
+
+fn line(words: &str) -> String {
+    chunk(&format!("{words}\n"))
+}
+
+/// A whole list as an answer, at once.
+fn whole() -> Link {
+    Link::Up(vec![(0, format!("{HEAD}{}0\r\n\r\n", chunk(LIST)))])
+}
+
+/// A watch that says this at once and then an empty line every 2 s, so many times.
+fn watch(first: &str, beats: usize) -> Link {
+    let mut says = vec![(0, format!("{HEAD}{}", line(first)))];
+    says.extend((0..beats).map(|_| (2000, line(""))));
+    Link::Up(says)
+}
+
+/// A call that asks for the whole list gets its end, a watch is open.
+fn news(path: &str) -> Link {
+    match path.contains("watch") {
+        true => watch(NEWS, 1000),
+        false => Link::Up(vec![(0, format!("{HEAD}{}0\r\n\r\n", chunk(NEWS)))]),
+    }
+}
+
+/// What the service does: the scripted links in turn, then refusals until it is back, then the news.
+struct Service {
+    start: Instant,
+    links: RefCell<VecDeque<Link>>,
+    back: u64,
+    /// When each connection was asked for.
+    asked: RefCell<Vec<u64>>,
+}
+
+impl Service {
+    fn now(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
+    async fn serve(self: Rc<Self>, link: Option<Link>, mut stream: DuplexStream) {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            match stream.read_u8().await {
+                Ok(byte) => head.push(byte),
+                Err(_) => return,
+            }
+        }
+        let path = String::from_utf8_lossy(&head);
+        let Link::Up(says) = link.unwrap_or_else(|| news(&path)) else { return };
+        for (after, words) in says {
+            sleep(Duration::from_millis(after)).await;
+            if stream.write_all(words.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+        pending().await
+    }
+}
+
+struct Wire(Rc<Service>);
+
+impl Display for Wire {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        to.write_str("wire")
+    }
+}
+
+impl Dial for Wire {
+    type Io = TokioIo<DuplexStream>;
+
+    async fn dial(&self) -> io::Result<Self::Io> {
+        let service = self.0.clone();
+        service.asked.borrow_mut().push(service.now());
+        let link = service.links.borrow_mut().pop_front();
+        match link {
+            Some(Link::Refused) => return Err(io::ErrorKind::ConnectionRefused.into()),
+            Some(Link::Hangs(until)) => {
+                let Some(until) = until else { return pending().await };
+                sleep(Duration::from_millis(until.saturating_sub(service.now()))).await;
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            None if service.now() < service.back => return Err(io::ErrorKind::ConnectionRefused.into()),
+            _ => {}
+        }
+        let (ours, theirs) = tokio::io::duplex(1 << 16);
+        spawn_local(service.serve(link, theirs));
+        Ok(TokioIo::new(ours))
+    }
+}
+
+/// A node, as far as the list goes: the policy, its timer and its one call.
+struct Node {
+    policy: RefCell<Balancer>,
+    service: Rc<Service>,
+    version: Cell<Option<u64>>,
+    /// When the news was there.
+    news: Cell<Option<u64>>,
+    due: Cell<Option<Instant>>,
+    call: RefCell<Option<AbortHandle>>,
+}
+
+impl Node {
+    fn feed(self: &Rc<Self>, event: Event) {
+        let now = self.service.start.elapsed().as_secs_f64() * 1000.0;
+        let mut actions = Vec::new();
+        self.policy.borrow_mut().handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::SetTimer(after) => {
+                    let at = Instant::now() + Duration::from_secs_f64(after / 1000.0);
+                    self.due.set(Some(self.due.get().map_or(at, |due| due.min(at))));
+                }
+                Action::Subscribe => {
+                    let node = self.clone();
+                    let call = spawn_local(async move {
+                        follow_by(&node, &Wire(node.service.clone())).await;
+                        node.feed(Event::ListFailed);
+                    });
+                    if let Some(old) = self.call.borrow_mut().replace(call.abort_handle()) {
+                        old.abort();
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+impl Reader for Rc<Node> {
+    fn version(&self) -> Option<u64> {
+        self.version.get()
+    }
+
+    fn forget_version(&self) {
+        self.version.set(None);
+    }
+
+    fn list_alive(&self) {
+        self.feed(Event::ListChange(Vec::new()));
+    }
+
+    fn listed(&self, listing: Listing) {
+        self.version.set(Some(listing.version));
+        if listing.version == 2 && self.news.get().is_none() {
+            self.news.set(Some(self.service.now()));
+        }
+        self.feed(Event::List { entries: Vec::new(), saved: false });
+    }
+}
+
+/// How a node is asked and what befalls it.
+#[derive(Clone)]
+struct Case {
+    discovery: Discovery,
+    ask_within: Millis,
+    /// The version that it has at its start.
+    version: Option<u64>,
+    links: Vec<Link>,
+    /// Until when what no link is scripted for is refused.
+    back: u64,
+}
+
+impl Case {
+    fn new(version: Option<u64>, links: Vec<Link>) -> Self {
+        Self { discovery: Discovery::Asked, ask_within: 10_000.0, version, links, back: 0 }
+    }
+
+    /// Plays it until the news is there, 40 s at the most; when that was, and when connections were asked for.
+    fn play(&self, seed: u64) -> (Option<u64>, Vec<u64>) {
+        let class = Class { aim: 100.0, worth: 1.0, late_worth: 0.0, effect: Effect::Safe };
+        let rules = Rules {
+            ask_within: self.ask_within,
+            cold_share: 0.2,
+            warm_within: 1000.0,
+            fall_multiple: 3.0,
+            fall_window: 1000.0,
+        };
+        let settings = Settings {
+            nodes: 1,
+            classes: vec![class],
+            goal: Goal { worth: 1.0, ..Goal::default() },
+            limits: Limits { attempts: 3, connect_timeout: 100.0, ..Limits::default() },
+            rules,
+            discovery: self.discovery,
+            tick: 1.0,
+            ..Settings::default()
+        };
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+        LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+            let service = Rc::new(Service {
+                start: Instant::now(),
+                links: RefCell::new(self.links.clone().into()),
+                back: self.back,
+                asked: RefCell::default(),
+            });
+            let node = Rc::new(Node {
+                policy: RefCell::new(Balancer::new(settings, seed).expect("good settings")),
+                service: service.clone(),
+                version: Cell::new(self.version),
+                news: Cell::new(None),
+                due: Cell::new(None),
+                call: RefCell::default(),
+            });
+            node.feed(Event::List { entries: Vec::new(), saved: true });
+            while service.now() < 40_000 && node.news.get().is_none() {
+                // Short steps: the timer may be set by any of the tasks.
+                sleep(Duration::from_millis(10)).await;
+                if node.due.get().is_some_and(|due| due <= Instant::now()) {
+                    node.due.set(None);
+                    node.feed(Event::Timer);
+                }
+            }
+            let asked = service.asked.borrow().clone();
+            (node.news.get(), asked)
+        })
+    }
+
+    /// By how much the news came after this time, at the worst.
+    fn worst_after(&self, since: u64) -> u64 {
+        let late = |seed| {
+            let (news, asked) = self.play(seed);
+            let news = news.unwrap_or_else(|| panic!("seed {seed}: no news; connections at {asked:?}"));
+            assert!(news >= since, "seed {seed}: the news came at {news}, before anything was missed");
+            news - since
+        };
+        let worst = (0..SEEDS).map(late).max().unwrap_or(0);
+        println!("{} ms at the worst", worst);
+        worst
+    }
+}
+
+#[test]
+fn a_watch_that_falls_silent_is_asked_anew_in_time() {
+    // Two empty lines, the last at 4 s, and silence from there.
+    let case = Case::new(Some(1), vec![watch(LIST, 2)]);
+    assert!(case.worst_after(4000) < TOLD);
+    // However long the settings let a node leave off asking.
+    assert!(Case { ask_within: 240_000.0, ..case.clone() }.worst_after(4000) < TOLD);
+    // Also in the middle of a line, of which single bytes still come.
+    let mut says = vec![(0, format!("{HEAD}{}", line(LIST)))];
+    says.extend((0..200).map(|_| (300, chunk(" "))));
+    assert!(Case::new(Some(1), vec![Link::Up(says)]).worst_after(0) < TOLD);
+}
+
+#[test]
+fn a_list_that_stops_in_the_middle_is_asked_for_anew_in_time() {
+    let half = format!("{HEAD}{}", chunk(&LIST[..20]));
+    assert!(Case::new(None, vec![Link::Up(vec![(0, half.clone())])]).worst_after(0) < TOLD);
+    let mut trickle = vec![(0, half.clone())];
+    trickle.extend((0..200).map(|_| (300, chunk(" "))));
+    assert!(Case::new(None, vec![Link::Up(trickle)]).worst_after(0) < TOLD);
+    // It waited in the service's queue first: the wait and the silence share one clock.
+    assert!(Case::new(None, vec![Link::Up(vec![(3000, half)])]).worst_after(0) < TOLD);
+}
+
+#[test]
+fn a_call_that_waits_and_then_says_nothing_is_asked_anew_in_time() {
+    // The answer begins when the service gives up on calls at the latest; the first line never comes.
+    let late = Link::Up(vec![(3000, HEAD.to_string())]);
+    assert!(Case::new(Some(1), vec![late]).worst_after(0) < TOLD);
+    // One whose first line is the first empty one is no silent one, and is not asked anew.
+    let slow = Link::Up(vec![(3000, HEAD.to_string()), (2000, line("")), (1000, line(NEWS))]);
+    let (news, asked) = Case::new(Some(1), vec![slow]).play(0);
+    assert_eq!((news, asked[0]), (Some(6000), 0));
+    assert!(asked.get(1).is_none_or(|at| *at > 6000), "{asked:?}");
+}
+
+#[test]
+fn a_call_without_an_answer_is_made_anew_in_time() {
+    for version in [None, Some(1)] {
+        assert!(Case::new(version, vec![Link::Up(vec![])]).worst_after(0) < TOLD);
+        // Its connection came up late as well, a second one beside it was no better.
+        let late = vec![Link::Hangs(None), Link::Up(vec![])];
+        assert!(Case::new(version, late).worst_after(0) < TOLD);
+    }
+}
+
+/// A cut link says nothing, and connections on it hang; when it is back they go on hanging, or are reset. What was missed counts
+/// as told by then, so that nothing but the grace is left.
+#[test]
+fn a_link_that_is_back_brings_the_list_within_the_grace() {
+    for back in (4000..12_000).step_by(370) {
+        for reset in [None, Some(back)] {
+            // Connections are tried every half second from 3.7 s on at the latest: so many hang until then.
+            let hang = |seed| {
+                let mut case = Case::new(Some(1), vec![watch(LIST, 0)]);
+                case.links.extend((0..64).map(|_| Link::Hangs(reset)));
+                let tried = case.play(seed).1.iter().skip(1).filter(|at| **at < back).count();
+                case.links.truncate(1 + tried);
+                let (news, asked) = case.play(seed);
+                let news = news.unwrap_or_else(|| panic!("no news; connections at {asked:?}"));
+                assert!(news >= back && news < back + GRACE, "back at {back}, the list at {news}: {asked:?}");
+            };
+            (0..6).for_each(hang);
+        }
+    }
+}
+
+#[test]
+fn after_an_outage_the_list_comes_within_the_time_for_asking_and_an_agents_at_once() {
+    for back in (1000..12_000).step_by(970) {
+        let asked = Case { back, ..Case::new(Some(1), vec![]) };
+        assert!(asked.worst_after(back) < 10_000);
+        let pushed = Case { discovery: Discovery::Agent, ..asked };
+        assert!(pushed.worst_after(back) < GRACE, "back at {back}");
+    }
+}
+
+/// A node that was told of a new address counts as told of its list 4 s later, whatever befalls its first call.
+#[test]
+fn a_silent_first_call_after_a_reload_leaves_time_for_another() {
+    let half = format!("{HEAD}{}", chunk(&LIST[..20]));
+    for first in [
+        Link::Up(vec![]),
+        Link::Up(vec![(0, HEAD.to_string())]),
+        Link::Up(vec![(3000, half)]),
+        Link::Hangs(None),
+        Link::Refused,
+    ] {
+        // The whole list is asked for, as after a reload: the version so far means nothing at the new address.
+        let late = Case::new(None, vec![first]).worst_after(0);
+        assert!(late < TOLD_AFTER_RELOAD + GRACE, "{late}");
+    }
+}
+
+#[test]
+fn of_two_silences_in_a_row_each_is_asked_anew_by_its_own_clock() {
+    let case = Case::new(Some(1), vec![watch(LIST, 0), Link::Up(vec![])]);
+    for seed in 0..SEEDS {
+        let (news, asked) = case.play(seed);
+        assert!(asked[1] < TOLD, "{asked:?}");
+        assert!(news.is_some_and(|news| news - asked[1] < TOLD), "{news:?}, {asked:?}");
+    }
+}
+
+#[test]
+fn a_new_process_asks_at_its_first_moment() {
+    for discovery in [Discovery::Asked, Discovery::Agent] {
+        let case = Case { discovery, ..Case::new(Some(1), vec![]) };
+        assert_eq!(case.play(0), (Some(0), vec![0]));
+    }
+    // An agent that is not up yet is asked again soon.
+    let links = vec![Link::Refused, Link::Refused];
+    let case = Case { discovery: Discovery::Agent, ..Case::new(Some(1), links) };
+    assert!(case.worst_after(0) < GRACE);
+}
+
+/// A list that does not change is no call without an answer.
+#[test]
+fn a_watch_with_nothing_to_say_is_left_alone() {
+    let empty = Link::Up(
+        (0..40).map(|n| (2000 * u64::from(n > 0), if n == 0 { HEAD.into() } else { line("") })).collect(),
+    );
+    let (news, asked) = Case::new(Some(1), vec![watch(LIST, 0), empty]).play(0);
+    assert_eq!((news, asked.len()), (None, 2), "{asked:?}");
+}
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -111,6 +111,8 @@
     Pushed,
     /// Once the node has subscribed or asked.
     Asked,
+    /// To an agent beside the node, whose subscription the node keeps. What the agent has counts as told at once.
+    Agent,
 }
 
 /// What the listed weights stand for.
--- a/crates/policy/src/asking.rs
+++ b/crates/policy/src/asking.rs
@@ -4,6 +4,13 @@
 
 use crate::api::{Discovery, Millis};
 
+/// The most of a pause that doubles with each failure, before it has doubled. What a subscription that fell silent has missed
+/// counts as told 6 s later, however long a node may leave off asking, and 3.2 s of these go by until it is noticed.
+const STEP_MOST: Millis = 250.0;
+/// The same where an agent is asked: what it has counts at once, and a drain must hold 750 ms later. The longest pause, 16
+/// steps, leaves a third of these for the call; an agent has one caller, which such calls do not crowd.
+const STEP_AGENT: Millis = 30.0;
+
 /// The calls to discovery.
 #[derive(Default)]
 pub(crate) struct Asking {
@@ -30,7 +37,7 @@
     pub(crate) fn new(discovery: Discovery, within: Millis) -> Self {
         let call = match discovery {
             Discovery::Pushed => Call::Settled,
-            Discovery::Asked => Call::AskAt(f64::NEG_INFINITY, 0),
+            Discovery::Asked | Discovery::Agent => Call::AskAt(f64::NEG_INFINITY, 0),
         };
         Self { discovery, within, call }
     }
@@ -48,11 +55,14 @@
     /// A call has failed. Backoff with jitter, so that nodes cut off together do not come back together; well within
     /// the time after which a node that has not asked counts as told.
     pub(crate) fn failed(&mut self, now: Millis, random: &mut SplitMix) {
-        if self.discovery == Discovery::Asked {
-            let failures = if let Call::Asked(_, failures) = self.call { failures + 1 } else { 1 };
-            let span = (self.within / 40.0) * f64::from(1u32 << failures.min(4));
-            self.call = Call::AskAt(now + span * (0.5 + 0.5 * random.part()), failures);
-        }
+        let step = match self.discovery {
+            Discovery::Pushed => return,
+            Discovery::Asked => (self.within / 40.0).min(STEP_MOST),
+            Discovery::Agent => STEP_AGENT,
+        };
+        let failures = if let Call::Asked(_, failures) = self.call { failures + 1 } else { 1 };
+        let span = step * f64::from(1u32 << failures.min(4));
+        self.call = Call::AskAt(now + span * (0.5 + 0.5 * random.part()), failures);
     }
 
     /// When it is to be looked at again.
