--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -221,7 +221,7 @@
 /// is refused has failed.
 async fn connect<D: Dial>(to: &D) -> Result<(D::Io, Instant), Ended> {
     let mut before = None;
-    let mut told = false;
+    let mut hung = false;
     loop {
         let began = Instant::now();
         let mut newest = Box::pin(to.dial());
@@ -238,13 +238,13 @@
         };
         match ended {
             Some((Ok(io), began)) => return Ok((io, began)),
-            Some((Err(error), began)) if began.elapsed() < REFUSED => {
+            Some((Err(error), began)) if !hung && began.elapsed() < REFUSED => {
                 return Err(Ended::Broken(error.to_string()));
             }
-            // The link is back, and says that what hung on it is lost.
-            Some((Err(_), _)) => before = None,
+            // The link is back, and says that what hung on it is lost. What is refused from now on has failed.
+            Some((Err(_), _)) => (before, hung) = (None, false),
             None => {
-                if !std::mem::replace(&mut told, true) {
+                if !std::mem::replace(&mut hung, true) {
                     tracing::info!(target: "list", "{to}: no connection comes up, tried on");
                 }
                 before = Some((newest, began));
