--- a/crates/http/src/discovery/clock.rs
+++ b/crates/http/src/discovery/clock.rs
@@ -51,11 +51,6 @@
     chunk(&format!("{words}\n"))
 }
 
-/// A whole list as an answer, at once.
-fn whole() -> Link {
-    Link::Up(vec![(0, format!("{HEAD}{}0\r\n\r\n", chunk(LIST)))])
-}
-
 /// A watch that says this at once and then an empty line every 2 s, so many times.
 fn watch(first: &str, beats: usize) -> Link {
     let mut says = vec![(0, format!("{HEAD}{}", line(first)))];
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -396,3 +396,47 @@
     until("the connection to the one that is gone is closed", || a.open() == 0);
     assert_eq!(b.open(), 1);
 }
+
+/// Where lists are pushed it is an agent that has them: the node watches it from its first moment, with no saved list, and soon
+/// again after it was gone.
+#[test]
+fn a_node_whose_lists_are_pushed_watches_its_agent() {
+    let (a, b) = (Peer::good("a"), Peer::good("b"));
+    let agent = Registry::new(&[host("s0", a.address, "active", 1)]);
+    let mut config = config(agent.address);
+    config["settings"]["Discovery"] = json!("automatic");
+    let node = Node::ready(&config);
+    assert_eq!(Client::to(&node).ask(&request("look", "t1", 15_000)).body, b"a");
+    agent.down(true);
+    let calls = agent.calls().len();
+    until("the agent is asked again", || agent.calls().len() > calls);
+    let hosts = [host("s0", b.address, "active", 1)];
+    agent.tell(9, &hosts, &[]);
+    agent.down(false);
+    until("the new list counts", || Client::to(&node).ask(&request("look", "t2", 15_000)).body == b"b");
+}
+
+/// A server that drained while the watch was silent gets nothing new once that counts as told, and the drain's grace is over.
+#[test]
+fn a_drain_that_a_silent_watch_missed_holds_in_time() {
+    let (a, b) = (Peer::good("a"), Peer::good("b"));
+    let both = [host("s0", a.address, "active", 1), host("s1", b.address, "active", 1)];
+    let registry = Registry::new(&both);
+    let node = Node::ready(&config(registry.address));
+    until("the watch stands", || registry.watches() == 1);
+    let mut client = Client::to(&node);
+    let mut ask = || client.ask(&request("look", "t1", 15_000)).body;
+    registry.silent();
+    let silent = Instant::now();
+    registry.tell(2, &both[1..], &[host("s0", a.address, "leaving", 1)]);
+    let mut last = Duration::ZERO;
+    // 6 s and the grace of 750 ms are allowed, and a second more for a busy machine. It is asked for longer, to see one late.
+    while silent.elapsed() < Duration::from_millis(9750) {
+        if ask() == b"a" {
+            last = silent.elapsed();
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(last > Duration::ZERO, "the drain was known though the watch was silent");
+    assert!(last < Duration::from_millis(7750), "the drained server was sent to {last:?} after the silence");
+}
