policy_change: a stopped node that wakes decides nothing begun before the next version

The room had only been played by its checker's own histories. It is now played on the log's model: 5 nodes, 300 seeds, lost, doubled and late words, cuts, stops, kills, no leader, two that think they lead, two proposals at once, refused documents, requests at every node all the time; every record goes to the checker, and each run ends healed with a change that has to take hold within 420 ms.

A request that a stop lies in is now decided again only when nothing newer can have taken hold, and a stop is told from three beats (150 ms) on.

--- a/crates/policy_change/src/gate.rs
+++ b/crates/policy_change/src/gate.rs
@@ -7,9 +7,9 @@
 use crate::room::PolicyChange;
 use crate::settings::WithoutLease;
 
-/// A node that was not asked anything for so long is taken as having been stopped: ten of its own beats, and well under
-/// the shortest term.
-pub(crate) const STALL: Duration = Duration::from_millis(450);
+/// A node that was not asked anything for so long is taken as having been stopped: three of its own beats. A shorter stop
+/// is not told from a slow moment.
+pub(crate) const STALL: Duration = Duration::from_millis(150);
 /// What a refused client is asked to wait while a lease is missing: about the time a node needs to get one.
 const RETRY_WITHOUT_LEASE: Duration = Duration::from_secs(2);
 /// What a refused client is asked to wait while a version closes: past the usual hold.
@@ -159,14 +159,16 @@
 
     /// Whether a request that was begun may be decided (again) under its version at `now`: the first choice of a server and
     /// every retry ask at that very moment. It may, also when a newer version has taken hold since or the lease ran out
-    /// while the node ran (it finishes what it has); it may not when the node was stopped past the end of its lease since
-    /// the request began.
+    /// while the node ran (it finishes what it has); it may not when, since the request began, the node was stopped and its
+    /// version was over before, or the stop outlasted its lease or fell into a closing: the next may have taken hold
+    /// meanwhile.
     ///
     /// # Errors
     /// The refusal to answer it with.
     pub fn may_decide(&mut self, now: Duration, epoch: &Epoch) -> Result<(), Refusal> {
         self.seen(now);
-        if epoch.begun < self.void_before {
+        let old = epoch.begun < self.last_stop && epoch.version != self.state.active;
+        if old || epoch.begun < self.void_before {
             self.figures.refused += 1;
             return Err(Refusal { why: RefusalWhy::NoLease, retry_after: RETRY_WITHOUT_LEASE });
         }
@@ -217,7 +219,11 @@
     pub(crate) fn seen(&mut self, now: Duration) {
         let gap = now.saturating_sub(self.last_seen);
         self.last_seen = self.last_seen.max(now);
-        if gap > STALL && !self.leased(now) {
+        if gap <= STALL {
+            return;
+        }
+        self.last_stop = now;
+        if self.closed_at.is_some() || !self.leased(now) {
             self.void_before = now;
         }
     }
--- a/crates/policy_change/src/lib.rs
+++ b/crates/policy_change/src/lib.rs
@@ -15,6 +15,10 @@
 pub mod check;
 mod entry;
 mod gate;
+#[cfg(test)]
+mod play;
+#[cfg(test)]
+mod properties;
 mod room;
 mod settings;
 mod state;
--- /dev/null
+++ b/crates/policy_change/src/properties.rs
@@ -0,0 +1,116 @@
+//! Seeded runs under every fault the model has, read by the checker.
+
+use std::time::Duration;
+
+use magpietally_consensus::model::Faults;
+use rand::RngExt;
+
+use crate::check::Breach;
+use crate::play::{short, Play, MS};
+use crate::{End, Outcome, Plant, Settings, WithoutLease};
+
+const NODES: usize = 5;
+const SEEDS: u64 = 300;
+
+fn weather(play: &mut Play) -> Faults {
+    let slow = if play.rng.random_bool(0.3) { 600 } else { 60 };
+    Faults {
+        lost: play.rng.random_range(0.0..0.3),
+        doubled: play.rng.random_range(0.0..0.3),
+        deciding: play.rng.random_range(1..slow) * MS,
+        learning: play.rng.random_range(1..slow) * MS,
+    }
+}
+
+/// One thing goes wrong, or right again, or somebody proposes.
+fn event(play: &mut Play, n: u64) {
+    let i = play.rng.random_range(0..NODES);
+    match play.rng.random_range(0..16) {
+        0 => play.kill(i),
+        1 | 2 => play.cut(i, true),
+        3 | 4 if play.model.runs(i) => {
+            play.pause(i, true);
+            // A shorter stop is not told from a slow moment, see the gate.
+            play.run(200 * MS);
+        }
+        5 => play.model.lead(None),
+        6 => {
+            let other = play.rng.random_range(0..NODES);
+            play.model.also_leading(&[i, other]);
+        }
+        7 => {
+            let faults = weather(play);
+            play.model.set_faults(faults);
+        }
+        8 => play.heal(),
+        9 | 10 => {
+            play.model.lead(Some(i));
+            play.cut(i, false);
+        }
+        11 => {
+            let document = format!("share = {n} !n{}", play.rng.random_range(0..NODES));
+            play.propose(i, &document);
+        }
+        _ => {
+            play.propose(i, &format!("share = {n}"));
+            if play.rng.random_bool(0.3) {
+                play.propose((i + 1) % NODES, &format!("share = {n}, too"));
+            }
+        }
+    }
+}
+
+/// One run: faults for twelve seconds, then none; what the checker finds, and how many changes took hold.
+fn run(seed: u64, plant: Option<Plant>) -> (Vec<Breach>, u64) {
+    let mut settings = vec![Settings { plant, ..short() }; NODES];
+    if seed.is_multiple_of(4) {
+        settings[4].without_lease = WithoutLease::Serve;
+    }
+    let mut play = Play::new(seed, settings, Faults::default());
+    let faults = weather(&mut play);
+    play.model.set_faults(faults);
+    play.run(1500 * MS);
+    let end = play.model.now() + Duration::from_secs(12);
+    let mut n = 0;
+    while play.model.now() < end {
+        n += 1;
+        event(&mut play, n);
+        let pause = play.rng.random_range(20..500) * MS;
+        play.run(pause);
+    }
+    play.heal();
+    // A dead member's lease runs out, what is under way ends, and each has its lease again.
+    let s = short();
+    play.run(s.wait() + s.vote_for + s.close_for + 10 * s.again);
+    let ticket = play.propose(1, "share = last").expect("it runs and waits for nothing");
+    let took = play.until(LIVE, |p| matches!(p.outcome(1, ticket), Outcome::Ended(_)));
+    let outcome = play.outcome(1, ticket);
+    assert!(
+        took.is_some() && matches!(outcome, Outcome::Ended(End::Taken(_))),
+        "seed {seed}: after all faults a change is {outcome:?}"
+    );
+    play.load = 0.0;
+    play.run(50 * MS);
+    let taken = play.node(0).state().active.0;
+    (play.verdict(), taken)
+}
+
+/// Three entries (the proposal, the last answer, the last stop), each at most 10 ms to be decided, 10 ms to be learnt and
+/// one beat of 50 ms to be said after; twice that.
+const LIVE: Duration = Duration::from_millis(420);
+
+#[test]
+fn under_every_fault_a_change_takes_hold_everywhere_or_nowhere_and_the_fleet_is_never_stuck() {
+    let mut changes = 0;
+    for seed in 0..SEEDS {
+        let (breaches, taken) = run(seed, None);
+        assert!(breaches.is_empty(), "seed {seed}: {}", list(&breaches));
+        changes += taken;
+    }
+    // Or the faults let nothing through and nothing was tried.
+    assert!(changes > 3 * SEEDS, "{changes} proposals in all");
+}
+
+fn list(breaches: &[Breach]) -> String {
+    breaches.iter().take(5).map(ToString::to_string).collect::<Vec<_>>().join("; ")
+}
--- a/crates/policy_change/src/room.rs
+++ b/crates/policy_change/src/room.rs
@@ -93,8 +93,11 @@
     pub(crate) held_now: usize,
     pub(crate) figures: Figures,
     pub(crate) last_seen: Duration,
-    /// Requests begun before this are not decided any more: the node was stopped past the end of its lease.
+    /// Requests begun before this are not decided any more: the node was stopped past the end of its lease, or while the
+    /// version closed.
     pub(crate) void_before: Duration,
+    /// When this node last ran again after a stop.
+    pub(crate) last_stop: Duration,
     pub(crate) leaving: bool,
     wanted: Option<Wanted>,
     last_ticket: u64,
@@ -130,6 +133,7 @@
             figures: Figures::default(),
             last_seen: now.boot,
             void_before: Duration::ZERO,
+            last_stop: Duration::ZERO,
             leaving: false,
             wanted: None,
             last_ticket: 0,
