--- a/crates/policy_change/src/gate.rs
+++ b/crates/policy_change/src/gate.rs
@@ -5,6 +5,8 @@
 
 use crate::entry::Version;
 use crate::room::PolicyChange;
+#[cfg(any(test, feature = "planted"))]
+use crate::settings::Plant;
 use crate::settings::WithoutLease;
 
 /// A node that was not asked anything for so long is taken as having been stopped: three of its own beats. A shorter stop
@@ -111,6 +113,10 @@
         if self.closed_at.is_some() {
             return Err(RefusalWhy::Closing);
         }
+        #[cfg(any(test, feature = "planted"))]
+        if let (true, Some(c)) = (self.settings.planted(Plant::ServesProposed), &self.state.change) {
+            return Ok(c.version);
+        }
         Ok(self.state.active)
     }
 
@@ -204,7 +210,7 @@
 
     pub(crate) fn leased(&self, now: Duration) -> bool {
         #[cfg(any(test, feature = "planted"))]
-        if self.settings.planted(crate::settings::Plant::ServesAfterLease) && self.held.is_some() {
+        if self.settings.planted(Plant::ServesAfterLease) && self.held.is_some() {
             return true;
         }
         let holds = match self.settings.without_lease {
--- a/crates/policy_change/src/lib.rs
+++ b/crates/policy_change/src/lib.rs
@@ -12,6 +12,8 @@
 //!
 //! Central types: [`PolicyChange`], [`State`] (what the log says), [`Admission`] and [`Epoch`] (one request's version).
 
+#[cfg(test)]
+mod cases;
 pub mod check;
 mod entry;
 mod gate;
--- a/crates/policy_change/src/properties.rs
+++ b/crates/policy_change/src/properties.rs
@@ -1,5 +1,6 @@
 //! Seeded runs under every fault the model has, read by the checker.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use magpietally_consensus::model::Faults;
@@ -43,6 +44,16 @@
             play.model.set_faults(faults);
         }
         8 => play.heal(),
+        9 if play.model.runs(i) => {
+            // It learns of its renewal when it wakes, long after it asked, and nothing after that.
+            let stop = play.rng.random_range(1000..1900) * MS;
+            play.pause(i, true);
+            play.propose((i + 1) % NODES, &format!("share = {n}"));
+            play.run(stop);
+            play.pause(i, false);
+            play.run(60 * MS);
+            play.cut(i, true);
+        }
         9 | 10 => {
             play.model.lead(Some(i));
             play.cut(i, false);
@@ -111,6 +122,69 @@
     assert!(changes > 3 * SEEDS, "{changes} proposals in all");
 }
 
+#[test]
+fn each_planted_fault_is_caught_by_the_name_of_its_rule() {
+    let plants = [
+        (
+            Plant::ServesAfterLease,
+            vec!["all-or-nothing", "no-going-back", "stale-after-return", "ready-too-early"],
+        ),
+        (Plant::CountsFromAnswer, vec!["all-or-nothing", "ready-too-early"]),
+        (Plant::SkipsBarrier, vec!["all-or-nothing", "no-going-back"]),
+        (Plant::ServesProposed, vec!["all-or-nothing", "half-taken"]),
+    ];
+    for (plant, want) in plants {
+        let mut found = BTreeMap::new();
+        for seed in 0..SEEDS {
+            for breach in run(seed, Some(plant)).0 {
+                found.entry(breach.rule.name()).or_insert(seed);
+            }
+            if want.iter().all(|rule| found.contains_key(rule)) {
+                break;
+            }
+        }
+        let missed: Vec<_> = want.iter().filter(|rule| !found.contains_key(*rule)).collect();
+        assert!(missed.is_empty(), "{plant:?}: not caught by {missed:?}; first seeds: {found:?}");
+    }
+}
+
+/// A node is stopped between its asking and the answer, learns of it late, and is cut off while a change is made.
+fn woken_and_cut(seed: u64, plant: Option<Plant>) -> Vec<Breach> {
+    let mut play = Play::new(seed, vec![Settings { plant, ..short() }; NODES], Faults::default());
+    play.run(300 * MS);
+    let decided = |p: &mut Play| {
+        let unlearnt = &p.model.log()[p.model.learnt(3)..];
+        unlearnt.iter().any(|d| d.proposal.by.name.as_str() == "n3")
+    };
+    play.until(2000 * MS, decided).expect("it asks for its lease to go on");
+    play.pause(3, true);
+    play.run(1200 * MS);
+    play.propose(1, "share = 1");
+    // What it asks for when it wakes is lost.
+    play.model.set_faults(Faults { lost: 1.0, ..Faults::default() });
+    play.pause(3, false);
+    play.run(30 * MS);
+    play.cut(3, true);
+    play.model.set_faults(Faults::default());
+    play.run(4000 * MS);
+    play.heal();
+    play.run(2000 * MS);
+    play.load = 0.0;
+    play.run(50 * MS);
+    play.verdict()
+}
+
+#[test]
+fn a_lease_counts_from_the_asking_also_when_the_answer_is_learnt_late() {
+    let mut caught = 0;
+    for seed in 0..20 {
+        assert_eq!(woken_and_cut(seed, None), Vec::new(), "seed {seed}");
+        let breaches = woken_and_cut(seed, Some(Plant::CountsFromAnswer));
+        caught += u32::from(breaches.iter().any(|b| b.rule.name() == "all-or-nothing"));
+    }
+    assert!(caught > 0, "the planted fault is never caught");
+}
+
 fn list(breaches: &[Breach]) -> String {
     breaches.iter().take(5).map(ToString::to_string).collect::<Vec<_>>().join("; ")
 }
--- a/crates/policy_change/src/settings.rs
+++ b/crates/policy_change/src/settings.rs
@@ -146,4 +146,6 @@
     CountsFromAnswer,
     /// Says that it stopped and decides on.
     SkipsBarrier,
+    /// Decides under a proposal as soon as it has learnt of it.
+    ServesProposed,
 }
