Core: a node stopped past its lease sends nothing on; the fleet's state and proposals over the second address

Need: a paused node that wakes checks before its next decision, retries among them; a document is proposed over the management address too, and its fate has to be seen.

Change: the gate is asked before each attempt whether the request may go on; where not, it is answered at once as an attempt that was not noted is. PUT /v1/fleet/policy proposes (202, 400 with line and field, 409), GET /v1/fleet tells how the fleet stands. Both are there only where a gate is.

Measured: a core test in which two requests that would be tried elsewhere are refused at once, with no second attempt.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -5,6 +5,7 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use magpietally_policy::{Millis, Settings};
 
@@ -28,6 +29,8 @@
     Take {
         /// The version; 0 stands for the settings that the node was started with.
         epoch: u64,
+        /// When, by the gate's own clock: said back to [`Gate::may_go_on`].
+        at: Duration,
     },
     /// Its tenant's quota is used up: trying again is harmless, after this time.
     OverQuota {
@@ -41,11 +44,24 @@
     },
 }
 
+/// Why a document is not proposed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NotProposed {
+    /// The document is at fault: line and field.
+    Wrong(String),
+    /// It may be asked again: this node is not ready, or its last proposal is not decided yet.
+    NotNow(String),
+}
+
 /// The fleet's word on requests.
 pub trait Gate: Send + Sync + fmt::Debug {
     /// May this request be taken now, and under which version? Reads the clock itself, at this moment.
     fn rule(&self, ask: &Ask<'_>) -> Ruling;
 
+    /// May a request that was taken then, under this version, be sent (again) now? Asked before each attempt: a node that was
+    /// stopped past its lease has no right left to what it had begun.
+    fn may_go_on(&self, epoch: u64, at: Duration) -> bool;
+
     /// Does the fleet change its policy at this moment, so that a request had better wait some milliseconds than be turned
     /// away? True for a short bounded time at the most, by the gate's own settings.
     fn holds(&self) -> bool;
@@ -56,6 +72,19 @@
     /// The decision module's settings under a version; `None` for those of the start.
     fn settings(&self, epoch: u64) -> Option<Arc<Settings>>;
 
+    /// Proposes a document to the fleet against the version that is active here, over the second address.
+    ///
+    /// # Errors
+    /// Why it is not proposed, in a line for the caller.
+    fn propose(&self, _document: &[u8]) -> Result<String, NotProposed> {
+        Err(NotProposed::NotNow("this node takes no proposals".into()))
+    }
+
+    /// How the fleet stands as this node sees it, some lines.
+    fn describe(&self) -> String {
+        String::new()
+    }
+
     /// The final answer of a request that was taken is on its way; for the fleet's records.
     fn answered(&self, _epoch: u64, _id: &str) {}
 }
--- a/crates/core/src/intents.rs
+++ b/crates/core/src/intents.rs
@@ -136,7 +136,7 @@
         true
     }
 
-    /// An attempt was not made, as its intent could not be noted. Its request is not tried elsewhere, where it would meet
+    /// An attempt was not made, as its intent could not be noted or the fleet no longer lets this node decide. Its request is not tried elsewhere, where it would meet
     /// the same: it is answered at once, unless another attempt of it is out. To ask again is harmless only where none of
     /// its attempts may have run.
     pub(crate) fn not_noted(self: &Rc<Self>, id: RequestId, attempt: usize) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,7 +28,7 @@
 
 pub use carrier::{Carrier, Ended, Payload, Target};
 pub use figures::{End, Figures, Underway};
-pub use gate::{Ask, Gate, Ruling};
+pub use gate::{Ask, Gate, NotProposed, Ruling};
 pub use ids::Ids;
 pub use intents::Turned;
 pub use life::{Doing, Life};
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -304,12 +304,12 @@
             gate.rule(&Ask { id: &open.id, class, tenant, key: open.request.key() })
         };
         let turned = match ruling {
-            Ruling::Take { epoch } => {
+            Ruling::Take { epoch, at } => {
                 self.enter_epoch(gate, epoch);
                 let mut state = self.state.borrow_mut();
                 let module = state.epochs.module();
                 if let Some(open) = state.table.get_mut(id) {
-                    (open.epoch, open.module) = (epoch, module);
+                    (open.epoch, open.taken, open.module) = (epoch, at, module);
                 }
                 return Ok(());
             }
@@ -364,6 +364,11 @@
         self.feed(Event::Timer);
     }
 
+    /// What the fleet says, where this node is part of one.
+    pub fn gate(&self) -> Option<&dyn Gate> {
+        self.gate.as_deref()
+    }
+
     /// Does the fleet change its policy, so that a request waits a moment before it is handed in?
     pub fn fleet_holds(&self) -> bool {
         self.gate.as_ref().is_some_and(|gate| gate.holds())
@@ -485,7 +490,10 @@
         let end = now + span(timeout.unwrap_or(f64::INFINITY));
         let attempt = open.attempts.len();
         let (core, request) = (self.clone(), open.request.clone());
-        let (task, intent) = if self.ledger.is_none() || !self.right(open.class).needs_intent() {
+        let may_go_on = self.gate.as_ref().is_none_or(|gate| gate.may_go_on(open.epoch, open.taken));
+        let (task, intent) = if !may_go_on {
+            (spawn_local(async move { core.not_noted(id, attempt) }), None)
+        } else if self.ledger.is_none() || !self.right(open.class).needs_intent() {
             let task = spawn_local(async move {
                 let ended = C::attempt(core.clone(), Target { server, end }, request).await;
                 core.attempt_ended(id, attempt, ended);
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -68,6 +68,8 @@
     pub(crate) tenant: Option<usize>,
     /// The version of the policy that it is decided under.
     pub(crate) epoch: u64,
+    /// When the gate took it, by the gate's clock.
+    pub(crate) taken: Duration,
     /// The module that decides it.
     pub(crate) module: u64,
     pub(crate) request: Rc<Request>,
@@ -170,6 +172,7 @@
             class,
             tenant,
             epoch: 0,
+            taken: Duration::ZERO,
             module: 0,
             request,
             came,
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -10,6 +10,10 @@
 use magpietally_core::{Answer, Ask, Asked, Core, Gate, Ruling, Setup, Turned};
 use magpietally_policy::{Effect, Outcome, Settings};
 
+fn take(epoch: u64) -> Ruling {
+    Ruling::Take { epoch, at: Duration::ZERO }
+}
+
 /// A gate that says what the test has laid out, and notes what it hears.
 #[derive(Debug)]
 struct Scripted {
@@ -23,6 +27,9 @@
         assert_eq!(ask.key, Some(&b"k"[..]));
         *self.ruling.lock().expect("no panic")
     }
+    fn may_go_on(&self, _: u64, _: Duration) -> bool {
+        self.ready()
+    }
     fn holds(&self) -> bool {
         false
     }
@@ -48,7 +55,7 @@
         let mut narrowed = settings(20_000.0);
         narrowed.classes[LOOK].effect = Effect::Unsafe;
         let gate = Arc::new(Scripted {
-            ruling: Mutex::new(Ruling::Take { epoch: 1 }),
+            ruling: Mutex::new(take(1)),
             narrowed: Arc::new(narrowed),
             answered: Mutex::default(),
         });
@@ -78,14 +85,14 @@
         boxes.outcomes.borrow_mut().extend([Outcome::Reset, Outcome::Reset]);
         let old = site.ask("old").expect("taken");
         tokio::task::yield_now().await;
-        site.rule(Ruling::Take { epoch: 2 });
+        site.rule(take(2));
         let new = site.ask("new").expect("taken");
         assert!(matches!(new.await, Answer::Failed), "under version 2 it may not run again");
         assert!(matches!(old.await, Answer::Served(())), "under version 1 it runs again");
         assert_eq!(boxes.sent.borrow().len(), 3, "one attempt under version 2, two under version 1");
         // The same settings under a later number, then the start's again.
         for epoch in [3, 4, 1] {
-            site.rule(Ruling::Take { epoch });
+            site.rule(take(epoch));
             let answer = site.ask(&format!("at-{epoch}")).expect("taken").await;
             assert!(matches!(answer, Answer::Served(())), "{epoch}: {answer:?}");
         }
@@ -109,9 +116,29 @@
         assert!(!site.core.fleet_ready() && site.core.open_requests() == 0);
         assert!(site.core.carrier().sent.borrow().is_empty());
         // Its id is free, and an open one is not asked about twice.
-        site.rule(Ruling::Take { epoch: 1 });
+        site.rule(take(1));
         let first = site.ask("a").expect("its id is free again");
         assert_eq!(site.ask("a").err(), Some(Turned::Open));
         assert!(matches!(first.await, Answer::Served(())));
     });
 }
+
+#[test]
+fn a_node_that_lost_its_right_sends_nothing_more_of_what_it_had_begun_and_answers_at_once() {
+    run(async {
+        let site = Site::new();
+        tokio::task::spawn_local(site.core.clone().run_timer());
+        let boxes = site.core.carrier();
+        boxes.lasts.set(Duration::from_millis(30));
+        // Neither ever ran at its server; each would be tried elsewhere.
+        boxes.outcomes.borrow_mut().extend([Outcome::Full, Outcome::Full]);
+        let (first, second) = (site.ask("1").expect("taken"), site.ask("2").expect("taken"));
+        tokio::task::yield_now().await;
+        site.rule(Ruling::Away { retry_after: 1000.0 });
+        let began = Instant::now();
+        assert!(matches!(first.await, Answer::Refused(_)), "trying again is harmless");
+        assert!(matches!(second.await, Answer::Refused(_)));
+        assert!(began.elapsed() < Duration::from_secs(10), "parked for {:?}", began.elapsed());
+        assert_eq!(boxes.sent.borrow().len(), 2, "no second attempt of either");
+    });
+}
--- a/crates/http/src/management.rs
+++ b/crates/http/src/management.rs
@@ -12,13 +12,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, ALLOW, CONNECTION, CONTENT_TYPE};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use magpietally_core::{Core, Doing};
+use magpietally_core::{Core, Doing, Gate, NotProposed};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{sleep, timeout};
@@ -39,6 +39,10 @@
 const LINGER: Duration = Duration::from_millis(200);
 /// The largest head of a call.
 const HEAD_MOST: usize = 8 * 1024;
+/// Where a document is proposed to the fleet.
+const POLICY: &str = "/v1/fleet/policy";
+/// The largest document that is read, in bytes: what one entry of the log holds.
+const DOCUMENT_MOST: usize = 64 * 1024;
 /// How long accepting rests when it fails.
 const REST: Duration = Duration::from_millis(20);
 
@@ -79,7 +83,10 @@
 
 async fn converse(node: &Rc<Node>, stream: TcpStream) {
     let Ok(sock) = Sock::new(stream) else { return };
-    let service = service_fn(|request| async move { Ok::<_, Infallible>(answer(node, &request)) });
+    let service = service_fn(|request| async move {
+        let proposes = request.uri().path() == POLICY && *request.method() == Method::PUT;
+        Ok::<_, Infallible>(if proposes { propose(node, request).await } else { answer(node, &request) })
+    });
     let conn = http1::Builder::new()
         .max_buf_size(HEAD_MOST)
         .auto_date_header(false)
@@ -95,6 +102,8 @@
     let wanted = match path {
         "/v1/readyz" | "/v1/metrics" => Method::GET,
         "/v1/node/drain" | "/v1/node/activate" => Method::PUT,
+        "/v1/fleet" if node.gate().is_some() => Method::GET,
+        POLICY if node.gate().is_some() => Method::PUT,
         _ => return say(StatusCode::NOT_FOUND, "no such call\n".to_string()),
     };
     if *method != wanted {
@@ -114,11 +123,27 @@
             let (known, skipped) = node.servers();
             say(StatusCode::OK, process.figures.lines(&node.carrier().config.told.classes, known, skipped))
         }
+        "/v1/fleet" => say(StatusCode::OK, node.gate().map_or(String::new(), Gate::describe)),
         "/v1/node/drain" => told(node, "drain", process.change(|life| life.drain(Instant::now()))),
         _ => told(node, "activate", process.change(|life| life.activate())),
     }
 }
 
+/// Hands a document to the fleet. That it was proposed says nothing yet of whether it is taken: `/v1/fleet` does.
+async fn propose(node: &Rc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let Some(gate) = node.gate() else {
+        return say(StatusCode::NOT_FOUND, "no such call\n".to_string());
+    };
+    let Ok(document) = Limited::new(request.into_body(), DOCUMENT_MOST).collect().await else {
+        return say(StatusCode::PAYLOAD_TOO_LARGE, format!("more than {DOCUMENT_MOST} bytes, or cut off\n"));
+    };
+    match gate.propose(&document.to_bytes()) {
+        Ok(words) => say(StatusCode::ACCEPTED, format!("{words}\n")),
+        Err(NotProposed::Wrong(words)) => say(StatusCode::BAD_REQUEST, format!("{words}\n")),
+        Err(NotProposed::NotNow(words)) => say(StatusCode::CONFLICT, format!("{words}\n")),
+    }
+}
+
 /// Whether a command was taken.
 fn told(node: &Rc<Node>, command: &str, taken: bool) -> Response<Full<Bytes>> {
     tracing::info!(target: "management", "{command}: {}", doing(node).trim_end());
