--- a/crates/policy_change/src/gate.rs
+++ b/crates/policy_change/src/gate.rs
@@ -27,6 +27,13 @@
     pub(crate) begun: Duration,
 }
 
+impl Epoch {
+    /// The epoch that a request was given at `begun`, from a carrier that keeps its parts.
+    pub fn taken(version: Version, begun: Duration) -> Self {
+        Self { version, begun }
+    }
+}
+
 /// A place among the held requests. To be handed back to [`PolicyChange::again`] or [`PolicyChange::forget`].
 #[derive(Debug, PartialEq, Eq)]
 #[must_use = "a held request's place is freed by again() or forget()"]
--- a/crates/policy_change/src/settings.rs
+++ b/crates/policy_change/src/settings.rs
@@ -98,6 +98,27 @@
 impl std::error::Error for SettingsError {}
 
 impl Settings {
+    /// Plants a fault by its name, for tests of the checkers with whole processes; false where there is none of this name,
+    /// and always in a build without the feature `planted`, as every build of the program is.
+    pub fn plant_named(&mut self, name: &str) -> bool {
+        #[cfg(any(test, feature = "planted"))]
+        {
+            self.plant = match name {
+                "serves-after-lease" => Some(Plant::ServesAfterLease),
+                "counts-from-answer" => Some(Plant::CountsFromAnswer),
+                "skips-barrier" => Some(Plant::SkipsBarrier),
+                "serves-proposed" => Some(Plant::ServesProposed),
+                _ => return false,
+            };
+            true
+        }
+        #[cfg(not(any(test, feature = "planted")))]
+        {
+            let _ = name;
+            false
+        }
+    }
+
     /// Checks them.
     ///
     /// # Errors
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,103 @@
+//! A node's part of a fleet that decides together: the carriers' assembly. One thread beside the node's moves messages and
+//! entries; the rooms decide. Off unless `node --fleet FILE` names a file like `deploy/fleet.toml`.
+
+mod clock;
+mod gate;
+mod session;
+mod settings;
+mod thread;
+
+use std::fs::OpenOptions;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use magpietally_config::fleet_policy::{self, Ground};
+use magpietally_consensus as consensus;
+use magpietally_policy_change::PolicyChange;
+use magpietally_quota::Quota;
+use magpietally_store::disk::Folder;
+use magpietally_store::Log;
+use magpietally_transport::envelope::Fleet;
+use magpietally_transport::tcp::{self, Tcp};
+use magpietally_transport::udp::Udp;
+use magpietally_transport::{Name, Peer};
+
+use crate::commands::Failure;
+pub use gate::Shared;
+pub use settings::{read, Options};
+
+/// The fleet's thread at work.
+pub struct Running {
+    /// What the node asks.
+    pub gate: Arc<Shared>,
+    stop: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+/// Opens the store and the sockets and starts the thread for the node named `name`.
+///
+/// # Errors
+/// The name, the store, a socket or a thread can't be had.
+pub fn start(name: &str, options: Options, ground: Ground) -> Result<Running, Failure> {
+    let failed = |what: &str, why: String| Failure::Failed(format!("fleet: {what}: {why}"));
+    let name = Name::new(name).map_err(|e| Failure::Wrong(format!("fleet: name {name:?}: {e}")))?;
+    let place = options.store.display().to_string();
+    let (store, recovered) =
+        Log::<Folder>::open_dir(&options.store, name.as_str()).map_err(|e| failed(&place, e.to_string()))?;
+    if let Some(cut) = &recovered.cut {
+        tracing::warn!(target: "fleet", "{place}: {}: a torn end of {} bytes was cut", cut.file, cut.bytes);
+    }
+    let session = session::next(&options.store).map_err(|e| failed(&place, e.to_string()))?;
+    let me = Peer { name, session };
+    let now = clock::now();
+    let settings = consensus::Settings::new(options.voters.clone(), session.0);
+    let snapshot = recovered.snapshot.as_ref().map(|(_, state)| state.as_slice());
+    let records: Vec<Vec<u8>> = recovered.records.into_iter().map(|(_, record)| record).collect();
+    let mut log = consensus::Node::open(settings, me.clone(), now, snapshot, &records)
+        .map_err(|e| failed(&place, e.to_string()))?;
+    let check = ground.clone();
+    let check = Box::new(move |text: &[u8]| {
+        fleet_policy::read(text, &check).map(|_| ()).map_err(|wrong| wrong.to_string())
+    });
+    let policy = PolicyChange::new(me.clone(), options.policy.clone(), check, now)
+        .map_err(|e| Failure::Wrong(format!("fleet: {e}")))?;
+    let quota = Quota::new(me.clone(), magpietally_quota::Settings::default(), now);
+    let records = options.records.as_ref().map(|path| {
+        let file = OpenOptions::new().append(true).create(true).open(path);
+        file.map_err(|e| failed("records", format!("{}: {e}", path.display())))
+    });
+    let gate = Shared::new(me.clone(), ground, policy, quota, records.transpose()?);
+    let fleet = Fleet::named(&options.fleet);
+    let mut udp = Udp::bind(me.clone(), fleet, options.listen.datagrams)
+        .map_err(|e| failed("datagrams", format!("{}: {e}", options.listen.datagrams)))?;
+    let streams = tcp::Settings { seed: session.0, ..tcp::Settings::default() };
+    let mut tcp = Tcp::bind(me.clone(), fleet, options.listen.streams, streams)
+        .map_err(|e| failed("streams", format!("{}: {e}", options.listen.streams)))?;
+    for (peer, at) in &options.peers {
+        if !(udp.set_peer(peer.clone(), at.datagrams) && tcp.set_peer(peer.clone(), at.streams)) {
+            return Err(Failure::Wrong(format!("fleet: peers: {peer}: more than are kept")));
+        }
+    }
+    log.set_peers(&options.peers.keys().cloned().collect::<Vec<_>>());
+    let datagrams = udp.address().map_err(|e| failed("datagrams", e.to_string()))?;
+    tracing::info!(target: "fleet", "{me} of {} at {datagrams} and {}", options.fleet, tcp.address());
+    let stop = Arc::new(AtomicBool::new(false));
+    let carrier =
+        thread::Carrier::new(gate.clone(), log, store, udp, tcp, options.policy_file.clone(), stop.clone());
+    let thread = std::thread::Builder::new()
+        .name("fleet".into())
+        .spawn(move || carrier.run())
+        .map_err(|e| failed("a thread", e.to_string()))?;
+    Ok(Running { gate, stop, thread })
+}
+
+impl Running {
+    /// Gives the leases back and ends the thread.
+    pub fn leave(self) {
+        self.stop.store(true, Ordering::SeqCst);
+        if self.thread.join().is_err() {
+            tracing::warn!(target: "fleet", "its thread ended in a panic");
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/session.rs
@@ -0,0 +1,56 @@
+//! Which start of a node this is: a number in the store's directory that grows with each.
+
+use std::fs::File;
+use std::io::{self, Write};
+use std::path::Path;
+
+use magpietally_transport::Session;
+
+use super::clock;
+
+const FILE: &str = "session";
+
+/// The number of this start, written down before it is used. The wall clock's seconds where the file is missing, so that a
+/// node whose directory was lost is most likely a later session than the one that others remember.
+///
+/// # Errors
+/// The file can't be read or replaced, or holds no number.
+pub fn next(folder: &Path) -> io::Result<Session> {
+    let path = folder.join(FILE);
+    let wall = clock::now().wall_ms / 1000;
+    let last = match std::fs::read_to_string(&path) {
+        Ok(text) => text.trim().parse::<u64>().map_err(|_| {
+            io::Error::new(io::ErrorKind::InvalidData, format!("{FILE}: a number was expected, not {text:?}"))
+        })?,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => 0,
+        Err(error) => return Err(io::Error::new(error.kind(), format!("{FILE}: {error}"))),
+    };
+    let session = wall.max(last.saturating_add(1));
+    let new = folder.join("session.next");
+    let mut file = File::create(&new)?;
+    writeln!(file, "{session}")?;
+    file.sync_all()?;
+    std::fs::rename(&new, &path)?;
+    File::open(folder)?.sync_all()?;
+    Ok(Session(session))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_start_is_a_later_session_whatever_the_wall_clock_says() {
+        let folder = std::env::temp_dir().join(format!("session-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a directory");
+        let first = next(&folder).expect("a number");
+        assert!(first.0 > 1_700_000_000, "the wall clock's seconds at first");
+        let ahead = u64::from(u32::MAX) * 4;
+        std::fs::write(folder.join(FILE), format!("{ahead}\n")).expect("written");
+        assert_eq!(next(&folder).expect("a number"), Session(ahead + 1));
+        assert_eq!(next(&folder).expect("a number"), Session(ahead + 2));
+        std::fs::write(folder.join(FILE), "soon\n").expect("written");
+        assert!(next(&folder).is_err_and(|e| e.to_string().contains("soon")));
+        std::fs::remove_dir_all(&folder).expect("it was there");
+    }
+}
--- /dev/null
+++ b/src/fleet/settings.rs
@@ -0,0 +1,163 @@
+//! The operators' file of the fleet: who votes, where nodes reach each other, where the store lies.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use magpietally_policy_change::{Settings, WithoutLease};
+use magpietally_transport::Name;
+use serde::Deserialize;
+
+use crate::commands::{toml_file, wrong, Failure};
+
+/// The largest file that is read, in bytes: a thousand peers take a tenth of it.
+const FILE_MOST: usize = 1 << 20;
+/// The longest fleet's name, in bytes: it is hashed, so this only keeps mistakes out.
+const FLEET_MOST: usize = 64;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    fleet: String,
+    voters: Vec<String>,
+    store: PathBuf,
+    datagrams: SocketAddr,
+    streams: SocketAddr,
+    #[serde(default)]
+    peers: BTreeMap<String, At>,
+    policy_file: Option<PathBuf>,
+    #[serde(default)]
+    without_lease: Without,
+    lease_ms: Option<u64>,
+    records: Option<PathBuf>,
+    /// A fault for the tests of the checkers; no build of the program knows any.
+    planted: Option<String>,
+}
+
+/// Where a node is reached.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct At {
+    /// Over UDP.
+    pub datagrams: SocketAddr,
+    /// Over TCP.
+    pub streams: SocketAddr,
+}
+
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Without {
+    #[default]
+    Stop,
+    Serve,
+}
+
+/// What the file sets, checked.
+#[derive(Debug)]
+pub struct Options {
+    /// The fleet's name.
+    pub fleet: String,
+    /// Who votes.
+    pub voters: Vec<Name>,
+    /// The directory of the store.
+    pub store: PathBuf,
+    /// Where this node listens.
+    pub listen: At,
+    /// The other nodes, and where each is reached.
+    pub peers: BTreeMap<Name, At>,
+    /// The document that is watched and proposed when it changes.
+    pub policy_file: Option<PathBuf>,
+    /// The room's settings.
+    pub policy: Settings,
+    /// Where each decision is recorded, for checkers.
+    pub records: Option<PathBuf>,
+}
+
+/// Reads the file.
+///
+/// # Errors
+/// One line that names the file, and the line or the field.
+pub fn read(file: &str) -> Result<Options, Failure> {
+    let parsed: File = toml_file(file, FILE_MOST)?;
+    let fail = |field: &str, what: String| wrong(file, &[format!("{field}: {what}")]);
+    if parsed.fleet.is_empty() || parsed.fleet.len() > FLEET_MOST {
+        return Err(fail("fleet", format!("a name of 1 to {FLEET_MOST} bytes is needed")));
+    }
+    let name = |field: &str, n: &str| Name::new(n).map_err(|e| fail(field, format!("{n:?}: {e}")));
+    let voters = parsed.voters.iter().map(|v| name("voters", v)).collect::<Result<Vec<_>, _>>()?;
+    let mut peers = BTreeMap::new();
+    for (peer, at) in &parsed.peers {
+        if at.datagrams.port() == 0 || at.streams.port() == 0 {
+            return Err(fail(&format!("peers.{peer}"), "a peer is reached at a port above 0".into()));
+        }
+        peers.insert(name("peers", peer)?, *at);
+    }
+    let mut policy = Settings {
+        without_lease: match parsed.without_lease {
+            Without::Stop => WithoutLease::Stop,
+            Without::Serve => WithoutLease::Serve,
+        },
+        ..Settings::default()
+    };
+    if let Some(ms) = parsed.lease_ms {
+        policy.term = Duration::from_millis(ms);
+        policy.vote_for = policy.term.mul_f64(1.1) + Duration::from_secs(5);
+        policy.again = policy.again.min(policy.term / 8);
+    }
+    if let Some(planted) = &parsed.planted {
+        if !policy.plant_named(planted) {
+            return Err(fail("planted", format!("{planted:?} is no fault of this build")));
+        }
+    }
+    policy.check().map_err(|e| fail("lease_ms", e.to_string()))?;
+    magpietally_consensus::Settings::new(voters.clone(), 0)
+        .check()
+        .map_err(|e| fail("voters", e.to_string()))?;
+    if parsed.store.as_os_str().is_empty() {
+        return Err(fail("store", "empty".into()));
+    }
+    Ok(Options {
+        fleet: parsed.fleet,
+        voters,
+        store: parsed.store,
+        listen: At { datagrams: parsed.datagrams, streams: parsed.streams },
+        peers,
+        policy_file: parsed.policy_file,
+        policy,
+        records: parsed.records,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_file_that_is_shipped_is_good_and_bad_ones_are_named() {
+        let shipped = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/fleet.toml");
+        assert!(read(shipped).is_ok_and(|o| o.voters.len() == 3 && o.peers.len() == 2));
+        let file = std::env::temp_dir().join(format!("fleet-{}.toml", std::process::id()));
+        let path = file.display().to_string();
+        let good = "fleet = \"f\"\nvoters = [\"a\", \"b\", \"c\"]\nstore = \"/tmp\"\n\
+                    datagrams = \"127.0.0.1:0\"\nstreams = \"127.0.0.1:0\"\n";
+        for (text, words) in [
+            (good.replace("fleet = \"f\"", "fleet = \"\""), "fleet: a name of"),
+            (good.replace("\"c\"", "\"a\""), "voters: voter \"a\" is empty or named twice"),
+            (good.replace(", \"c\"", ""), "voters: 2 voters are named"),
+            (good.replace("\"c\"", "\"c d\""), "voters: \"c d\": a node's name"),
+            (good.replace("127.0.0.1:0\"\nst", "here\"\nst"), "line 4: "),
+            (format!("{good}lease_ms = 10\n"), "lease_ms: term is"),
+            (format!("{good}lease = 10\n"), "line 6: unknown field `lease`"),
+            (
+                format!("{good}[peers.b]\ndatagrams = \"127.0.0.1:0\"\nstreams = \"127.0.0.1:1\"\n"),
+                "peers.b: a peer",
+            ),
+        ] {
+            std::fs::write(&file, &text).expect("a file");
+            let Err(Failure::Wrong(told)) = read(&path) else { panic!("{text}") };
+            assert!(told.starts_with(&format!("{path}: {words}")), "{told}");
+        }
+        std::fs::remove_file(&file).expect("it was there");
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,11 +1,13 @@
 //! The program: arguments, log and exit codes; each subcommand is a crate's to carry out.
 
 mod commands;
+mod fleet;
 mod logging;
 mod membership;
 mod operators;
 
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::time::Duration;
 
 use clap::{Args, Parser, Subcommand};
@@ -16,7 +18,9 @@
 use commands::site::SiteCommand;
 use commands::Failure;
 use logging::Format;
+use magpietally_config::fleet_policy::Ground;
 use magpietally_config::ListFile;
+use magpietally_core::Gate;
 use magpietally_http::Extras;
 
 /// A load-balancer node: successive requests go to the ready servers in turn.
@@ -71,6 +75,9 @@
     /// Membership with other nodes over UDP: deploy/membership.toml shows it. Without it the node knows no peer
     #[arg(long, value_name = "FILE")]
     membership: Option<String>,
+    /// A fleet that decides together on policy and quotas: deploy/fleet.toml shows it. Without it the node stands alone
+    #[arg(long, value_name = "FILE")]
+    fleet: Option<String>,
 }
 
 /// How long the end of a node waits for the ledger's last records; SIGKILL is near by then.
@@ -102,6 +109,7 @@
 fn node(args: &NodeArgs) -> Result<(), Failure> {
     let operators = args.operators.as_deref().map(operators::read).transpose()?.unwrap_or_default();
     let members = args.membership.as_deref().map(membership::read).transpose()?;
+    let fleet = args.fleet.as_deref().map(fleet::read).transpose()?;
     let config = magpietally_http::config::load()?;
     let log = logging::open(args.log)?;
     // A task that panics leaves what it held unanswered, and perhaps the policy half changed. A node that
@@ -122,7 +130,14 @@
         None => (None, None),
     };
     let members = members.map(|options| membership::start(&config.name, options)).transpose()?;
-    let extras = Extras { ledger, boxes, gate: None };
+    let ground = || Ground {
+        settings: config.told.settings.clone(),
+        classes: config.told.classes.clone(),
+        tenants: config.told.tenants.clone(),
+    };
+    let fleet = fleet.map(|options| fleet::start(&config.name, options, ground())).transpose()?;
+    let gate = fleet.as_ref().map(|fleet| fleet.gate.clone() as Arc<dyn Gate>);
+    let extras = Extras { ledger, boxes, gate };
     let ended = match usize::from(args.workers) {
         1 => magpietally_http::run(config, extras, log.lost_lines()),
         workers => magpietally_http::run_workers(config, workers, extras, log.lost_lines()),
@@ -130,6 +145,9 @@
     if let Some(members) = members {
         members.leave();
     }
+    if let Some(fleet) = fleet {
+        fleet.leave();
+    }
     if running.is_some_and(|running| !running.close(LAST_RECORDS)) {
         tracing::warn!(target: "ledger", "its last records were not written in time");
     }
--- /dev/null
+++ b/tests/fleet_policy.rs
@@ -0,0 +1,320 @@
+//! A fleet that decides together: seven processes of the program on loopback, the fault relays between them on UDP and
+//! TCP, clients at every node, and kill -9, SIGSTOP and cuts while the policy changes. At the end the checkers read what every
+//! node wrote down before it acted.
+
+mod peers;
+
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use magpietally_consensus::check as log_check;
+use magpietally_contracts::relay::{Relay, Streams};
+use magpietally_policy_change::check as policy_check;
+use magpietally_quota::check as quota_check;
+use peers::*;
+use serde_json::{json, Value};
+
+const N: usize = 7;
+/// Three vote, the others learn.
+const VOTERS: usize = 3;
+/// Short, so that a change does not wait long for the dead; long against a busy machine's hiccups.
+const LEASE_MS: u64 = 3000;
+const ALL: [usize; N] = [0, 1, 2, 3, 4, 5, 6];
+
+struct Fleet {
+    folder: PathBuf,
+    datagrams: Relay,
+    streams: Streams,
+    nodes: Vec<Option<Node>>,
+    config: Value,
+    load: Vec<(Arc<AtomicBool>, std::thread::JoinHandle<u64>)>,
+    /// A node with a fault of its own, and which.
+    planted: Option<(usize, &'static str)>,
+    _server: Peer,
+    _registry: Registry,
+}
+
+impl Fleet {
+    fn new(name: &str, seed: u64, planted: Option<(usize, &'static str)>) -> Self {
+        let server = Peer::good("a");
+        let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+        let mut config = config(registry.address);
+        config["management"] = json!("127.0.0.1:0");
+        config["settings"]["Customers"] = json!([{"Name": "punjab-clubs", "QuotaPerS": 1000.0}]);
+        let folder = folder(name);
+        std::fs::create_dir_all(&folder).expect("a directory");
+        std::fs::write(folder.join("policy.toml"), "").expect("a file");
+        let mut fleet = Self {
+            folder,
+            datagrams: Relay::new(N, seed),
+            streams: Streams::new(N, seed),
+            nodes: (0..N).map(|_| None).collect(),
+            config,
+            load: Vec::new(),
+            planted,
+            _server: server,
+            _registry: registry,
+        };
+        for i in 0..N {
+            std::fs::create_dir_all(fleet.folder.join(format!("store-{i}"))).expect("a directory");
+            fleet.start(i);
+        }
+        fleet
+    }
+
+    fn records(&self, i: usize) -> PathBuf {
+        self.folder.join(format!("records-{i}.jsonl"))
+    }
+
+    /// Node 6 watches the document.
+    fn file(&self, i: usize) -> String {
+        let path = |p: &Path| format!("{:?}", p.display().to_string());
+        let voters: Vec<String> = (0..VOTERS).map(|v| format!("\"f{v}\"")).collect();
+        let mut text = format!(
+            "fleet = \"test\"\nvoters = [{}]\nstore = {}\ndatagrams = \"127.0.0.1:0\"\nstreams = \"127.0.0.1:0\"\n\
+             lease_ms = {LEASE_MS}\nrecords = {}\n",
+            voters.join(", "),
+            path(&self.folder.join(format!("store-{i}"))),
+            path(&self.records(i)),
+        );
+        if i == 6 {
+            text += &format!("policy_file = {}\n", path(&self.folder.join("policy.toml")));
+        }
+        if let Some((_, fault)) = self.planted.filter(|(node, _)| *node == i) {
+            text += &format!("planted = \"{fault}\"\n");
+        }
+        for j in (0..N).filter(|&j| j != i) {
+            let (datagrams, streams) = (self.datagrams.front(j), self.streams.front(i, j));
+            text += &format!("[peers.f{j}]\ndatagrams = \"{datagrams}\"\nstreams = \"{streams}\"\n");
+        }
+        let file = self.folder.join(format!("fleet-{i}.toml"));
+        std::fs::write(&file, text).expect("a file");
+        file.display().to_string()
+    }
+
+    fn start(&mut self, i: usize) {
+        let mut config = self.config.clone();
+        config["name"] = json!(format!("f{i}"));
+        let node = Node::listening_with_args(&config, &["--fleet", &self.file(i)]);
+        let mut own = None;
+        until("the fleet's sockets are open", || {
+            own = node.logged_after(" of test at ").and_then(|rest| {
+                let (datagrams, streams) = rest.split_once(" and ")?;
+                Some((datagrams.parse().ok()?, streams.trim().parse().ok()?))
+            });
+            own.is_some()
+        });
+        let (datagrams, streams) = own.expect("found");
+        self.datagrams.attach(i, datagrams);
+        self.streams.attach(i, streams);
+        self.nodes[i] = Some(node);
+    }
+
+    fn node(&self, i: usize) -> &Node {
+        self.nodes[i].as_ref().expect("it runs")
+    }
+
+    fn wait_ready(&self, which: &[usize]) {
+        for &i in which {
+            self.node(i).wait_ready();
+        }
+    }
+
+    /// Replaces the document, as operators do: written beside, then renamed.
+    fn write_policy(&self, text: &str) {
+        let new = self.folder.join("policy.next");
+        std::fs::write(&new, text).expect("a file");
+        std::fs::rename(&new, self.folder.join("policy.toml")).expect("renamed");
+    }
+
+    /// Waits until each of these says that it is ready under this version.
+    fn wait_version(&self, version: u64, which: &[usize]) {
+        for &i in which {
+            let words = format!("version {version}, ready");
+            until(&format!("node {i} has {words}"), || self.node(i).logged(&words));
+        }
+    }
+
+    /// A client at node `i`: one request after the other, each under an id of its own, until the end; how many it was
+    /// served.
+    fn load(&mut self, i: usize, life: u64) {
+        let (stop, address) = (Arc::new(AtomicBool::new(false)), self.node(i).address);
+        let stopping = stop.clone();
+        let client = std::thread::spawn(move || {
+            let mut served = 0;
+            for n in 0u64.. {
+                if stopping.load(Ordering::SeqCst) {
+                    break;
+                }
+                // A connection each: the node may be killed, stopped or not answer.
+                let words = request("look", &format!("{i}-{life}-{n}"), 2000);
+                let words = words.replace("X-Txn", "x-org: punjab-clubs\r\nX-Txn");
+                served += u64::from(ask_once(address, &words) == Some(200));
+                std::thread::sleep(Duration::from_millis(4));
+            }
+            served
+        });
+        self.load.push((stop, client));
+    }
+
+    /// Cuts a node off from all others, on both transports.
+    fn cut(&self, i: usize) {
+        let others: Vec<usize> = ALL.into_iter().filter(|&j| j != i).collect();
+        self.datagrams.partition(&[i], &others);
+        self.streams.partition(&[i], &others);
+    }
+
+    fn heal(&self) {
+        self.datagrams.heal();
+        self.streams.heal();
+    }
+
+    /// Ends the clients; how many requests were served.
+    fn end_load(&mut self) -> u64 {
+        for (stop, _) in &self.load {
+            stop.store(true, Ordering::SeqCst);
+        }
+        self.load.drain(..).map(|(_, client)| client.join().expect("a client ends")).sum()
+    }
+
+    /// What all nodes wrote down, by checker.
+    fn all_records(&self) -> (Vec<policy_check::Record>, Vec<quota_check::Record>, Vec<log_check::Record>) {
+        let (mut policy, mut quota, mut log) = (Vec::new(), Vec::new(), Vec::new());
+        let mut versions = std::collections::BTreeSet::new();
+        for i in ALL {
+            let text = std::fs::read_to_string(self.records(i)).expect("its records");
+            for line in text.lines() {
+                // A kill may cut the last line of a life; what it tells of then had no effect.
+                let Ok(value) = serde_json::from_str::<Value>(line) else { continue };
+                let read = |name: &str| value.get(name).cloned();
+                if let Some(record) = read("policy") {
+                    policy.push(serde_json::from_value(record).expect("a record"));
+                } else if let Some(record) = read("log") {
+                    log.push(serde_json::from_value(record).expect("a record"));
+                } else if let Some(record) = read("quota") {
+                    quota.push(serde_json::from_value::<quota_check::Record>(record).expect("a record"));
+                }
+            }
+        }
+        quota.sort_by_key(|r| r.at);
+        // A policy takes hold at one moment; each node says so when it learns of it.
+        quota.retain(|r| match &r.what {
+            quota_check::What::Policy(p) => versions.insert(p.version),
+            _ => true,
+        });
+        (policy, quota, log)
+    }
+}
+
+/// One request on a connection of its own; its answer's status, if one came within two seconds.
+fn ask_once(address: std::net::SocketAddr, words: &str) -> Option<u16> {
+    use std::io::{Read, Write};
+    let mut to = std::net::TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+    to.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
+    to.write_all(words.as_bytes()).ok()?;
+    let mut head = [0; 12];
+    to.read_exact(&mut head).ok()?;
+    std::str::from_utf8(&head[9..]).ok()?.parse().ok()
+}
+
+const QUOTA: &str = "[tenants.punjab-clubs]\nrate_per_s = 60.0\nburst = 60\n";
+
+#[test]
+fn a_change_takes_hold_everywhere_or_nowhere_while_nodes_die_stop_and_are_cut_off() {
+    let mut f = Fleet::new("fleet-policy", 21, None);
+    f.wait_ready(&ALL);
+    for i in ALL {
+        f.load(i, 0);
+    }
+
+    // Version 1: a quota over all seven.
+    f.write_policy(QUOTA);
+    f.wait_version(1, &ALL);
+
+    // A document with a fault is refused where it was written, with line and field, and changes nothing.
+    f.write_policy(&QUOTA.replace("burst = 60", "burst = 60\ncost.refund = 2"));
+    until("the bad document is refused", || {
+        f.node(6).logged("tenants.punjab-clubs.cost.refund: no such class")
+    });
+
+    // The same over the second address of another node, where what is good would be proposed.
+    let put = |body: &str| {
+        let words = format!(
+            "PUT /v1/fleet/policy HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        f.node(2).manage(&words).expect("an answer")
+    };
+    let answer = put("[limits]\nattempts = 9\n");
+    assert_eq!(answer.status(), 400);
+    assert!(text(&answer.body).starts_with("line 2: limits.attempts: 9 is more"), "{}", text(&answer.body));
+
+    // A learner is killed, one is stopped, one is cut off: the change outwaits their leases and takes hold without them.
+    f.nodes[3].as_mut().expect("it runs").kill();
+    f.node(4).pause(true);
+    f.cut(5);
+    f.write_policy(&QUOTA.replace("60.0", "80.0"));
+    f.wait_version(2, &[0, 1, 2, 6]);
+
+    // The one that was stopped wakes, the one cut off is reached again, the dead one starts anew: none serves before it has
+    // caught up.
+    f.node(4).pause(false);
+    f.heal();
+    f.start(3);
+    f.wait_version(2, &[3, 4, 5]);
+    f.wait_ready(&ALL);
+    f.load(3, 1);
+
+    // A voter dies with a change just written; what becomes of it is the same everywhere, and the fleet goes on.
+    f.write_policy(&QUOTA.replace("60.0", "100.0"));
+    f.nodes[0].as_mut().expect("it runs").kill();
+    f.start(0);
+    f.load(0, 1);
+    f.wait_ready(&ALL);
+    // Its document may have been taken or not; a later one takes hold in any case, under the number that follows.
+    f.write_policy(&QUOTA.replace("60.0", "50.0"));
+    until("the last document is active everywhere", || {
+        [3, 4].iter().any(|v| ALL.iter().all(|&i| f.node(i).logged(&format!("version {v}, ready"))))
+    });
+
+    let state = text(&f.node(4).call("GET", "/v1/fleet").body);
+    assert!(state.contains("ready under version") && state.contains("7 members hold a lease"), "{state}");
+    let served = f.end_load();
+    assert!(served > 100, "{served} requests served: the records say little");
+    let (policy, quota, log) = f.all_records();
+    let decided = policy.iter().filter(|r| matches!(r.what, policy_check::What::Decided { .. })).count();
+    assert!(decided > 100, "{decided} decisions on record");
+    assert_eq!(policy_check::check(&policy), []);
+    assert_eq!(quota_check::check(&quota), []);
+    assert_eq!(log_check::check(&log), []);
+    assert!(log.len() > N, "{} entries on record", log.len());
+    // It was the cut that node 5 noticed, not only a change that it was late for.
+    assert!(f.node(5).logged("version 1, not ready"), "node 5 held its lease through the cut");
+}
+
+#[test]
+fn a_node_that_serves_after_its_lease_is_found_by_the_checker() {
+    let mut f = Fleet::new("fleet-planted", 22, Some((5, "serves-after-lease")));
+    f.wait_ready(&ALL);
+    // No quota: a node that is cut off has little of one, and is to have much to answer.
+    f.write_policy("[retry]\nshare = 0.05\n");
+    f.wait_version(1, &ALL);
+    for i in ALL {
+        f.load(i, 0);
+    }
+    f.cut(5);
+    f.write_policy("[retry]\nshare = 0.04\n");
+    f.wait_version(2, &[0, 1, 2, 3, 4, 6]);
+    // Long enough for answers under the new version to have left, and for the faulty node to go on under the old one.
+    std::thread::sleep(Duration::from_secs(1));
+    f.end_load();
+    let (policy, _, log) = f.all_records();
+    let found = policy_check::check(&policy);
+    assert!(
+        found.iter().any(|breach| breach.rule == policy_check::Rule::NoGoingBack),
+        "the checker found no going back: {found:?}"
+    );
+    assert_eq!(log_check::check(&log), [], "the log is not what is at fault");
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -516,6 +516,13 @@
         node
     }
 
+    /// The same, but waits only until it listens: it may not be ready before others are there.
+    pub fn listening_with_args(config: &Value, args: &[&str]) -> Self {
+        let (mut command, file) = command(config, None);
+        command.args(args);
+        Self::start((command, file))
+    }
+
     /// Starts a node whose environment names discovery too, and waits until it is ready.
     pub fn ready_with_discovery(config: &Value, discovery: SocketAddr) -> Self {
         let (mut command, file) = command(config, None);
