Process test of quotas: demand moves between nodes, and a fleet that moves tokens with it is found

Need: quotas must hold over real processes, and their checker has to catch a planted fault there.

Change: quota's planted faults behind its feature as policy_change's, named by fleet.toml in tests alone; a test in which demand moves from node to node twice, on a sound fleet and on one whose parts move with their level.

--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -113,7 +113,7 @@
     }
 
     /// Planted fault: full at once.
-    #[cfg(test)]
+    #[cfg(any(test, feature = "planted"))]
     pub fn brim(&mut self) {
         self.level = self.full.1;
     }
--- a/crates/quota/src/quota.rs
+++ b/crates/quota/src/quota.rs
@@ -137,12 +137,12 @@
     chores: Duration,
     due: Duration,
     out: VecDeque<Vec<u8>>,
-    #[cfg(test)]
+    #[cfg(any(test, feature = "planted"))]
     pub(crate) planted: Option<Planted>,
 }
 
 /// Faults for the checker to catch.
-#[cfg(test)]
+#[cfg(any(test, feature = "planted"))]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Planted {
     AfterLease,
@@ -180,11 +180,32 @@
             chores: now.boot,
             due: now.boot,
             out: VecDeque::new(),
-            #[cfg(test)]
+            #[cfg(any(test, feature = "planted"))]
             planted: None,
         }
     }
 
+    /// Plants a fault by its name, for tests of the checkers with whole processes; false where there is none of this name,
+    /// and always in a build without the feature `planted`, as every build of the program is.
+    pub fn plant_named(&mut self, name: &str) -> bool {
+        #[cfg(any(test, feature = "planted"))]
+        {
+            self.planted = match name {
+                "spends-after-lease" => Some(Planted::AfterLease),
+                "forgets-spent" => Some(Planted::ForgetsSpent),
+                "level-moves" => Some(Planted::LevelMoves),
+                "grant-twice" => Some(Planted::GrantTwice),
+                _ => return false,
+            };
+            true
+        }
+        #[cfg(not(any(test, feature = "planted")))]
+        {
+            let _ = name;
+            false
+        }
+    }
+
     /// A policy takes hold at this node at `now`: from here on its parts are parts of the new limits.
     ///
     /// # Errors
@@ -315,10 +336,10 @@
         let share = self.share(place);
         let pool = &self.policy.pools[place];
         let bucket = &mut self.pools[place].bucket;
-        #[cfg(test)]
+        #[cfg(any(test, feature = "planted"))]
         let before = bucket.fills(now, self.until);
         bucket.set(now, self.until, share, pool.rate_milli, pool.burst);
-        #[cfg(test)]
+        #[cfg(any(test, feature = "planted"))]
         {
             let after = bucket.fills(now, self.until);
             let first =
@@ -352,7 +373,7 @@
         let later = |until, term| Held::new(Duration::ZERO, until).or_later(Held::new(asked, term)).until();
         self.until.main = later(self.until.main, self.settings.term);
         self.until.reserve = later(self.until.reserve, self.settings.reserve);
-        #[cfg(test)]
+        #[cfg(any(test, feature = "planted"))]
         if self.planted == Some(Planted::AfterLease) {
             let never = Duration::from_secs(1 << 30);
             self.until = Until { main: never, reserve: never };
@@ -536,7 +557,7 @@
                 let current = self.policy.days[place].1 == limit;
                 let hands = if current { &mut day.tokens } else { &mut day.give };
                 *hands = hands.saturating_add(n);
-                #[cfg(test)]
+                #[cfg(any(test, feature = "planted"))]
                 if self.planted == Some(Planted::GrantTwice) {
                     day.tokens += n;
                 }
--- a/crates/transport/src/transport.rs
+++ b/crates/transport/src/transport.rs
@@ -12,7 +12,7 @@
 pub struct Session(pub u64);
 
 /// A node at one of its starts. What an earlier session held (leases, promises of order) is not the later one's.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Peer {
     /// Its name in the fleet.
     pub name: Name,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -62,7 +62,10 @@
     });
     let policy = PolicyChange::new(me.clone(), options.policy.clone(), check, now)
         .map_err(|e| Failure::Wrong(format!("fleet: {e}")))?;
-    let quota = Quota::new(me.clone(), magpietally_quota::Settings::default(), now);
+    let mut quota = Quota::new(me.clone(), magpietally_quota::Settings::default(), now);
+    if let Some(planted) = &options.planted {
+        quota.plant_named(planted);
+    }
     let records = options.records.as_ref().map(|path| {
         let file = OpenOptions::new().append(true).create(true).open(path);
         file.map_err(|e| failed("records", format!("{}: {e}", path.display())))
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use magpietally_policy_change::{Settings, WithoutLease};
-use magpietally_transport::Name;
+use magpietally_quota::Quota;
+use magpietally_transport::{Name, Now, Peer};
 use serde::Deserialize;
 
 use crate::commands::{toml_file, wrong, Failure};
@@ -72,6 +73,8 @@
     pub policy: Settings,
     /// Where each decision is recorded, for checkers.
     pub records: Option<PathBuf>,
+    /// A fault of a test's build.
+    pub planted: Option<String>,
 }
 
 /// Reads the file.
@@ -106,7 +109,9 @@
         policy.again = policy.again.min(policy.term / 8);
     }
     if let Some(planted) = &parsed.planted {
-        if !policy.plant_named(planted) {
+        // The quotas' are planted once their room is there.
+        let mut probe = Quota::new(Peer::default(), magpietally_quota::Settings::default(), Now::default());
+        if !policy.plant_named(planted) && !probe.plant_named(planted) {
             return Err(fail("planted", format!("{planted:?} is no fault of this build")));
         }
     }
@@ -126,6 +131,7 @@
         policy_file: parsed.policy_file,
         policy,
         records: parsed.records,
+        planted: parsed.planted,
     })
 }
 
--- a/tests/fleet_policy.rs
+++ b/tests/fleet_processes.rs
@@ -1,5 +1,5 @@
 //! A fleet that decides together: seven processes of the program on loopback, the fault relays between them on UDP and
-//! TCP, clients at every node, and kill -9, SIGSTOP and cuts while the policy changes. At the end the checkers read what every
+//! TCP, clients at every node, and kill -9, SIGSTOP and cuts while the policy changes and quotas are hot. At the end the checkers read what every
 //! node wrote down before it acted.
 
 mod peers;
@@ -30,14 +30,14 @@
     nodes: Vec<Option<Node>>,
     config: Value,
     load: Vec<(Arc<AtomicBool>, std::thread::JoinHandle<u64>)>,
-    /// A node with a fault of its own, and which.
-    planted: Option<(usize, &'static str)>,
+    /// Nodes with a fault, and which.
+    planted: Option<(&'static [usize], &'static str)>,
     _server: Peer,
     _registry: Registry,
 }
 
 impl Fleet {
-    fn new(name: &str, seed: u64, planted: Option<(usize, &'static str)>) -> Self {
+    fn new(name: &str, seed: u64, planted: Option<(&'static [usize], &'static str)>) -> Self {
         let server = Peer::good("a");
         let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
         let mut config = config(registry.address);
@@ -82,7 +82,7 @@
         if i == 6 {
             text += &format!("policy_file = {}\n", path(&self.folder.join("policy.toml")));
         }
-        if let Some((_, fault)) = self.planted.filter(|(node, _)| *node == i) {
+        if let Some((_, fault)) = self.planted.filter(|(nodes, _)| nodes.contains(&i)) {
             text += &format!("planted = \"{fault}\"\n");
         }
         for j in (0..N).filter(|&j| j != i) {
@@ -296,7 +296,7 @@
 
 #[test]
 fn a_node_that_serves_after_its_lease_is_found_by_the_checker() {
-    let mut f = Fleet::new("fleet-planted", 22, Some((5, "serves-after-lease")));
+    let mut f = Fleet::new("fleet-planted", 22, Some((&[5], "serves-after-lease")));
     f.wait_ready(&ALL);
     // No quota: a node that is cut off has little of one, and is to have much to answer.
     f.write_policy("[retry]\nshare = 0.05\n");
@@ -318,3 +318,32 @@
     );
     assert_eq!(log_check::check(&log), [], "the log is not what is at fault");
 }
+
+/// Demand moves from one node to another, again and again; a part of the quota that moves takes its tokens with it in the
+/// faulty fleet, so that they are spent twice.
+fn move_demand(f: &mut Fleet) -> Vec<quota_check::Fault> {
+    f.wait_ready(&ALL);
+    f.write_policy("[tenants.punjab-clubs]\nrate_per_s = 50.0\nburst = 400\n");
+    f.wait_version(1, &ALL);
+    for (life, node) in [1, 4, 2].into_iter().enumerate() {
+        for client in 0..4 {
+            f.load(node, (10 * life + client) as u64);
+        }
+        std::thread::sleep(Duration::from_millis(2500));
+        f.end_load();
+    }
+    let (_, quota, _) = f.all_records();
+    let admitted = quota.iter().filter(|r| matches!(r.what, quota_check::What::Admitted { .. })).count();
+    assert!(admitted > 100, "{admitted} requests admitted: the records say little");
+    quota_check::check(&quota)
+}
+
+#[test]
+fn no_quota_is_exceeded_when_demand_moves_and_a_fleet_that_moves_tokens_with_it_is_found() {
+    let mut sound = Fleet::new("fleet-quota", 23, None);
+    assert_eq!(move_demand(&mut sound), []);
+    let mut faulty = Fleet::new("fleet-quota-planted", 24, Some((&ALL, "level-moves")));
+    let found = move_demand(&mut faulty);
+    let over = |fault: &quota_check::Fault| matches!(fault, quota_check::Fault::Over { .. });
+    assert!(found.iter().any(over), "the checker found nothing over: {found:?}");
+}
