A file over its size limit is refused at its write, not the end of the node; voter with a full disk

Need: a full disk has to be survived by the process; a limit on a file's size ends it by SIGXFSZ before any error is seen.

A process test: a voter under a limit of 4 KiB a file says so, while the others decide two changes with a tenth of the datagrams lost, some doubled and late, and one link between voters cut one way.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -22,6 +22,7 @@
 use magpietally_transport::tcp::{self, Tcp};
 use magpietally_transport::udp::Udp;
 use magpietally_transport::{Name, Peer};
+use signal_hook::consts::SIGXFSZ;
 
 use crate::commands::Failure;
 pub use gate::Shared;
@@ -43,6 +44,8 @@
     let failed = |what: &str, why: String| Failure::Failed(format!("fleet: {what}: {why}"));
     let name = Name::new(name).map_err(|e| Failure::Wrong(format!("fleet: name {name:?}: {e}")))?;
     let place = options.store.display().to_string();
+    // A file that reaches the process's limit is to be refused at its write, as a full disk is, and not to end the node.
+    signal_hook::flag::register(SIGXFSZ, Arc::default()).map_err(|e| failed("SIGXFSZ", e.to_string()))?;
     let (store, recovered) =
         Log::<Folder>::open_dir(&options.store, name.as_str()).map_err(|e| failed(&place, e.to_string()))?;
     if let Some(cut) = &recovered.cut {
--- a/tests/fleet_processes.rs
+++ b/tests/fleet_processes.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use magpietally_consensus::check as log_check;
-use magpietally_contracts::relay::{Relay, Streams};
+use magpietally_contracts::relay::{Link, Relay, Streams};
 use magpietally_policy_change::check as policy_check;
 use magpietally_quota::check as quota_check;
 use peers::*;
@@ -32,6 +32,8 @@
     load: Vec<(Arc<AtomicBool>, std::thread::JoinHandle<u64>)>,
     /// Nodes with a fault, and which.
     planted: Option<(&'static [usize], &'static str)>,
+    /// A node under a limit of the shell's.
+    limited: Option<(usize, &'static str)>,
     _server: Peer,
     _registry: Registry,
 }
@@ -54,6 +56,7 @@
             config,
             load: Vec::new(),
             planted,
+            limited: None,
             _server: server,
             _registry: registry,
         };
@@ -97,7 +100,11 @@
     fn start(&mut self, i: usize) {
         let mut config = self.config.clone();
         config["name"] = json!(format!("f{i}"));
-        let node = Node::listening_with_args(&config, &["--fleet", &self.file(i)]);
+        let args = ["--fleet", &self.file(i)];
+        let node = match self.limited.filter(|(limited, _)| *limited == i) {
+            Some((_, limit)) => Node::limited_with_args(&config, &args, limit),
+            None => Node::listening_with_args(&config, &args),
+        };
         let mut own = None;
         until("the fleet's sockets are open", || {
             own = node.logged_after(" of test at ").and_then(|rest| {
@@ -347,3 +354,28 @@
     let over = |fault: &quota_check::Fault| matches!(fault, quota_check::Fault::Over { .. });
     assert!(found.iter().any(over), "the checker found nothing over: {found:?}");
 }
+
+#[test]
+fn a_voter_whose_disk_is_full_says_so_and_the_fleet_decides_on_through_loss_and_a_one_way_link() {
+    let mut f = Fleet::new("fleet-full", 25, None);
+    f.wait_ready(&ALL);
+    f.write_policy("[retry]\nshare = 0.05\n");
+    f.wait_version(1, &ALL);
+    // A voter starts anew under a limit on every file's size that its records of the log soon reach.
+    f.nodes[1].as_mut().expect("it runs").kill();
+    f.limited = Some((1, "-f 8"));
+    f.start(1);
+    until("the full disk is told", || f.node(1).logged("the store refuses: no space left"));
+    // A tenth of the datagrams lost, some doubled and late, and a link between two voters that works one way.
+    f.datagrams.set_all(Link { drop: 0.1, duplicate: 0.1, delay: Duration::from_millis(5), cut: false });
+    f.datagrams.set(0, 2, Link { cut: true, ..Link::default() });
+    for (version, share) in [(2, 0.04), (3, 0.03)] {
+        f.write_policy(&format!("[retry]\nshare = {share}\n"));
+        f.wait_version(version, &[0, 2, 3, 4, 5, 6]);
+    }
+    f.heal();
+    let (policy, _, log) = f.all_records();
+    assert_eq!(policy_check::check(&policy), []);
+    assert_eq!(log_check::check(&log), []);
+    assert!(f.nodes[1].as_mut().is_some_and(Node::running), "a full disk ended the node");
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -523,6 +523,17 @@
         Self::start((command, file))
     }
 
+    /// The same under a limit of the shell's `ulimit`, as `-f 100`.
+    pub fn limited_with_args(config: &Value, args: &[&str], limit: &str) -> Self {
+        let (node, file) = command(config, None);
+        let mut shell = Command::new("sh");
+        shell.arg("-c").arg(format!("ulimit {limit}; exec \"$0\" \"$@\""));
+        shell.arg(node.get_program()).args(node.get_args()).args(args);
+        shell.envs(node.get_envs().filter_map(|(name, value)| Some((name, value?))));
+        shell.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        Self::start((shell, file))
+    }
+
     /// Starts a node whose environment names discovery too, and waits until it is ready.
     pub fn ready_with_discovery(config: &Value, discovery: SocketAddr) -> Self {
         let (mut command, file) = command(config, None);
