--- a/crates/policy_change/src/lib.rs
+++ b/crates/policy_change/src/lib.rs
@@ -24,6 +24,8 @@
 mod room;
 mod settings;
 mod state;
+#[cfg(test)]
+mod worlds;
 
 pub use entry::{Entry, Step, Version, DOCUMENT_MAX, EXPIRED_AT_ONCE, WHY_MAX};
 pub use gate::{Admission, Epoch, Figures, Refusal, RefusalWhy, Ticket};
