--- a/crates/policy_change/src/cases.rs
+++ b/crates/policy_change/src/cases.rs
@@ -1,13 +1,17 @@
 //! The promises by name, each in the smallest run that shows it.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use magpietally_consensus::model::Faults;
+use magpietally_consensus::Index;
+use magpietally_transport::{Name, Peer, Session};
 
 use crate::check::What;
 use crate::play::{short, Play, MS};
 use crate::{
-    Admission, End, Outcome, ProposeError, Refusal, RefusalWhy, Settings, Step, Version, Why, WithoutLease,
+    Admission, End, Entry, Outcome, ProposeError, Refusal, RefusalWhy, Settings, State, Step, Version, Why,
+    WithoutLease,
 };
 
 /// Five nodes with a lease each.
@@ -250,3 +254,59 @@
     assert_eq!(play.outcome(4, ticket), Outcome::Ended(End::Lost { to: Version(3) }));
     sound(play);
 }
+
+#[test]
+fn a_node_stopped_while_a_version_closes_decides_nothing_again_that_it_had_begun_though_its_lease_holds() {
+    let mut play = fleet(10, |_| {});
+    let Admission::Go(epoch) = arrives(&mut play, 0) else { panic!("it serves") };
+    play.propose(1, "share = 1").expect("taken for proposing");
+    play.until(1000 * MS, |p| p.node(0).state().closing()).expect("it closes");
+    play.pause(0, true);
+    play.run(300 * MS);
+    play.pause(0, false);
+    let (machine, now) = play.model.machine(0).expect("it runs");
+    assert!(machine.state().closing() && machine.leased(now.boot));
+    assert!(machine.may_decide(now.boot, &epoch).is_err());
+    sound(play);
+}
+
+#[test]
+fn a_node_whose_check_refuses_what_was_taken_without_it_serves_nothing_until_the_next_change() {
+    let mut play = fleet(11, |_| {});
+    play.cut(3, true);
+    play.run(2500 * MS);
+    let (end, _) = change(&mut play, 1, "share = 1 !n3", 1000 * MS);
+    assert_eq!(end, End::Taken(Version(1)));
+    play.cut(3, false);
+    play.run(1000 * MS);
+    assert_eq!(refused(&arrives(&mut play, 3)), Some(RefusalWhy::CantTake));
+    let (machine, now) = play.model.machine(3).expect("it runs");
+    assert!(!machine.ready(now.boot) && machine.cant_take().is_some());
+    assert_eq!(change(&mut play, 1, "share = 2", 1000 * MS).0, End::Taken(Version(2)));
+    play.run(50 * MS);
+    assert!(matches!(arrives(&mut play, 3), Admission::Go(e) if e.version == Version(2)));
+    sound(play);
+}
+
+#[test]
+fn a_member_that_asks_for_its_lease_a_second_time_while_a_version_closes_has_not_stopped() {
+    let peer = |n: &str| Peer { name: Name::new(n).expect("a name"), session: Session(1) };
+    let (a, b, c) = (peer("a"), peer("b"), peer("c"));
+    let join = || Entry::Join { ask: 1, term_ms: 1000, serves_on: false };
+    let mut state = State::default();
+    let entries = [
+        (&a, join()),
+        (&b, join()),
+        (&a, Entry::Propose { base: Version(0), ticket: 1, document: vec![1] }),
+        (&a, Entry::Accept { version: Version(1) }),
+        (&b, Entry::Accept { version: Version(1) }),
+        (&b, join()),
+        (&c, join()),
+    ];
+    for (i, (by, entry)) in entries.into_iter().enumerate() {
+        state.apply(Index(i as u64 + 1), by, entry);
+    }
+    assert!(state.closing());
+    // The newcomer has: it learns of its lease after the closing.
+    assert_eq!(state.change.map(|change| change.done), Some(BTreeSet::from([c])));
+}
