policy_change: remember askings for more than a term, and say truly what happens past that

32 askings said each 250 ms are 8 s, less than the default term of 10 s: a lease granted that late was not counted, and the comment said that it would be over. 64 are remembered.

--- a/crates/policy_change/src/room.rs
+++ b/crates/policy_change/src/room.rs
@@ -15,8 +15,9 @@
 
 /// How often a node looks whether something is due: fine enough for every setting, 20 looks a second.
 const BEAT: Duration = Duration::from_millis(50);
-/// Askings for a lease that are remembered with their time: six terms' worth of renewals said twice.
-const ASKS: usize = 32;
+/// Askings for a lease that are remembered with their time: more than a default term's worth of those said in haste. One
+/// that is granted after it was forgotten is not counted, and a later one is.
+const ASKS: usize = 64;
 /// Proposals that wait for the carrier at most; the oldest is dropped and said again by its own timer.
 const OUT: usize = 16;
 /// Nodes that operators have named as gone and whose end is not decided yet.
@@ -387,7 +388,7 @@
                             true => Some(now.boot),
                             false => asked,
                         };
-                        // An asking too old to be remembered would be over by now.
+                        // An asking that is not remembered is not counted: the safe side.
                         if let Some(held) = asked.map(|at| Held::new(at, term)) {
                             self.held = Some(self.held.map_or(held, |h| h.or_later(held)));
                         }
