--- /dev/null
+++ b/crates/addresses/src/line.rs
@@ -0,0 +1,61 @@
+//! The text that route daemons' process interfaces read.
+
+use std::fmt;
+
+/// One line, without its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Line {
+    /// The route leads here.
+    Announce {
+        /// As `192.0.2.10/32`.
+        prefix: String,
+        /// The metric.
+        med: u32,
+    },
+    /// It does no more.
+    Withdraw {
+        /// As `192.0.2.10/32`.
+        prefix: String,
+    },
+}
+
+impl fmt::Display for Line {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Announce { prefix, med } => write!(f, "announce route {prefix} next-hop self med {med}"),
+            Self::Withdraw { prefix } => write!(f, "withdraw route {prefix} next-hop self"),
+        }
+    }
+}
+
+impl Line {
+    /// Reads a line back; none if it is not one of the two forms.
+    pub fn parse(line: &str) -> Option<Self> {
+        let words: Vec<&str> = line.split(' ').take(9).collect();
+        match words[..] {
+            ["announce", "route", prefix, "next-hop", "self", "med", med] => {
+                Some(Self::Announce { prefix: prefix.to_owned(), med: med.parse().ok()? })
+            }
+            ["withdraw", "route", prefix, "next-hop", "self"] => {
+                Some(Self::Withdraw { prefix: prefix.to_owned() })
+            }
+            _ => None,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lines_read_back_as_they_were_written_and_others_are_refused() {
+        for text in [
+            "announce route 192.0.2.10/32 next-hop self med 100",
+            "withdraw route 192.0.2.10/32 next-hop self",
+        ] {
+            assert_eq!(Line::parse(text).map(|l| l.to_string()).as_deref(), Some(text));
+        }
+        assert_eq!(Line::parse("announce route 192.0.2.10/32 next-hop self med 1 more"), None);
+    }
+}
