Addresses: the checker of histories and the stand-in router

The promises about addresses need a judge that reads records of routers, nodes and the log on one clock, so that tests by processes can use it later. The router drops routes of a speaker that closed or fell silent, steers clients and keeps the record.

--- a/crates/addresses/src/lib.rs
+++ b/crates/addresses/src/lib.rs
@@ -4,10 +4,12 @@
 //! says which sites advertise which address; one node a site speaks ([`Addresses::speak`]) lines that route daemons
 //! read. See `docs/design/addresses.md` for each rule and its reason.
 
+pub mod check;
 mod decide;
 mod health;
 mod line;
 mod room;
+pub mod router;
 mod rules;
 mod state;
 mod stop;
--- /dev/null
+++ b/crates/addresses/src/router.rs
@@ -0,0 +1,136 @@
+//! A stand-in router: reads speakers' lines, drops routes of those that are silent or gone, steers clients.
+//!
+//! Pure: the carrier that reads pipes hands it lines with its own clock.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use magpietally_transport::Name;
+
+use crate::check::{Record, What};
+use crate::line::Line;
+use crate::rules::ADDRESSES_MAX;
+
+/// Records kept until they are taken, at most: the oldest rest of a run is worth more than memory without bound.
+const RECORDS_MAX: usize = 1 << 20;
+/// The longest line that is read, in bytes: a route's line has under 100.
+const LINE_MAX: usize = 256;
+
+struct Session {
+    site: Name,
+    heard: Duration,
+    routes: BTreeMap<String, u32>,
+}
+
+/// The router.
+pub struct Router {
+    hold: Duration,
+    sessions: BTreeMap<u32, Session>,
+    records: Vec<Record>,
+}
+
+impl Router {
+    /// A router that drops the routes of a speaker that was silent for `hold`.
+    pub fn new(hold: Duration) -> Self {
+        Self { hold, sessions: BTreeMap::new(), records: Vec::new() }
+    }
+
+    /// A line came at `now` from the end numbered `session`, which leads to `site`. Whether it could be read.
+    pub fn line(&mut self, now: Duration, session: u32, site: &Name, text: &str) -> bool {
+        self.tick(now);
+        let Some(line) = (text.len() <= LINE_MAX).then(|| Line::parse(text)).flatten() else { return false };
+        let s = self.sessions.entry(session).or_insert_with(|| Session {
+            site: site.clone(),
+            heard: now,
+            routes: BTreeMap::new(),
+        });
+        s.heard = now;
+        let (prefix, up) = match line {
+            Line::Announce { prefix, med } => {
+                if s.routes.len() >= ADDRESSES_MAX && !s.routes.contains_key(&prefix) {
+                    return false;
+                }
+                if s.routes.insert(prefix.clone(), med).is_some() {
+                    return true;
+                }
+                (prefix, true)
+            }
+            Line::Withdraw { prefix } => {
+                if s.routes.remove(&prefix).is_none() {
+                    return true;
+                }
+                (prefix, false)
+            }
+        };
+        let site = s.site.clone();
+        self.record(now, What::Route { prefix, site, session, up });
+        true
+    }
+
+    /// The end numbered `session` closed: all that came by it goes.
+    pub fn closed(&mut self, now: Duration, session: u32) {
+        if let Some(s) = self.sessions.remove(&session) {
+            for prefix in s.routes.into_keys() {
+                self.record(now, What::Route { prefix, site: s.site.clone(), session, up: false });
+            }
+        }
+    }
+
+    /// Drops what has not been heard of for the hold time.
+    pub fn tick(&mut self, now: Duration) {
+        let silent: Vec<u32> =
+            self.sessions.iter().filter(|(_, s)| now >= s.heard + self.hold).map(|(n, _)| *n).collect();
+        for session in silent {
+            self.closed(now, session);
+        }
+    }
+
+    /// The sites an address leads to: those of the lowest metric.
+    pub fn sites(&self, prefix: &str) -> BTreeSet<&Name> {
+        let routes = || self.sessions.values().filter_map(|s| Some((*s.routes.get(prefix)?, &s.site)));
+        let best = routes().map(|(med, _)| med).min();
+        routes().filter(|(med, _)| Some(*med) == best).map(|(_, site)| site).collect()
+    }
+
+    /// Where a client with this hash is led, as long as the sites stay the same.
+    pub fn steer(&self, prefix: &str, client: u64) -> Option<&Name> {
+        let sites: Vec<&Name> = self.sites(prefix).into_iter().collect();
+        let n = sites.len() as u64;
+        (n > 0).then(|| sites[(client % n) as usize])
+    }
+
+    /// What changed since the last call.
+    pub fn take_records(&mut self) -> Vec<Record> {
+        std::mem::take(&mut self.records)
+    }
+
+    fn record(&mut self, at: Duration, what: What) {
+        if self.records.len() < RECORDS_MAX {
+            self.records.push(Record { at, what });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_router_drops_the_routes_of_a_speaker_that_closed_or_fell_silent() {
+        let ms = Duration::from_millis;
+        let (a, b) = (Name::new("a").expect("a name"), Name::new("b").expect("a name"));
+        let mut r = Router::new(ms(1500));
+        let up = "announce route 192.0.2.10/32 next-hop self med 100";
+        assert!(
+            r.line(ms(0), 1, &a, up) && r.line(ms(0), 2, &b, up) && !r.line(ms(0), 2, &b, "announce all")
+        );
+        assert_eq!(r.sites("192.0.2.10/32").len(), 2);
+        assert!(r.steer("192.0.2.10/32", 0) != r.steer("192.0.2.10/32", 1));
+        r.line(ms(1000), 1, &a, up);
+        r.tick(ms(1500));
+        assert_eq!(r.steer("192.0.2.10/32", 7), Some(&a));
+        r.closed(ms(1600), 1);
+        assert_eq!(r.steer("192.0.2.10/32", 7), None);
+        assert_eq!(r.take_records().len(), 4);
+    }
+}
