--- a/crates/addresses/src/check.rs
+++ b/crates/addresses/src/check.rs
@@ -96,6 +96,8 @@
         /// How many.
         open: u64,
     },
+    /// Nothing was recorded until here: bounds in time are held up to the last record.
+    End,
     /// A request that a node took was lost.
     Lost {
         /// Which.
@@ -197,17 +199,11 @@
     report: Report,
 }
 
-/// Checks records, in any order, up to the last of them.
+/// Checks records, in any order but for those of one moment, up to the last of them.
 pub fn check(records: &[Record], bounds: Bounds) -> Report {
     let mut order: Vec<&Record> = records.iter().collect();
-    // Of one moment what goes comes first: handing over in one moment is no overlap.
-    order.sort_by_key(|r| {
-        let comes = matches!(
-            r.what,
-            What::Route { up: true, .. } | What::Claim { up: true, .. } | What::Decided { up: true, .. }
-        );
-        (r.at, comes)
-    });
+    // Stable: of one moment they stay as they were recorded.
+    order.sort_by_key(|r| r.at);
     let mut course = Course::default();
     let mut next = Duration::ZERO;
     for record in order {
@@ -272,6 +268,7 @@
                 }
             }
             What::Disturbed { until } => self.quiet = self.quiet.max(*until),
+            What::End => {}
             What::Stopping { node } => {
                 self.stopping.insert(*node);
             }
--- a/crates/addresses/src/decide.rs
+++ b/crates/addresses/src/decide.rs
@@ -90,8 +90,9 @@
                 continue;
             }
             let (prefix, after) = (rule.prefix.clone(), state.last(&rule.prefix));
-            let body = if let Some((site, up)) = self.change(now, state, rule) {
-                Body::Decide { prefix, after, site, up }
+            let body = if let Some((site, up, waited)) = self.change(now, state, rule) {
+                let turn = state.turned(&site);
+                Body::Decide { prefix, after, site, up, turn, waited }
             } else if let Some(site) = self.forgiven(now, state, rule) {
                 Body::Calm { prefix, after, site }
             } else {
@@ -103,7 +104,7 @@
         out
     }
 
-    fn change(&self, now: Duration, state: &State, rule: &AddressRule) -> Option<(Name, bool)> {
+    fn change(&self, now: Duration, state: &State, rule: &AddressRule) -> Option<(Name, bool, bool)> {
         let rules = &state.plain.rules;
         let prefix = &rule.prefix;
         let here: Vec<&Name> = state.sites(prefix).collect();
@@ -112,36 +113,36 @@
         // Gone with all its nodes: the leases have waited already.
         let gone = |s: &Name| state.sums(s).nodes == 0;
         let down = |s: &Name| gone(s) || self.since(now, s, false) >= ms(rules.hold_down);
-        let serves = here.iter().any(|s| state.judged(s) != Judgement::Dead);
-        let up = |s: &Name| {
+        // All times waited: the least times of the site that begins, and what the one that ceases is due.
+        let waited = |s: &Name, up: bool| {
             let held = self.since(now, s, true) >= long(hold_up(rules, state.flaps(prefix, s)));
-            match rule.kind {
-                Kind::Shared => !serves || held,
-                Kind::Exclusive => {
-                    here.iter().all(|o| down(o))
-                        && (here.iter().all(|o| state.judged(o) == Judgement::Dead) || (held && settled))
-                }
+            match (up, rule.kind) {
+                (true, Kind::Shared) => held,
+                (true, Kind::Exclusive) => held && settled && here.iter().all(|o| down(o)),
+                (false, _) => settled && down(s),
             }
         };
-        let mut ups: Vec<&Name> = rule.sites.iter().filter(|s| state.may(prefix, s, true) && up(s)).collect();
+        // An exclusive address leaves even a dead owner only after the hold-down, or with the last of its nodes.
+        let patient = |s: &Name, up: bool| match (up, rule.kind) {
+            (true, Kind::Exclusive) => here.iter().all(|o| !rule.sites.contains(o) || down(o)),
+            (true, Kind::Shared) => true,
+            (false, _) => !rule.sites.contains(s) || down(s),
+        };
+        let ready = |s: &Name, up: bool| {
+            state.may(prefix, s, up) && (waited(s, up) || (state.free(prefix, s, up) && patient(s, up)))
+        };
+        let mut ups: Vec<&Name> = rule.sites.iter().filter(|s| ready(s, true)).collect();
         // The best of bad ones; of good ones the first named.
         ups.sort_by_key(|s| match state.judged(s) {
             Judgement::Well => (std::cmp::Reverse(Judgement::Well), 0),
             other => (std::cmp::Reverse(other), 1000 - state.sums(s).share()),
         });
         if let Some(site) = ups.first() {
-            return Some(((*site).clone(), true));
+            return Some(((*site).clone(), true, waited(site, true)));
         }
-        let mut downs: Vec<&Name> = here
-            .iter()
-            .copied()
-            .filter(|s| state.may(prefix, s, false))
-            .filter(|s| {
-                !rule.sites.contains(s) || (down(s) && (settled || state.judged(s) == Judgement::Dead))
-            })
-            .collect();
+        let mut downs: Vec<&Name> = here.iter().copied().filter(|s| ready(s, false)).collect();
         downs.sort_by_key(|s| rank(s));
-        downs.first().map(|s| ((*s).clone(), false))
+        downs.first().map(|s| ((*s).clone(), false, waited(s, false)))
     }
 
     fn forgiven(&self, now: Duration, state: &State, rule: &AddressRule) -> Option<Name> {
--- a/crates/addresses/src/state.rs
+++ b/crates/addresses/src/state.rs
@@ -68,6 +68,11 @@
         site: Name,
         /// Begins.
         up: bool,
+        /// The site's last turn, to being well or not, that the proposer knew.
+        turn: Index,
+        /// The proposer has waited all times that the rules state; if not, it may only be done for an address that nobody
+        /// serves, or to a site that is dead.
+        waited: bool,
     },
     /// One flap of a site is forgiven, if the address is still as it was left at `after`.
     Calm {
@@ -116,6 +121,8 @@
     pub rules: Rules,
     pub nodes: BTreeMap<Name, (Name, Figures)>,
     pub judged: BTreeMap<Name, Judgement>,
+    /// The entry at which a site last turned to being well or not.
+    pub turned: BTreeMap<Name, Index>,
     pub routes: BTreeMap<String, Route>,
 }
 
@@ -196,7 +203,7 @@
                     let rules = &self.plain.rules;
                     self.plain.routes.retain(|prefix, _| rules.of(prefix).is_some());
                     let sites: Vec<Name> = self.plain.judged.keys().cloned().collect();
-                    sites.iter().for_each(|site| self.judge(site));
+                    sites.iter().for_each(|site| self.judge(decided.index, site));
                     effect.rules = true;
                 }
             }
@@ -207,14 +214,15 @@
             Body::Leave => {
                 // What it owns lapses by itself: the router may still be reading its last lines.
                 let site = self.plain.nodes.get(&by.name).map(|(s, _)| s.clone());
-                self.end_if_held(&Key::Node(by.name.clone()), by);
+                self.end_if_held(decided.index, &Key::Node(by.name.clone()), by);
                 if let Some(site) = site {
-                    self.end_if_held(&Key::Speaker(site), by);
+                    self.end_if_held(decided.index, &Key::Speaker(site), by);
                 }
             }
-            Body::End(ends) => ends.iter().for_each(|(key, grant)| self.end(key, *grant)),
-            Body::Decide { prefix, after, site, up } => {
-                if self.last(&prefix) == after && self.may(&prefix, &site, up) {
+            Body::End(ends) => ends.iter().for_each(|(key, grant)| self.end(decided.index, key, *grant)),
+            Body::Decide { prefix, after, site, up, turn, waited } => {
+                let known = self.last(&prefix) == after && self.turned(&site) == turn;
+                if known && self.may(&prefix, &site, up) && (waited || self.free(&prefix, &site, up)) {
                     effect = self.decide(decided.index, prefix, site, up);
                 }
             }
@@ -259,34 +267,39 @@
         }
         let before = self.plain.nodes.insert(by.name.clone(), (report.site.clone(), report.figures));
         if let Some((site, _)) = before.filter(|(s, _)| *s != report.site) {
-            self.judge(&site);
+            self.judge(index, &site);
         }
-        self.judge(&report.site);
+        self.judge(index, &report.site);
         true
     }
 
-    fn end_if_held(&mut self, key: &Key, by: &Peer) {
+    fn end_if_held(&mut self, at: Index, key: &Key, by: &Peer) {
         if let Some(index) = self.leases.get(key).filter(|g| g.holder == *by).map(|g| g.index) {
-            self.end(key, index);
+            self.end(at, key, index);
         }
     }
 
-    fn end(&mut self, key: &Key, grant: Index) {
+    fn end(&mut self, at: Index, key: &Key, grant: Index) {
         if self.leases.end(key, grant) {
             if let Key::Node(name) = key {
                 if let Some((site, _)) = self.plain.nodes.remove(name) {
-                    self.judge(&site);
+                    self.judge(at, &site);
                 }
             }
         }
     }
 
-    fn judge(&mut self, site: &Name) {
+    fn judge(&mut self, at: Index, site: &Name) {
         let sums = self.sums(site);
-        let judgement = sums.judge(&self.plain.rules, self.judged(site));
+        let before = self.judged(site);
+        let judgement = sums.judge(&self.plain.rules, before);
+        if (before == Judgement::Well) != (judgement == Judgement::Well) {
+            self.plain.turned.insert(site.clone(), at);
+        }
         if sums.nodes == 0 {
             // None is the same as dead, and sites without nodes take no room.
             self.plain.judged.remove(site);
+            self.plain.turned.remove(site);
         } else {
             self.plain.judged.insert(site.clone(), judgement);
         }
@@ -300,6 +313,21 @@
         self.plain.routes.get(prefix).and_then(|r| r.flaps.get(site)).copied().unwrap_or_default()
     }
 
+    pub(crate) fn turned(&self, site: &Name) -> Index {
+        self.plain.turned.get(site).copied().unwrap_or_default()
+    }
+
+    /// Whether a change that is allowed needs no waiting: nobody serves the address, or it loses a site that is dead or
+    /// not named any more. Asked again when the entry is applied: a dead site may be back by then.
+    pub(crate) fn free(&self, prefix: &str, site: &Name, up: bool) -> bool {
+        let named = |s: &Name| self.plain.rules.of(prefix).is_some_and(|r| r.sites.contains(s));
+        if up {
+            !self.sites(prefix).any(|s| named(s) && self.judged(s) != Judgement::Dead)
+        } else {
+            !named(site) || self.judged(site) == Judgement::Dead
+        }
+    }
+
     /// Whether the rules that need no clock allow it: never nobody, no cascade, one owner.
     pub(crate) fn may(&self, prefix: &str, site: &Name, up: bool) -> bool {
         let Some(rule) = self.plain.rules.of(prefix) else { return false };
--- a/crates/addresses/tests/faulty.rs
+++ b/crates/addresses/tests/faulty.rs
@@ -69,7 +69,7 @@
 }
 
 fn end(ms: u64) -> (u64, What) {
-    (ms, What::Disturbed { until: Duration::ZERO })
+    (ms, What::End)
 }
 
 #[test]
