--- a/crates/addresses/src/check.rs
+++ b/crates/addresses/src/check.rs
@@ -1,6 +1,6 @@
 //! Checks records of routers, nodes and the log, all on one clock, against what was promised.
 //!
-//! Claims and decisions are checked record by record. Bounds in time are looked at every [`GRID`], which may find a fault
+//! Claims and decisions are checked record by record. Bounds in time are looked at on a grid of 20 ms, which may find a fault
 //! that much too late, and never one that is none.
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/addresses/src/decide.rs
+++ b/crates/addresses/src/decide.rs
@@ -1,7 +1,7 @@
 //! When a leader proposes that a site begins or ceases to advertise: the rules that need a clock.
 //!
 //! Every node keeps these times by its own boot clock, from when it learnt of an entry, so that the next leader goes on
-//! where the last one stopped. Each waits longer than the rule says by [`DRIFT`], and an entry names the address's last
+//! where the last one stopped. Each waits longer than the rule says by the drift of clocks, and an entry names the address's last
 //! change, so two that think they lead can't both withdraw.
 
 use std::collections::BTreeMap;
--- a/crates/addresses/src/room.rs
+++ b/crates/addresses/src/room.rs
@@ -62,6 +62,7 @@
 }
 
 /// One node's part.
+#[derive(Clone)]
 pub struct Addresses {
     me: Peer,
     site: Name,
--- a/crates/addresses/src/router.rs
+++ b/crates/addresses/src/router.rs
@@ -16,6 +16,7 @@
 /// The longest line that is read, in bytes: a route's line has under 100.
 const LINE_MAX: usize = 256;
 
+#[derive(Clone, Debug)]
 struct Session {
     site: Name,
     heard: Duration,
@@ -23,6 +24,7 @@
 }
 
 /// The router.
+#[derive(Clone, Debug)]
 pub struct Router {
     hold: Duration,
     sessions: BTreeMap<u32, Session>,
