Addresses: exclusive ownership through all interleavings at small size

A search of its own (no dependency) plays the real room and router through every order of asking, deciding, learning, ending and speaking: two nodes of two sites, three whole seconds.

--- a/crates/addresses/src/room.rs
+++ b/crates/addresses/src/room.rs
@@ -437,3 +437,7 @@
 pub(crate) fn named(rules: &Rules) -> BTreeSet<&Name> {
     rules.addresses.iter().flat_map(|a| a.sites.iter()).collect()
 }
+
+#[cfg(test)]
+#[path = "exhaustive.rs"]
+mod exhaustive;
