--- a/src/fleet/thread.rs
+++ b/src/fleet/thread.rs
@@ -8,7 +8,7 @@
 
 use magpietally_config::file::read_plain;
 use magpietally_consensus::{check as log_check, Machine, Node, Topic, Write};
-use magpietally_policy_change::{Outcome, Version, DOCUMENT_MAX};
+use magpietally_policy_change::{End, Outcome, Version, Why, DOCUMENT_MAX};
 use magpietally_store::disk::Folder;
 use magpietally_store::{Log, Store, StoreError};
 use magpietally_transport::tcp::Tcp;
@@ -23,6 +23,8 @@
 const REST: Duration = Duration::from_millis(2);
 /// How often the document's file is looked at.
 const FILE_LOOK: Duration = Duration::from_millis(250);
+/// After how long a document is proposed again that some node did not answer: a few beats of the others.
+const AGAIN: Duration = Duration::from_secs(1);
 /// How long the end waits for the log to take the leases back; SIGKILL is near by then.
 const LEAVE_WITHIN: Duration = Duration::from_millis(400);
 /// Events taken from a transport before the rooms have their turn.
@@ -236,6 +238,13 @@
                 ended => {
                     tracing::info!(target: "fleet", "{}: {ended:?}", document.path.display());
                     document.ticket = None;
+                    if matches!(ended, Outcome::Ended(End::Aborted(_, Why::Silent { .. }))) {
+                        // Nobody was against it: what the file says is still wanted, once those who were silent speak or
+                        // are no longer counted.
+                        document.last = None;
+                        document.look_at = now.boot + AGAIN;
+                        return;
+                    }
                 }
             }
         }
