Tests in files of their own: 34 inline modules moved, nothing else changed

Each `mod tests { ... }` of the crates addresses, config, consensus, ledger, membership, policy_change, quota, site, transport and of the program is now `mod tests;` with the same text one indentation less: 66 tests before and after.

--- /dev/null
+++ b/crates/consensus/src/model/tests.rs
@@ -0,0 +1,71 @@
+use super::*;
+use crate::entry::Topic;
+use crate::machine::SnapshotError;
+
+/// Proposes its name once a second and keeps what it learns.
+struct Crier {
+    me: Peer,
+    due: Duration,
+    want: Option<Vec<u8>>,
+    heard: Vec<(u64, String)>,
+}
+
+impl Machine for Crier {
+    fn topic(&self) -> Topic {
+        Topic::Policy
+    }
+    fn apply(&mut self, _: Now, d: &Decided) {
+        self.heard.push((d.index.0, d.proposal.by.to_string()));
+    }
+    fn snapshot(&self) -> Vec<u8> {
+        postcard::to_stdvec(&self.heard).expect("plain values")
+    }
+    fn restore(&mut self, _: Now, bytes: &[u8]) -> Result<(), SnapshotError> {
+        self.heard = postcard::from_bytes(bytes).map_err(|e| SnapshotError(e.to_string()))?;
+        Ok(())
+    }
+    fn tick(&mut self, now: Now, _: bool) {
+        self.due = now.boot + Duration::from_secs(1);
+        self.want = Some(self.me.name.as_str().as_bytes().to_vec());
+    }
+    fn next_due(&self) -> Option<Duration> {
+        Some(self.due)
+    }
+    fn take_proposal(&mut self) -> Option<Vec<u8>> {
+        self.want.take()
+    }
+}
+
+#[test]
+fn every_node_learns_the_same_entries_once_and_in_order_through_kills_cuts_and_doubles() {
+    for seed in 0..20 {
+        let faults = Faults { lost: 0.2, doubled: 0.3, ..Faults::default() };
+        let mut model = Model::new(seed, faults, 0);
+        let make = |me, now: Now| Crier { me, due: now.boot, want: None, heard: Vec::new() };
+        for i in 0..4u64 {
+            let clocks = Clocks { boot_at_zero: Duration::from_secs(i * 100), rate: 1.0, wall_ahead_ms: 0 };
+            model.add(Name::new(&format!("n{i}")).expect("a name"), clocks, make);
+        }
+        model.run(Duration::from_secs(5), |_| {});
+        model.cut(1, true);
+        model.pause(2, true);
+        model.kill(3);
+        model.run(Duration::from_secs(5), |_| {});
+        model.cut(1, false);
+        model.pause(2, false);
+        model.start(3, make);
+        model.run(Duration::from_secs(5), |_| {});
+        model.lead(None);
+        model.run(Duration::from_secs(1), |_| {});
+        let want: Vec<(u64, String)> =
+            model.log().iter().map(|d| (d.index.0, d.proposal.by.to_string())).collect();
+        assert!(want.len() > 20, "seed {seed}: {} entries", want.len());
+        let ids: std::collections::BTreeSet<(Peer, u64)> =
+            model.log().iter().map(|d| (d.proposal.by.clone(), d.proposal.id)).collect();
+        assert_eq!(ids.len(), want.len(), "seed {seed}: a proposal was decided twice");
+        for i in 0..4 {
+            let (machine, _) = model.machine(i).expect("running");
+            assert_eq!(machine.heard, want, "seed {seed}: node {i}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/guard/tests.rs
@@ -0,0 +1,72 @@
+use super::*;
+use crate::record::{Intent, Now};
+
+fn open(id: &str, key: Option<&str>, at_s: u64, trusted: bool) -> Open {
+    let intent = Intent {
+        number: 1,
+        id: id.into(),
+        class: String::new(),
+        tenant: String::new(),
+        key: key.map(|k| KeyDigest::of(k.as_bytes())),
+        attempt: 0,
+        server: String::new(),
+        server_start_ms: 0,
+        left_us: 0,
+        at: Now { wall_us: at_s * 1_000_000, mono_us: 0 },
+        boot: 1,
+    };
+    Open { intent, trusted }
+}
+
+#[test]
+fn an_intent_is_noted_only_where_it_can_be_kept() {
+    let bounds = Bounds { open: 10, waiting: 4, stall: Duration::from_millis(50) };
+    let (closed, down, over) = (false, false, false);
+    let good = Load { closed, down, over, open: 3, waiting: 3, writes_for: Some(Duration::from_millis(50)) };
+    assert_eq!(good.admits(&bounds), Ok(()));
+    let slow = Some(Duration::from_millis(51));
+    for (load, trouble) in [
+        (Load { waiting: 4, ..good }, Trouble::Busy),
+        (Load { waiting: 4, writes_for: slow, ..good }, Trouble::Slow),
+        (Load { open: 7, writes_for: slow, ..good }, Trouble::Overfull),
+        (Load { over: true, ..good }, Trouble::Overfull),
+        (Load { over: true, down: true, ..good }, Trouble::Down),
+        (Load { down: true, closed: true, ..good }, Trouble::Closed),
+    ] {
+        assert_eq!(load.admits(&bounds), Err(trouble), "{load:?}");
+    }
+    assert!(may_ask_again([How::NotSent, How::Full, How::ConnectFailed, How::Unwritten]));
+    assert!([How::Done, How::Reset, How::TimedOut, How::Error].iter().all(|how| !may_ask_again([*how])));
+}
+
+#[test]
+fn each_class_gets_what_its_own_rules_allow() {
+    let s = |n: u64| n * 1_000_000;
+    let left = [
+        open("a", None, 100, true),
+        open("b", Some("k"), 100, true),
+        open("c", Some("k"), 102, true),
+        open("d", Some("bent"), 100, false),
+    ];
+    let all = Unknowns::of(&left);
+    assert_eq!(all.count(), 4);
+    let key = |k: &str| Some(KeyDigest::of(k.as_bytes()));
+    let span = |everywhere| Right::Keyed { everywhere, span_us: s(5) };
+    for (right, id, k, now, verdict) in [
+        (Right::Any, "a", None, 101, Ok(())),
+        (Right::Once, "a", None, 101, Err(Why::IdMayHaveRun)),
+        (Right::Once, "a", None, 999_999, Err(Why::IdMayHaveRun)),
+        (Right::Once, "e", None, 101, Ok(())),
+        // The span runs from the first of two sends, and the second in it may still be to come.
+        (span(true), "b", key("k"), 103, Ok(())),
+        (span(true), "b", key("k"), 104, Err(Why::KeyOutOfSpan)),
+        (span(true), "new", key("k"), 103, Ok(())),
+        (span(false), "b", key("k"), 101, Err(Why::KeyElsewhere)),
+        (span(true), "d", key("bent"), 101, Err(Why::KeyNotTrusted)),
+        (span(true), "b", key("other"), 999, Ok(())),
+        // The clock has stepped back.
+        (span(true), "b", key("k"), 99, Err(Why::KeyOutOfSpan)),
+    ] {
+        assert_eq!(all.judge(right, id, k, s(now), s(1)), verdict, "{right:?} {id} at {now}");
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/reconcile/tests.rs
@@ -0,0 +1,99 @@
+use super::*;
+use crate::record::{Final, Now, Outcome};
+use crate::segment::SegmentNo;
+
+fn seen(seq: u64, record: Record) -> Seen {
+    Seen { segment: SegmentNo(1), seq, trusted: true, record }
+}
+
+fn intent(number: u64, id: &str, server: &str, key: Option<&str>) -> Seen {
+    let key = key.map(|k| KeyDigest::of(k.as_bytes()));
+    let (class, tenant) = (String::new(), String::new());
+    let (id, server, at) = (id.to_string(), server.to_string(), Now::default());
+    let (attempt, server_start_ms, left_us, boot) = (0, 0, 0, 1);
+    seen(
+        number,
+        Record::Intent(Intent {
+            number,
+            id,
+            class,
+            tenant,
+            key,
+            attempt,
+            server,
+            server_start_ms,
+            left_us,
+            at,
+            boot,
+        }),
+    )
+}
+
+fn outcome(intent: u64, how: How) -> Seen {
+    seen(1000 + intent, Record::Outcome(Outcome { intent, how, at: Now::default() }))
+}
+
+fn run(id: &str, server: &str, key: Option<&str>) -> Run {
+    Run { server: server.into(), id: id.into(), class: String::new(), key: key.map(str::to_string) }
+}
+
+#[test]
+fn each_kind_of_difference_is_found_and_what_agrees_is_none() {
+    let mut books = Books::new();
+    let told = |intent, id: &str, told| {
+        let id = id.to_string();
+        seen(2000 + intent, Record::Final(Final { intent, id, told, at: Now::default() }))
+    };
+    for record in [
+        intent(1, "good", "a", None),
+        outcome(1, How::Done),
+        intent(2, "unknown-ran", "a", None),
+        intent(3, "unknown-not", "b", None),
+        intent(4, "never-ran", "b", None),
+        outcome(4, How::Done),
+        // A repeat that its server dropped: the first one ran elsewhere, under another id.
+        intent(5, "repeat", "b", Some("k")),
+        outcome(5, How::Done),
+        intent(6, "first", "a", Some("k")),
+        outcome(6, How::Reset),
+        outcome(7, How::Full),
+        intent(7, "proven", "a", None),
+        intent(8, "refused", "a", None),
+        outcome(8, How::TimedOut),
+        told(8, "refused", Told::Refused),
+        intent(9, "other-box", "a", None),
+        outcome(9, How::Reset),
+        intent(10, "failed-write", "b", None),
+        seen(3000, Record::Doubt { segment: 1, from: 10 }),
+    ] {
+        books.take(0, &record);
+    }
+    // Numbers are each ledger's own.
+    books.take(1, &intent(1, "elsewhere", "c", None));
+    books.take(1, &outcome(1, How::Reset));
+    let runs = [
+        run("good", "a", None),
+        run("unknown-ran", "a", None),
+        run("first", "a", Some("k")),
+        run("proven", "a", None),
+        run("refused", "a", None),
+        run("other-box", "b", None),
+        run("stranger", "b", None),
+        run("stranger", "c", None),
+    ];
+    let words: Vec<String> = books.against(&runs).iter().map(Difference::to_string).collect();
+    assert_eq!(
+        words,
+        [
+            "other-box: ran at b, but not in the ledger",
+            "stranger: ran at b, but not in the ledger",
+            "stranger: ran at c, but not in the ledger",
+            "stranger: ran 2 times, at b, c",
+            "never-ran: in the ledger as answered by b, but never ran",
+            "refused: refused, but ran at a",
+            "proven: the ledger proves that a did not run it, but it did",
+            "unknown-ran: unknown, and ran at a (intent 2)",
+            "unknown-not: unknown, and did not run at b (intent 3)",
+        ]
+    );
+}
--- /dev/null
+++ b/crates/ledger/src/segment/tests.rs
@@ -0,0 +1,42 @@
+use super::*;
+
+#[test]
+fn a_header_comes_back_and_each_flipped_bit_is_seen() {
+    let header =
+        Header { owner: Owner::draw(), number: 3, first_seq: 90, boot: 4, wall_us: 17, synced: true };
+    let mut bytes = Vec::new();
+    header.write(&mut bytes);
+    assert_eq!(bytes.len(), HEADER);
+    assert_eq!(Header::read(&bytes), Ok(header));
+    for bit in 0..8 * HEADER {
+        let mut bent = bytes.clone();
+        bent[bit / 8] ^= 1 << (bit % 8);
+        assert!(Header::read(&bent).is_err(), "bit {bit}");
+    }
+    assert_eq!(Header::read(&bytes[..HEADER - 1]), Err(HeaderTrouble::Short));
+}
+
+#[test]
+fn names_sort_as_numbers_do_and_copies_are_known_for_what_they_are() {
+    assert_eq!((number_in(&name(7)), number_in(&name(u64::MAX))), (Some(7), None));
+    assert!(name(99) < name(100));
+    for copy in ["00000000000000000003.seg.bak", "00000000000000000003 (1).seg", "3.seg"] {
+        assert!(number_in(copy).is_none() && looks_like_one(copy), "{copy}");
+    }
+    assert!(!looks_like_one("lock") && number_in("99999999999999999999.seg").is_none());
+}
+
+#[test]
+fn an_identity_comes_back_and_a_bad_line_is_named() {
+    let own = Identity { node: "lahore 1".into(), owner: Owner::draw() };
+    assert_eq!(Identity::read(&own.text()), Ok(own.clone()));
+    for (from, to, line) in [
+        ("ledger 1", "ledger 2", "line 1: version 2"),
+        ("magpie", "gnu", "line 1"),
+        ("node ", "nod", "line 2"),
+        ("owner ", "owner x", "line 3"),
+    ] {
+        let told = Identity::read(&own.text().replace(from, to)).expect_err(to);
+        assert!(told.starts_with(line), "{told}");
+    }
+}
--- a/crates/quota/src/division.rs
+++ b/crates/quota/src/division.rs
@@ -80,28 +80,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn claim(want: u32) -> Claim {
-        Claim { want, least: 1, held: 0 }
-    }
-
-    #[test]
-    fn nobody_gets_more_than_it_wants_while_another_wants_for_some() {
-        let t = targets(&[claim(100_000), claim(UNIT), claim(900_000), claim(0)]);
-        assert_eq!(t, [100_000, 450_000, 450_000, 0]);
-    }
-
-    #[test]
-    fn what_is_left_over_goes_to_all_in_proportion() {
-        assert_eq!(targets(&[claim(100_000), claim(300_000)]), [250_000, 750_000]);
-    }
-
-    #[test]
-    fn a_pool_too_small_for_all_serves_as_many_as_it_can_and_holders_first() {
-        let least = 400_000;
-        let c = |want, held| Claim { want, least, held };
-        assert_eq!(targets(&[c(UNIT, 0), c(5, 0), c(7, 1)]), [600_000, 0, 400_000]);
-    }
-}
+mod tests;
--- a/crates/transport/src/name.rs
+++ b/crates/transport/src/name.rs
@@ -91,14 +91,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn names_are_bounded_and_plain() {
-        assert_eq!(Name::new(""), Err(NameError::Empty));
-        assert_eq!(Name::new(&"a".repeat(65)), Err(NameError::TooLong(65)));
-        assert_eq!(Name::new("n 1"), Err(NameError::Character(' ')));
-        assert!(Name::new("lahore-main.n_3").is_ok());
-    }
-}
+mod tests;
