Calls to discovery: pauses that leave 6 s for any calls that fail in a row

Seen, by adding up and in virtual time: after some failures the pause before the next call had grown to 4 s, and the same pause came behind a call that had waited 3 s in the service's queue. A change that discovery had when such a pause began reached the node after 6.8 s where the next call waited 3 s, after 7.4 s where one call in between got its 503, and never where the settings' time for asking was shorter than the queue: each call was given up for another at the queue's end. Ruled out: the calls' own limits, which add up to 3.4 s; and a second call beside the first, which would stand in the queue twice.

At fault: policy/src/asking.rs, `failed` (step x 2^n) and `look` (`within` as it is); in http/src/discovery.rs all limits ran from the dial, so that a connection that came up late took from the wait in the queue.

Now the pause is counted from the beginning of the call that failed: 0.2 to 0.4 s from one beginning to the next, 0.05 to 0.1 s behind a call that had waited, without growth; 30 to 120 ms at an agent. Silence of a call counts after 3.2 s, from when its connection was there.

With the old pauses put back fail: of_failed_calls_in_a_row, calls_that_waited_in_vain, a_watch_that_is_reset_right_before_news, after_an_outage, a_fleet_has_its_list, and the policy's discovery_is_asked_and_asked_again. The last asked for growing pauses, which can't hold any more; it now bounds them from both sides and asks for their spread. discovery_lost_and_back counted 8 calls in 3 s at the most; it now counts by the least pause. after_an_outage allowed 10 s, and now 0.75 s.

--- a/crates/http/src/carrier.rs
+++ b/crates/http/src/carrier.rs
@@ -7,11 +7,11 @@
 
 use magpietally_config::{ListFile, State};
 use magpietally_core::{Carrier, Core, Ended, Figures, Listing, Member, Target};
-use magpietally_policy::{Listed, Outcome, ServerId};
+use magpietally_policy::{Discovery, Listed, Outcome, ServerId};
 
 use crate::budget::Budget;
 use crate::config::Config;
-use crate::discovery;
+use crate::discovery::{self, Shed};
 use crate::message::{Message, Reply};
 use crate::pool::Pool;
 use crate::upstream::exchange;
@@ -22,6 +22,8 @@
     pub config: Config,
     /// Where discovery is now; a reload moves it.
     pub discovery: Cell<SocketAddr>,
+    /// Whether discovery turns calls away.
+    pub shed: Shed,
     /// Its connections to servers.
     pub pool: Rc<Pool>,
     /// What may be held of large messages.
@@ -36,7 +38,8 @@
         let connect = config.told.settings.limits.connect_timeout;
         let pool = Rc::new(Pool::new(config.servers_most(), config.told.keepalive, connect, figures));
         let budget = Budget::of(config.memory_mb);
-        Self { discovery: Cell::new(config.discovery), config, pool, budget, boxes }
+        let discovery = Cell::new(config.discovery);
+        Self { discovery, shed: Shed::default(), config, pool, budget, boxes }
     }
 }
 
@@ -62,7 +65,12 @@
             return follow_file(core, file).await;
         }
         let to = core.carrier().discovery.get();
-        discovery::follow(core, to).await
+        if core.carrier().config.told.settings.discovery == Discovery::Agent {
+            // An agent has one caller, and what it has counts at once.
+            core.carrier().shed.forget();
+        }
+        let carrier = core.clone();
+        discovery::follow(core, to, &carrier.carrier().shed).await
     }
 
     fn forget(&self, server: ServerId) {
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -1,5 +1,6 @@
 //! Calls to discovery: the whole list, and the watch that brings its changes.
 
+use std::cell::Cell;
 use std::fmt::Display;
 use std::future::{pending, Future};
 use std::net::SocketAddr;
@@ -21,9 +22,11 @@
 /// The longest line that is taken.
 const LINE_MOST: usize = 4 << 20;
 
-// What a call that falls silent has missed counts as told 6 s after it fell silent, and 4 s after a reload that began it. All
-// times but SILENCE run from a call's beginning, so that parts that are each just in time do not add up to more. Behind each
-// comes the policy's pause, 0.5 s at most after a first failure, and the next call, which has the rest.
+// Whatever befell a call, what it has missed counts as told 6 s after discovery could be reached, and 4 s after a reload that
+// began it. All times but SILENCE run from the moment in which a call's connection was there, so that parts that are each just
+// in time do not add up to more, and a connection that came up late takes nothing from the wait in the service's queue.
+// Behind each comes the policy's pause, 0.1 s at most where the call took its time and 0.4 s else, and the next call, which
+// has the rest: 3 s in the queue, where there was nothing but the answer to wait for.
 
 /// How long a connection is waited for before another is tried beside it. The kernel would say its first word again after
 /// 1 s, then after 2 s and 4 s: a link that is back would be found too late.
@@ -31,18 +34,51 @@
 /// Who refuses a connection does it sooner. One that hung so long and is reset then was on a link that is back.
 const REFUSED: Duration = Duration::from_millis(100);
 /// How long a call may wait for its answer to begin. The service itself fails calls that had to wait in its queue for 3 s.
-const ANSWER: Duration = Duration::from_millis(3400);
+const ANSWER: Duration = Duration::from_millis(3200);
 /// When the whole list must be there: half a second more than its answer may wait, and with the pause behind it within the
-/// 4 s of a reload and the 750 ms in which a drain must hold.
-const WHOLE: Duration = Duration::from_millis(3900);
+/// 4 s of a reload.
+const WHOLE: Duration = Duration::from_millis(3700);
 /// When the first line of a watch must be there: 2 s later than the latest answer, as it may be the first of those that come
 /// while nothing changes; with the pause behind it within 6 s.
-const FIRST_LINE: Duration = Duration::from_millis(5400);
+const FIRST_LINE: Duration = Duration::from_millis(5200);
 /// A watch brings a line every 2 s: a longer silence is a dead link, which TCP alone would not notice.
 const SILENCE: Duration = Duration::from_millis(3200);
 
+/// What comes sooner has not waited in the service's queue.
+const AT_ONCE: Duration = Duration::from_millis(300);
+/// So many calls in a row that the service turns away at once, ten seconds' worth, are not held against it.
+const SHED_FREE: u32 = 40;
+/// The most that a call's end is held back then, and the least.
+const SHED_MOST: Duration = Duration::from_millis(2000);
+const SHED_LEAST: Duration = Duration::from_millis(250);
+
+/// How many calls in a row the service has turned away at once. The policy's pauses are short, as a change counts as told 6 s
+/// after discovery could be reached. A service that turns away at once what it can't serve, and pays for each, might so be kept
+/// from its work for good by a fleet that asks again at once: such calls come more rarely after ten seconds. Then, and only
+/// where it does not refuse connections and lets no call wait, up to 2 s of the 6 s are gone before the first call.
+#[derive(Default)]
+pub struct Shed(Cell<u32>);
+
+impl Shed {
+    /// Nothing is known of the service.
+    pub fn forget(&self) {
+        self.0.set(0);
+    }
+
+    /// A call has ended; for how long its end is held back.
+    fn ended(&self, shed: bool) -> Duration {
+        self.0.set(if shed { self.0.get().saturating_add(1) } else { 0 });
+        match self.0.get().checked_sub(SHED_FREE) {
+            None | Some(0) => Duration::ZERO,
+            Some(beyond) => (SHED_LEAST * (1 << (beyond - 1).min(8))).min(SHED_MOST),
+        }
+    }
+}
+
 /// Why a call ended.
 enum Ended {
+    /// The service has turned it away at once, with this status.
+    Shed(StatusCode),
     /// It failed or broke.
     Broken(String),
     /// It brought what can't be read; the whole list is needed.
@@ -104,13 +140,19 @@
 
 /// Watches from the version that the core has, or asks for the whole list first where it has to. Ends when
 /// the watch ends, with words on why.
-pub async fn follow<C: Carrier>(core: Rc<Core<C>>, to: SocketAddr) -> String {
-    follow_by(&core, &to).await
+pub async fn follow<C: Carrier>(core: Rc<Core<C>>, to: SocketAddr, shed: &Shed) -> String {
+    follow_by(&core, &to, shed).await
 }
 
-async fn follow_by(reader: &impl Reader, to: &impl Dial) -> String {
-    match watch(reader, to).await {
+async fn follow_by(reader: &impl Reader, to: &impl Dial, shed: &Shed) -> String {
+    let ended = watch(reader, to).await;
+    let hold = shed.ended(matches!(ended, Err(Ended::Shed(_))));
+    if !hold.is_zero() {
+        sleep(hold).await;
+    }
+    match ended {
         Ok(()) => "the watch ended".to_string(),
+        Err(Ended::Shed(status)) => format!("status {status}"),
         Err(Ended::Broken(words)) => words,
         Err(Ended::Unreadable(words)) => {
             reader.forget_version();
@@ -193,14 +235,15 @@
 /// A call's answer.
 struct Call {
     answer: Incoming,
-    /// When the connection was asked for that it came by.
+    /// When its connection was there.
     began: Instant,
     _driver: Driver,
 }
 
 async fn call(to: &impl Dial, path: &str) -> Result<Call, Ended> {
     let broken = |words: &str| Ended::Broken(words.to_string());
-    let (io, began) = connect(to).await?;
+    let io = connect(to).await?;
+    let began = Instant::now();
     let (mut send, conn) = http1::handshake(io).await?;
     let driver = Driver(tokio::task::spawn_local(async move {
         // What breaks the connection breaks the call too, and is seen there.
@@ -211,15 +254,17 @@
     let answer = timeout_at(began + ANSWER, send.send_request(request)).await;
     let answer: Response<Incoming> = answer.map_err(|_| broken("no answer"))??;
     if answer.status() != StatusCode::OK {
+        if began.elapsed() < AT_ONCE {
+            return Err(Ended::Shed(answer.status()));
+        }
         return Err(Ended::Broken(format!("status {}", answer.status())));
     }
     Ok(Call { answer: answer.into_body(), began, _driver: driver })
 }
 
-/// A connection, and when it was asked for. On a dead link none comes up and none is refused. As the service never hears of
-/// these, they need no pause that grows: another is tried all the time, beside the one before, which may only be late. What
-/// is refused has failed.
-async fn connect<D: Dial>(to: &D) -> Result<(D::Io, Instant), Ended> {
+/// A connection. On a dead link none comes up and none is refused. As the service never hears of these, they need no pause:
+/// another is tried all the time, beside the one before, which may only be late. What is refused has failed.
+async fn connect<D: Dial>(to: &D) -> Result<D::Io, Ended> {
     let mut before = None;
     let mut hung = false;
     loop {
@@ -237,7 +282,7 @@
             () = sleep(TRY) => None,
         };
         match ended {
-            Some((Ok(io), began)) => return Ok((io, began)),
+            Some((Ok(io), _)) => return Ok(io),
             Some((Err(error), began)) if !hung && began.elapsed() < REFUSED => {
                 return Err(Ended::Broken(error.to_string()));
             }
@@ -288,6 +333,8 @@
 
 #[cfg(test)]
 mod clock;
+#[cfg(test)]
+mod fleet;
 
 #[cfg(test)]
 mod tests {
--- a/crates/http/src/service.rs
+++ b/crates/http/src/service.rs
@@ -224,6 +224,7 @@
             Ok(config) => {
                 tracing::info!(target: "reload", "discovery is {}", config.discovery);
                 node.carrier().discovery.set(config.discovery);
+                node.carrier().shed.forget();
                 node.list_moved();
             }
             Err(words) => tracing::warn!(target: "reload", "{words}; the old configuration stays"),
--- a/crates/policy/src/asking.rs
+++ b/crates/policy/src/asking.rs
@@ -4,12 +4,20 @@
 
 use crate::api::{Discovery, Millis};
 
-/// The most of a pause that doubles with each failure, before it has doubled. What a subscription that fell silent has missed
-/// counts as told 6 s later, however long a node may leave off asking, and 3.2 s of these go by until it is noticed.
-const STEP_MOST: Millis = 250.0;
-/// The same where an agent is asked: what it has counts at once, and a drain must hold 750 ms later. The longest pause, 16
-/// steps, leaves a third of these for the call; an agent has one caller, which such calls do not crowd.
-const STEP_AGENT: Millis = 30.0;
+// Whatever became of calls before, a change counts as told 6 s after discovery had it and could be reached, and a drain must
+// hold 750 ms later. A call may wait 3 s in the service's queue, fail, and the next wait as long: 0.75 s are left for the
+// pause that had begun before and for the one between them. So pauses do not grow. What keeps nodes from crowding the
+// service is that they are spread, and that each waits in its queue once at a time.
+
+/// How far apart calls that fail begin, at the most.
+const APART: Millis = 400.0;
+/// The longest pause behind a call that took so long that its end is already far enough from its beginning.
+const BEHIND: Millis = 100.0;
+/// The same where an agent is asked: what it has counts at once, and two calls in a row may fail. It has one caller.
+const AGENT: (Millis, Millis) = (120.0, 30.0);
+/// How long a call may be out with no word of it, where the settings would have it given up sooner: it may stand in the
+/// service's queue, and who calls again stands at the end of it.
+const OUT: Millis = 6000.0;
 
 /// The calls to discovery.
 #[derive(Default)]
@@ -26,10 +34,10 @@
     /// Not needed, or subscribed.
     #[default]
     Settled,
-    /// Asked at this time, after so many failures.
-    Asked(Millis, u32),
+    /// Asked at this time.
+    Asked(Millis),
     /// To be asked at this time.
-    AskAt(Millis, u32),
+    AskAt(Millis),
 }
 
 impl Asking {
@@ -37,7 +45,7 @@
     pub(crate) fn new(discovery: Discovery, within: Millis) -> Self {
         let call = match discovery {
             Discovery::Pushed => Call::Settled,
-            Discovery::Asked | Discovery::Agent => Call::AskAt(f64::NEG_INFINITY, 0),
+            Discovery::Asked | Discovery::Agent => Call::AskAt(f64::NEG_INFINITY),
         };
         Self { discovery, within, call }
     }
@@ -47,42 +55,42 @@
         self.call = Call::Settled;
     }
 
-    /// Discovery is elsewhere: whatever backoff the old address had earned, the new one is asked at once.
+    /// Discovery is elsewhere: the new address is asked at once, whatever became of calls to the old one.
     pub(crate) fn moved(&mut self, now: Millis) {
-        self.call = Call::AskAt(now, 0);
+        self.call = Call::AskAt(now);
     }
 
-    /// A call has failed. Backoff with jitter, so that nodes cut off together do not come back together; well within
-    /// the time after which a node that has not asked counts as told.
+    /// A call has failed, or what it had opened has ended. The pause has jitter, so that nodes cut off together do not come
+    /// back together.
     pub(crate) fn failed(&mut self, now: Millis, random: &mut SplitMix) {
-        let step = match self.discovery {
+        let (apart, behind) = match self.discovery {
             Discovery::Pushed => return,
-            Discovery::Asked => (self.within / 40.0).min(STEP_MOST),
-            Discovery::Agent => STEP_AGENT,
+            Discovery::Asked => ((self.within / 20.0).clamp(BEHIND, APART), BEHIND),
+            Discovery::Agent => AGENT,
         };
-        let failures = if let Call::Asked(_, failures) = self.call { failures + 1 } else { 1 };
-        let span = step * f64::from(1u32 << failures.min(4));
-        self.call = Call::AskAt(now + span * (0.5 + 0.5 * random.part()), failures);
+        let took = if let Call::Asked(at) = self.call { now - at } else { 0.0 };
+        let span = (apart - took).max(behind);
+        self.call = Call::AskAt(now + span * (0.5 + 0.5 * random.part()));
     }
 
     /// When it is to be looked at again.
     pub(crate) fn due(&self) -> Millis {
         match self.call {
             Call::Settled => f64::INFINITY,
-            Call::AskAt(at, _) => at.max(0.0),
-            Call::Asked(at, _) => at + self.within,
+            Call::AskAt(at) => at.max(0.0),
+            Call::Asked(at) => at + self.within.max(OUT),
         }
     }
 
     /// Is it time to ask?
     pub(crate) fn look(&mut self, now: Millis, random: &mut SplitMix) -> bool {
         match self.call {
-            Call::AskAt(at, failures) if now >= at => {
-                self.call = Call::Asked(now, failures);
+            Call::AskAt(at) if now >= at => {
+                self.call = Call::Asked(now);
                 return true;
             }
             // No answer at all: taken for a failure.
-            Call::Asked(at, _) if now - at >= self.within => self.failed(now, random),
+            Call::Asked(at) if now - at >= self.within.max(OUT) => self.failed(now, random),
             _ => {}
         }
         false
