A watch's last words count: news without its line's end, and objects on several lines

Seen: news in the same read as the watch's end was dropped where only the line's end was missing, and came with the next call, 0.2 to 0.4 s later; what is written counts as told. An indented object on a watch was "unreadable": the whole list was asked for, and the next watch began with the same object, without end. Lists may come indented. Ruled out: the whole list, which is read to its end and may have any white space; and news with its line's end, which was taken in any order.

At fault: http/src/discovery.rs, `watch`: lines alone made objects, and what was held back when the frames ended was dropped.

Now an object may have several lines: a first line that ends in the middle is kept, and tried again with each line that could be the last. An empty line behind half an object says that it is cut off. When a watch ends, breaks or falls silent, an object that lacks only its line's end is taken.

Tests: news_and_the_end_of_a_watch_in_one_read_are_taken fails with the old reading (news after 1380 ms in place of 1000); an_object_that_is_cut_off_is_asked_for_anew_at_once fails where the empty line is passed over. late_lines_of_the_old_address_are_not_taken is new for a watch that never stops speaking while SIGHUP moves the list; sound before, and fails where the old call is not ended.

--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -167,21 +167,31 @@
         None => whole(reader, to).await?,
     };
     let mut body = call(to, &format!("/v1/endpoints?watch=1&from={version}")).await?;
-    let mut lines = Lines::default();
+    let mut text = Objects::default();
+    let ended = attend(reader, &mut body, &mut text).await;
+    if let (Ok(()) | Err(Ended::Broken(_)), Some(listing)) = (&ended, text.rest()) {
+        // What has been written has been told, however it ended.
+        follow_on(reader, listing)?;
+    }
+    ended
+}
+
+/// Takes what a watch brings, until it ends.
+async fn attend(reader: &impl Reader, body: &mut Call, text: &mut Objects) -> Result<(), Ended> {
     let mut due = (Instant::now() + SILENCE).min(body.began + FIRST_LINE);
     let mut heard = false;
     loop {
         let frame = timeout_at(due, body.answer.frame()).await;
         let Some(frame) = frame.map_err(|_| Ended::Broken("silent watch".into()))? else { return Ok(()) };
         let Ok(data) = frame?.into_data() else { continue };
-        lines.push(&data)?;
-        while let Some(line) = lines.next() {
-            // Bytes that make no line are no sign of life: news waits behind them.
+        text.lines.push(&data)?;
+        while let Some(said) = text.next()? {
+            // Bytes that make no line, and lines that make no object, are no sign of life: news waits behind them.
             due = Instant::now() + SILENCE;
-            if !line.is_empty() {
-                follow_on(reader, read(&line)?)?;
-            } else if !heard {
-                reader.list_alive();
+            match said {
+                Said::News(listing) => follow_on(reader, listing)?,
+                Said::Nothing if !heard => reader.list_alive(),
+                Said::Nothing => {}
             }
             heard = true;
         }
@@ -220,7 +230,7 @@
 }
 
 fn read(line: &[u8]) -> Result<Listing, Ended> {
-    list::read(line).map_err(Ended::Unreadable)
+    list::read(line).map_err(|e| Ended::Unreadable(e.words()))
 }
 
 /// What moves a call's bytes; the connection ends with it.
@@ -331,6 +341,59 @@
     }
 }
 
+/// What a watch says.
+enum Said {
+    /// An empty line.
+    Nothing,
+    /// An object.
+    News(Listing),
+}
+
+/// Cuts a watch into its objects. Each has a line of its own; one that is indented has several.
+#[derive(Default)]
+struct Objects {
+    lines: Lines,
+    /// The lines so far of one that is not over.
+    begun: Vec<u8>,
+}
+
+impl Objects {
+    fn next(&mut self) -> Result<Option<Said>, Ended> {
+        while let Some(line) = self.lines.next() {
+            if line.is_empty() && self.begun.is_empty() {
+                return Ok(Some(Said::Nothing));
+            }
+            // No indented object has an empty line: the rest of this one will not come.
+            let cut_off = line.is_empty();
+            if self.begun.len() + line.len() > LINE_MOST {
+                return Err(Ended::Unreadable("longer than an object may be".into()));
+            }
+            let first = self.begun.is_empty();
+            self.begun.extend_from_slice(&line);
+            self.begun.push(b'\n');
+            // Of a long one not every line is tried, but each that could be its last.
+            if !(first || cut_off || line.ends_with(b"}")) {
+                continue;
+            }
+            match list::read(&self.begun) {
+                Ok(listing) => {
+                    self.begun.clear();
+                    return Ok(Some(Said::News(listing)));
+                }
+                Err(list::Unreadable::Cut(_)) if !cut_off => {}
+                Err(error) => return Err(Ended::Unreadable(error.words())),
+            }
+        }
+        Ok(None)
+    }
+
+    /// The object that only lacks its line's end.
+    fn rest(mut self) -> Option<Listing> {
+        self.begun.extend_from_slice(&self.lines.held);
+        list::read(&self.begun).ok()
+    }
+}
+
 #[cfg(test)]
 mod clock;
 #[cfg(test)]
--- a/crates/http/src/discovery/clock.rs
+++ b/crates/http/src/discovery/clock.rs
@@ -374,6 +374,49 @@
     }
 }
 
+/// What has been written on a watch has been told, however it was worded and whatever comes behind it.
+#[test]
+fn news_and_the_end_of_a_watch_in_one_read_are_taken() {
+    let indented = "{\n  \"seq\": 2,\n  \"whole\": true,\n  \"hosts\": [\n    {\n      \"host\": \"a\",\n      \
+        \"dial\": \"127.0.0.1:1\",\n      \"health\": \"active\"\n    },\n    {\n      \"host\": \"b\",\n      \
+        \"dial\": \"127.0.0.1:1\",\n      \"health\": \"active\"\n    }\n  ]\n}";
+    for words in [NEWS, &format!("  {NEWS}"), indented] {
+        let open = (0, format!("{HEAD}{}", line(LIST)));
+        let (all, bare) = (line(words), chunk(words));
+        let cut = all.split_at(all.len() / 2);
+        for (rest, at) in [
+            // A line, the same with the watch's end behind it, and one whose line does not end.
+            (vec![(1000, all.clone())], 1000),
+            (vec![(1000, format!("{all}0\r\n\r\n"))], 1000),
+            (vec![(1000, format!("{bare}0\r\n\r\n"))], 1000),
+            // The same broken off, and in two parts.
+            (vec![(1000, bare.clone())], 1000),
+            (vec![(1000, cut.0.into()), (500, cut.1.into())], 1500),
+        ] {
+            let says = std::iter::once(open.clone()).chain(rest).collect();
+            let (news, asked) = Case::new(Some(1), vec![Link::Ends(says)]).play(0);
+            assert_eq!((news, asked.len()), (Some(at), 1), "{words:?}");
+        }
+        // It falls silent behind the last byte: what it said counts no later than its silence.
+        let says = vec![open, (1000, bare)];
+        let (news, asked) = Case::new(Some(1), vec![Link::Up(says)]).play(0);
+        assert_eq!((news, asked.len()), (Some(3200), 1), "{words:?}");
+        // The whole list comes so, too.
+        let whole = Link::Up(vec![(700, format!("{HEAD}{}0\r\n\r\n", chunk(words)))]);
+        assert_eq!(Case::new(None, vec![whole]).play(0), (Some(700), vec![0, 700]));
+    }
+}
+
+/// Half an object with nothing behind it, or with another line, is not waited for.
+#[test]
+fn an_object_that_is_cut_off_is_asked_for_anew_at_once() {
+    for behind in [line(""), line(LIST), line("}")] {
+        let says = vec![(0, format!("{HEAD}{}", line(LIST))), (1000, line(&NEWS[..22])), (200, behind)];
+        let late = Case::new(Some(1), vec![Link::Up(says)]).worst_after(1200);
+        assert!(late <= 410, "{late}");
+    }
+}
+
 /// A watch that breaks right before the news, and calls that wait then.
 #[test]
 fn a_watch_that_is_reset_right_before_news_is_asked_anew_in_time() {
--- a/crates/http/src/list.rs
+++ b/crates/http/src/list.rs
@@ -96,12 +96,34 @@
     checked(serde_json::from_value(value).map_err(|e| e.to_string())?)
 }
 
+/// Why a line can't be read.
+#[derive(Debug)]
+pub enum Unreadable {
+    /// It ends in the middle: what follows may belong to it.
+    Cut(String),
+    /// Whatever follows.
+    Bad(String),
+}
+
+impl Unreadable {
+    /// What is wrong, in words.
+    pub fn words(self) -> String {
+        match self {
+            Self::Cut(words) | Self::Bad(words) => words,
+        }
+    }
+}
+
 /// Reads a line as it came. A list of thousands is read without a tree of values in between.
 ///
 /// # Errors
 /// Names what is missing or malformed.
-pub fn read(line: &[u8]) -> Result<Listing, String> {
-    checked(serde_json::from_slice(line).map_err(|e| e.to_string())?)
+pub fn read(line: &[u8]) -> Result<Listing, Unreadable> {
+    let update = serde_json::from_slice(line).map_err(|error| match error.is_eof() {
+        true => Unreadable::Cut(error.to_string()),
+        false => Unreadable::Bad(error.to_string()),
+    })?;
+    checked(update).map_err(Unreadable::Bad)
 }
 
 fn checked(update: Update) -> Result<Listing, String> {
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -2,6 +2,7 @@
 
 mod peers;
 
+use std::io::Write;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -55,6 +56,41 @@
     assert_eq!(node.exit_code(), Some(0));
 }
 
+/// The watch at the old address goes on speaking while the list moves: none of its late lines counts.
+#[test]
+fn late_lines_of_the_old_address_are_not_taken() {
+    let (a, b) = (Peer::good("a"), Peer::good("b"));
+    let of_a = host("s0", a.address, "active", 1);
+    let old = Peer::new(move |m| {
+        let of_a = of_a.clone();
+        if !m.path().contains("watch") {
+            return Say::This(answer(200, "", &line(1, true, &[of_a])));
+        }
+        Say::By(Box::new(move |out| {
+            out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+            // Newer than whatever the new address has. Written without a pause: some are on their way whenever the list moves.
+            for seq in 1000.. {
+                let words = line(seq, false, std::slice::from_ref(&of_a));
+                write!(out, "{:x}\r\n{words}\n\r\n", words.len() + 1)?;
+            }
+            Ok(())
+        }))
+    });
+    let new = Registry::new(&[host("s1", b.address, "active", 1)]);
+    let told = config(old.address);
+    let node = Node::ready(&told);
+    let ask = |txn: &str| Client::to(&node).ask(&request("look", txn, 15_000));
+    until("the old address counts", || ask("t0").body == b"a");
+    let mut moved = told.clone();
+    moved["discovery"] = json!(new.address.to_string());
+    node.reload(&moved.to_string());
+    until("the new address counts", || ask("t1").body == b"b");
+    until("the old address is left", || old.open() == 0);
+    for n in 0..20 {
+        assert_eq!(ask(&format!("n{n}")).body, b"b");
+    }
+}
+
 /// All workers follow a list that moves, serve at one address, and end together.
 #[test]
 fn workers_share_an_address_and_signals_reach_all_of_them() {
