Policy: a keyed request whose time for repeats is over is answered then, not at its end

Seen by reading, then forced: a keyed request that failed and waits for the one server that may repeat it stayed held after its key's window had closed, up to the end of its client's use (in the test 1.5 s), though nothing could come of it any more.

At fault: overload.rs, hold() and overdue(), which knew of no window.

The test fails with the window taken out of hold_until (370 ms after the send it is still held), and passes with it.

--- a/crates/policy/src/balance/overload.rs
+++ b/crates/policy/src/balance/overload.rs
@@ -85,7 +85,7 @@
     pub(super) fn hold(&mut self, id: RequestId) {
         let Some(r) = self.requests.get(&id) else { return };
         let kind = (r.class, r.tenant, r.in_share, r.attempts.is_empty());
-        self.waiting.push(id, kind, r.came, [self.useful_until(r), r.deadline]);
+        self.waiting.push(id, kind, r.came, [self.hold_until(r), r.deadline]);
     }
 
     /// For how long a request of a class may be held that has never been sent. In a lasting overload a long
@@ -96,15 +96,17 @@
         aim * if lasting { HOLD.1 } else { HOLD.0 }
     }
 
+    /// Until when an answer must have come for what is held to be of use, where it may still be sent then.
+    fn hold_until(&self, r: &Request) -> Millis {
+        let known = r.known_until(&self.set.classes[r.class], &self.set.limits);
+        self.useful_until(r).min(known + self.classes[r.class].mean)
+    }
+
     /// Has a request waited for as long as it may? That is as long as an answer may still come in time.
     fn overdue(&self, request: &Request) -> bool {
-        let (class, until) = (request.class, self.useful_until(request));
-        let spare = until - self.classes[class].mean;
-        let end = if request.attempts.is_empty() {
-            (request.came + self.hold_for(class)).min(spare).max(request.came)
-        } else {
-            spare
-        };
+        let (class, until) = (request.class, self.hold_until(request));
+        let hold = if request.attempts.is_empty() { self.hold_for(class) } else { f64::INFINITY };
+        let end = (request.came + hold).min(until - self.classes[class].mean).max(request.came);
         let of_use = self.set.classes[class].late_worth > 0.0 || until > self.now;
         !of_use || self.now > end.min(request.deadline - 2.0 * self.period())
     }
--- a/crates/policy/src/balance/repeats.rs
+++ b/crates/policy/src/balance/repeats.rs
@@ -12,27 +12,31 @@
         let mut ran = self.attempts.iter().filter(|a| !a.outcome.is_some_and(Outcome::never_ran));
         let no_more = self.attempts.len() >= limits.attempts || (self.pending() && !limits.second_copies);
         let sent = self.attempts.iter().any(|a| a.outcome != Some(Outcome::ConnectFailed));
-        if to.is_some() && (no_more || (self.once && sent)) {
+        if to.is_some() && (no_more || (self.once && sent) || now >= self.known_until(class, limits)) {
             return false;
         }
         match class.effect {
             Effect::Safe => true,
             Effect::Unsafe => ran.next().is_none(),
-            Effect::Keyed { group, memory } => ran.all(|a| match to {
+            Effect::Keyed { group, .. } => ran.all(|a| match to {
                 None => group == Group::All,
-                Some(entry) => {
-                    let known = match group {
-                        Group::All => true,
-                        Group::Zone => a.zone == entry.zone,
-                        Group::Cell => a.cell == entry.cell,
-                    };
-                    // It may be that long until a connection stands and the repeat is written.
-                    known && now + limits.connect_timeout - a.sent < memory
-                }
+                Some(entry) => match group {
+                    Group::All => true,
+                    Group::Zone => a.zone == entry.zone,
+                    Group::Cell => a.cell == entry.cell,
+                },
             }),
         }
     }
 
+    /// Until when a repeat may be sent that the servers know by its key.
+    pub(super) fn known_until(&self, class: &Class, limits: &Limits) -> Millis {
+        let Effect::Keyed { memory, .. } = class.effect else { return f64::INFINITY };
+        let ran = self.attempts.iter().find(|a| !a.outcome.is_some_and(Outcome::never_ran));
+        // It may be as long as a connection may take until it stands and the repeat is written.
+        ran.map_or(f64::INFINITY, |a| a.sent + memory - limits.connect_timeout)
+    }
+
     fn pending(&self) -> bool {
         self.attempts.iter().any(|a| a.outcome.is_none())
     }
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -849,6 +849,30 @@
     }
 }
 
+/// A keyed request that is held for the only server that may repeat it is answered once the time for that is over, not when
+/// its client's is: nothing can come of it any more.
+#[test]
+fn a_keyed_request_that_may_no_longer_be_repeated_is_answered_at_once() {
+    let mut set = settings();
+    for class in &mut set.classes {
+        class.aim = 2000.0;
+    }
+    set.classes[KEYED].effect = Effect::Keyed { group: Group::Cell, memory: 300.0 };
+    set.goal.worst_class = 0.0;
+    let mut node = Node::fleet(set, 2);
+    let (id, actions) = node.ask_with(KEYED, None, 2000.0);
+    assert!(sent_to(&actions).is_some());
+    // Its cell's only server is full with others when it fails there.
+    for _ in 0..12 {
+        node.ask_with(UNSAFE, None, 2000.0);
+    }
+    node.now += 20.0;
+    let actions = node.end(id, Outcome::Error);
+    assert!(!sends(&actions).contains(&id) && !failed(&actions, id), "it is held");
+    assert!(!failed(&node.wait(200.0), id), "220 ms after its send, of 250");
+    assert!(failed(&node.wait(150.0), id), "370 ms after it");
+}
+
 /// Where the list does not tell when processes start, each death that a node sees for itself is followed by a cold start.
 #[test]
 fn a_server_that_dies_a_second_time_is_cold_a_second_time() {
