Core: an attempt not yet written is not begun for a client that left, or past its key's time

Seen, on sockets: where attempts may not be called off (Cancel false), a request whose connection came up late was written to its server after its client had left; the server kept it. And a keyed repeat that is decided within its key's window is written whenever its connection stands, or the ledger has promised: a node that gets no processor time meanwhile, whose timer and connection are both due when it does, takes the connection, and writes outside the window. Ruled out: drains and restarts (now_at, asked again once the connection stands), attempts that are cancelled (an aborted task is never polled again), and the policy's own window, which leaves the time for a connection but can't know of a stall.

At fault: Core::place, which knew of servers alone, and talk() in upstream.rs, which asked it alone before writing. Now Core::place_for is asked for an attempt: none where nobody awaits the answer, or the time for its key, counted from the first attempt that may have run, is over. Both end as never sent. Connections still go back by Core::place.

--- a/crates/core/src/carrier.rs
+++ b/crates/core/src/carrier.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use magpietally_policy::{Outcome, ServerId};
+use magpietally_policy::{Outcome, RequestId, ServerId};
 
 use crate::node::Core;
 
@@ -31,10 +31,14 @@
 /// Where an attempt goes, and until when.
 #[derive(Clone, Copy, Debug)]
 pub struct Target {
+    /// The request.
+    pub id: RequestId,
     /// The server.
     pub server: ServerId,
     /// When the attempt is given up.
     pub end: Instant,
+    /// By when it must be written: the servers may not know its key any more from then on.
+    pub by: Option<Instant>,
 }
 
 /// How an attempt ended.
@@ -59,8 +63,8 @@
     /// What comes back.
     type Reply: 'static;
 
-    /// Makes one attempt. It must ask [`Core::place`] when it begins, and again once its connection stands: a drain
-    /// holds from the moment it is told.
+    /// Makes one attempt. It must ask [`Core::place_for`] when it begins, and again once its connection stands: a drain
+    /// holds from the moment it is told, and a client may leave meanwhile.
     fn attempt(
         core: Rc<Core<Self>>,
         to: Target,
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -489,13 +489,14 @@
         let now = Instant::now();
         let end = now + span(timeout.unwrap_or(f64::INFINITY));
         let attempt = open.attempts.len();
+        let to = Target { id, server, end, by: open.known_until(self.right(open.class)) };
         let (core, request) = (self.clone(), open.request.clone());
         let may_go_on = self.gate.as_ref().is_none_or(|gate| gate.may_go_on(open.epoch, open.taken));
         let (task, intent) = if !may_go_on {
             (spawn_local(async move { core.not_noted(id, attempt) }), None)
         } else if self.ledger.is_none() || !self.right(open.class).needs_intent() {
             let task = spawn_local(async move {
-                let ended = C::attempt(core.clone(), Target { server, end }, request).await;
+                let ended = C::attempt(core.clone(), to, request).await;
                 core.attempt_ended(id, attempt, ended);
             });
             (task, None)
@@ -506,7 +507,7 @@
                 if !core.promised(id, attempt, pending, end).await {
                     return core.not_noted(id, attempt);
                 }
-                let ended = C::attempt(core.clone(), Target { server, end }, request).await;
+                let ended = C::attempt(core.clone(), to, request).await;
                 core.attempt_ended(id, attempt, ended);
             });
             (task, intent)
@@ -647,4 +648,13 @@
     pub fn place(&self, server: ServerId) -> Option<Place> {
         self.state.borrow().members.place(server)
     }
+
+    /// The same for an attempt that has not been written yet; `None` also where its client has gone or been answered, as not
+    /// every deployment lets attempts be called off, and where it comes too late.
+    pub fn place_for(&self, to: &Target) -> Option<Place> {
+        let state = self.state.borrow();
+        let owed = state.table.get(to.id).is_some_and(|open| open.answer.is_some());
+        let late = to.by.is_some_and(|by| Instant::now() >= by);
+        state.members.place(to.server).filter(|_| owed && !late)
+    }
 }
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use magpietally_ledger::Told;
+use magpietally_ledger::{Right, Told};
 use magpietally_policy::{Millis, Outcome, RequestId, ServerId};
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
@@ -80,6 +80,17 @@
     pub(crate) attempts: Vec<Attempt>,
 }
 
+impl<Request, Reply> Open<Request, Reply> {
+    /// Until when a repeat is known as one: the time for its key begins with the first attempt that may have run.
+    pub(crate) fn known_until(&self, right: Right) -> Option<Instant> {
+        let Right::Keyed { span_us, .. } = right else { return None };
+        let ran = |a: &&Attempt| !a.ended.is_some_and(|(outcome, ..)| outcome.never_ran());
+        let first = self.attempts.iter().find(ran)?.sent;
+        // A span beyond what the clock can tell has no end.
+        first.checked_add(Duration::from_micros(span_us))
+    }
+}
+
 /// An attempt's intent in the ledger.
 #[derive(Clone, Copy)]
 pub(crate) struct Intent {
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -14,7 +14,7 @@
 use hyper::client::conn::http1::Connection;
 use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, StatusCode, Version};
-use magpietally_core::{Ended, Place, Target};
+use magpietally_core::{Ended, Place};
 use magpietally_policy::{Outcome, ServerId};
 use tokio::time::timeout_at;
 
@@ -31,18 +31,19 @@
 /// How long before its attempt is given up it is passed on at the latest.
 const PASS_BEFORE: Duration = Duration::from_millis(10);
 
-/// One request to a server, and how it ended. `place` tells where the server is and whether it still takes new work;
-/// `fresh` asks for a connection of its own: a probe is to tell whether the process takes connections, which a kept
-/// one could not.
+/// One request to a server, given up at a time, and how it ended. `may` tells where the server is, if the request may still be
+/// written to it, and `now_at` where it is if it takes new work at all; `fresh` asks for a connection of its own: a probe is
+/// to tell whether the process takes connections, which a kept one could not.
 pub(crate) async fn exchange(
     pool: &Rc<Pool>,
-    place: impl Fn() -> Option<Place> + Clone + 'static,
-    to: Target,
+    may: impl Fn() -> Option<Place>,
+    now_at: impl Fn() -> Option<Place> + 'static,
+    to: (ServerId, Instant),
     message: &Message,
     fresh: bool,
 ) -> Ended<Reply> {
     let kept = Cell::new(None);
-    let (outcome, reply) = talk(pool, place, to, message, fresh, &kept).await;
+    let (outcome, reply) = talk(pool, may, now_at, to, message, fresh, &kept).await;
     // What is passed on while it comes has kept its server waiting until its last byte.
     let took = message.body.uploading().and_then(|u| u.over_since()).map(|since| since.elapsed());
     Ended { outcome, reply, kept: kept.get(), took }
@@ -50,8 +51,9 @@
 
 async fn talk(
     pool: &Rc<Pool>,
-    now_at: impl Fn() -> Option<Place> + Clone + 'static,
-    Target { server, end }: Target,
+    may: impl Fn() -> Option<Place>,
+    now_at: impl Fn() -> Option<Place> + 'static,
+    (server, end): (ServerId, Instant),
     message: &Message,
     fresh: bool,
     kept: &Cell<Option<Duration>>,
@@ -61,8 +63,8 @@
     let sure = message.method != Method::GET;
     let mut pooled = if fresh { None } else { pool.take(server, sure) };
     loop {
-        // A drain holds from the moment it is told, also for what waited on a connection until now.
-        let Some(place) = now_at() else { return (Outcome::NotSent, None) };
+        // A drain holds from the moment it is told, also for what waited on a connection until now; so does a client's leaving.
+        let Some(place) = may() else { return (Outcome::NotSent, None) };
         pooled = pooled.filter(|link| link.place == place);
         let reused = pooled.is_some();
         kept.set(pooled.as_ref().map(|link| link.since.elapsed()));
@@ -78,7 +80,7 @@
             Ok(link) => link,
             Err(outcome) => return (outcome, None),
         };
-        if now_at() != Some(place) {
+        if may() != Some(place) {
             return (Outcome::NotSent, None);
         }
         let sent = Instant::now();
