An answer that never ends is failed in its client's time, or broken off soon after it

Seen, on sockets: a chunked answer that stops after ten bytes, or goes on with two bytes every 20 ms, was passed on after 50 ms; its client had a 200 with no end, for 10 s where the server was silent, for ever where it trickled, and the policy counted it as served. Ruled out: known lengths (up to 64 KiB they are held to the attempt's end), and a reset in place of an end, of which both the held and the passed part are told right, also to HTTP/1.0 (forced here in all forms, with the reset waiting for the client's first bytes).

At fault: converse() (upstream.rs), which passed on whatever had one byte; Rest::poll (body.rs), whose only clock begins anew with each piece. Now an answer of unknown length is passed on once 2 KiB of it have come: what says less is held, and its attempt times out, may be repeated, and counts as a time-out. One that was passed on and is still within 64 KiB must bring 1 KiB in each 400 ms from its client's time on, or it ends so that its client can tell. Roads not taken: an end at the client's time for all (large answers come slowly, and only their first bytes are timed; the test of one that takes longer than its client's time stands), and a longer hold for all (first bytes would be late).

What hung for 10 s was likely no unreadable chunk: cut 40 bytes before its end, as the test beside it cuts its body, the last chunk lacks 12 bytes still, so that "zz" is data, and the server is merely silent. That is a guess, as the probe was not kept.

Tests: tests/server_ends.rs.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -14,14 +14,20 @@
 use magpietally_core::{End, Place, Underway};
 use magpietally_policy::ServerId;
 use tokio::sync::Notify;
-use tokio::time::{sleep, Instant, Sleep};
+use tokio::time::{sleep, sleep_until, Instant, Sleep};
 
 use crate::budget::Lease;
+use crate::message::BODY_MOST;
 use crate::pool::{Link, Pool};
 use crate::sock::Sock;
 
 /// How long a server that has begun an answer may then give nothing of it while its client would take more.
 const STALLED: Duration = Duration::from_secs(10);
+/// Nobody knows of an answer without a length whether it is a large one that comes slowly or a small one that never ends, and
+/// a client is owed an end that it can tell soon after its time. Past that time at least so much must come of it ...
+const COMES: usize = 1024;
+/// ... in so long, until it has shown that it is large.
+const COMES_WITHIN: Duration = Duration::from_millis(400);
 
 /// What has come of a body. A single piece is not copied.
 #[derive(Default)]
@@ -298,6 +304,11 @@
     pub rest: Rest,
     /// How long it is in all, where the server has told it.
     pub length: Option<u64>,
+    /// When its client's time is over.
+    pub due: Instant,
+    /// The end of the time in which some more of it must come, and how much had come before; unknown until its client's time
+    /// is over.
+    pub late: Option<(Pin<Box<Sleep>>, Option<usize>)>,
     /// Where it goes.
     pub to: Rc<Sock>,
     /// What it is counted as.
@@ -316,7 +327,13 @@
         if self.broken {
             return Poll::Ready(Some(Err(io::ErrorKind::BrokenPipe.into())));
         }
-        let next = ready!(self.rest.poll(cx));
+        let next = match self.rest.poll(cx) {
+            Poll::Ready(next) => next,
+            Poll::Pending => {
+                ready!(self.ceases(cx));
+                Some(Err(io::ErrorKind::TimedOut.into()))
+            }
+        };
         match &next {
             // Whoever writes a body of a known length does not ask for its end.
             Some(Ok(_)) if self.length == Some(self.rest.came as u64) => self.end(cx),
@@ -343,6 +360,21 @@
         Poll::Ready(next.map(|data| data.map(Frame::data)))
     }
 
+    /// Waits until its client's time is over and next to nothing more comes, where nobody knows how long it will be.
+    fn ceases(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        while self.length.is_none() && self.rest.came <= BODY_MOST {
+            let due = self.due;
+            let (end, before) = self.late.get_or_insert_with(|| (Box::pin(sleep_until(due)), None));
+            ready!(end.as_mut().poll(cx));
+            let came = self.rest.came;
+            if before.replace(came).is_some_and(|before| came - before < COMES) {
+                return Poll::Ready(());
+            }
+            end.as_mut().reset(Instant::now() + COMES_WITHIN);
+        }
+        Poll::Pending
+    }
+
     /// Its last byte has come.
     fn end(&mut self, cx: &mut Context<'_>) {
         self.rest.give_back(cx);
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -386,7 +386,7 @@
 
 /// Hands the request to the node and waits for its final answer.
 async fn settle(node: &Rc<Node>, asked: Asked, sock: &Rc<Sock>, remaining: Duration) -> Response<Out> {
-    let last = sock.arrived() + remaining;
+    let mut last = sock.arrived() + remaining;
     let uploading = asked.request.body.uploading().cloned();
     let (margin, guard) = kept_back(remaining);
     if !node.has_room() {
@@ -419,7 +419,10 @@
             tokio::select! {
                 biased;
                 answer = &mut answered => answer.ok(),
-                () = uploading.over() => in_time(Instant::now() + remaining - guard, answered).await,
+                () = uploading.over() => {
+                    last = Instant::now() + remaining;
+                    in_time(last - guard, answered).await
+                }
             }
         }
     };
@@ -428,7 +431,7 @@
     };
     owed.answered = true;
     match answer {
-        Answer::Served(reply) => served(reply, sock),
+        Answer::Served(reply) => served(reply, sock, last),
         Answer::Refused(stay_away) => refusal(stay_away),
         Answer::Failed => plain(StatusCode::BAD_GATEWAY),
         Answer::Rejected => plain(StatusCode::BAD_REQUEST),
@@ -441,7 +444,7 @@
     tokio::time::timeout_at(last.into(), answered).await.ok()?.ok()
 }
 
-fn served(reply: Reply, to: &Rc<Sock>) -> Response<Out> {
+fn served(reply: Reply, to: &Rc<Sock>, due: Instant) -> Response<Out> {
     let Reply { headers, body: held, rest } = reply;
     let body = match rest {
         None => Out::Whole(held),
@@ -449,6 +452,8 @@
             held,
             rest: *rest,
             length,
+            due: due.into(),
+            late: None,
             to: to.clone(),
             underway: None,
             by_close: false,
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -26,7 +26,10 @@
 /// Turned away unseen.
 const TURNED_AWAY: HeaderName = HeaderName::from_static("x-turned-away");
 
-/// For how long an answer of unknown length is held from its first bytes on, so that one that breaks may be repeated.
+/// How much of an answer of unknown length must have come before it is passed on. One that says next to nothing and has no
+/// end would be its client's only answer: while it is held its time can run out, and its client can be told.
+const ENOUGH: usize = 2 * 1024;
+/// For how long it is held from then on, so that one that breaks may be repeated.
 const HOLD_UNKNOWN: Duration = Duration::from_millis(50);
 /// How long before its attempt is given up it is passed on at the latest.
 const PASS_BEFORE: Duration = Duration::from_millis(10);
@@ -269,7 +272,7 @@
         // not past the time that there is for its first bytes.
         let mut hold_until = None;
         while held.len() <= BODY_MOST && !(large && held.len() > 0) {
-            if held.len() > 0 && framing.length().is_none() && hold_until.is_none() {
+            if held.len() >= ENOUGH && framing.length().is_none() && hold_until.is_none() {
                 hold_until = Some((Instant::now() + HOLD_UNKNOWN).min(end - PASS_BEFORE));
             }
             let frame = match hold_until {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -23,6 +23,11 @@
     }
 }
 
+/// Longer than a connection to a server rests after an answer: the next request may go by the same one.
+pub fn rest() {
+    std::thread::sleep(Duration::from_millis(50));
+}
+
 // ---- The program ----
 
 /// Runs the program with these arguments until it ends.
@@ -71,7 +76,7 @@
 }
 
 /// Reads one message; `None` where the connection ends.
-fn read_message(from: &mut BufReader<TcpStream>, conn: usize) -> Option<Message> {
+pub fn read_message(from: &mut BufReader<TcpStream>, conn: usize) -> Option<Message> {
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
         if from.read_line(&mut head).ok()? == 0 {
--- /dev/null
+++ b/tests/server_ends.rs
@@ -0,0 +1,367 @@
+//! Where an answer, an attempt or a server's connection ends, and what may come in that very moment.
+
+mod peers;
+
+use std::io::{BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{mpsc, Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use peers::*;
+use serde_json::{json, Value};
+
+/// What becomes of a connection behind what was written.
+enum Then {
+    Keep,
+    Close,
+    /// A reset, with no end before it.
+    Reset,
+}
+
+/// A server whose script has the connection itself in hand.
+struct Server {
+    address: SocketAddr,
+    seen: Arc<Mutex<Vec<Message>>>,
+}
+
+impl Server {
+    fn new(script: impl Fn(&Message, &mut TcpStream) -> Then + Send + Sync + 'static) -> Self {
+        Self::on(TcpListener::bind("127.0.0.1:0").expect("a port"), script)
+    }
+
+    fn on(
+        listener: TcpListener,
+        script: impl Fn(&Message, &mut TcpStream) -> Then + Send + Sync + 'static,
+    ) -> Self {
+        let address = listener.local_addr().expect("bound");
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let (script, notes) = (Arc::new(script), seen.clone());
+        std::thread::spawn(move || {
+            for (conn, stream) in (1..).zip(listener.incoming().map_while(Result::ok)) {
+                let (script, notes) = (script.clone(), notes.clone());
+                std::thread::spawn(move || {
+                    let mut out = stream.try_clone().expect("a descriptor");
+                    let mut from = BufReader::new(stream);
+                    while let Some(message) = read_message(&mut from, conn) {
+                        if message.path() == "/health" {
+                            let _ = out.write_all(&answer(200, "", ""));
+                            continue;
+                        }
+                        notes.lock().expect("no panic").push(message.clone());
+                        match script(&message, &mut out) {
+                            Then::Keep => {}
+                            Then::Close => {
+                                let _ = out.shutdown(Shutdown::Both);
+                                return;
+                            }
+                            Then::Reset => {
+                                let linger = socket2::SockRef::from(&out).set_linger(Some(Duration::ZERO));
+                                return linger.expect("a socket");
+                            }
+                        }
+                    }
+                });
+            }
+        });
+        Self { address, seen }
+    }
+
+    fn seen(&self) -> Vec<Message> {
+        self.seen.lock().expect("no panic").clone()
+    }
+}
+
+/// Writes as much as the other side still takes.
+fn write(out: &mut TcpStream, bytes: &[u8]) {
+    // Who has what it needs may be gone.
+    let _ = out.write_all(bytes);
+}
+
+/// Bytes that are not the same everywhere.
+fn bytes(count: usize) -> Vec<u8> {
+    (0..count).map(|n| (n / 251 + n) as u8).collect()
+}
+
+fn chunk(body: &[u8]) -> Vec<u8> {
+    [format!("{:x}\r\n", body.len()).as_bytes(), body, b"\r\n"].concat()
+}
+
+fn told(discovery: SocketAddr) -> Value {
+    let mut told = config(discovery);
+    told["management"] = json!("127.0.0.1:0");
+    // What fails is to be seen to fail, not to be ejected.
+    told["settings"]["Limits"]["Probes"] = json!(false);
+    told
+}
+
+fn before(servers: &[&Server]) -> (Registry, Node) {
+    let hosts: Vec<Value> =
+        (0..).zip(servers).map(|(n, s)| host(&format!("s{n}"), s.address, "active", 1)).collect();
+    let registry = Registry::new(&hosts);
+    let node = Node::ready(&told(registry.address));
+    (registry, node)
+}
+
+/// Reads until so much has come; what has.
+fn read_some(from: &mut TcpStream, least: usize) -> Vec<u8> {
+    let (mut got, mut buf) = (Vec::new(), [0; 4096]);
+    while got.len() < least {
+        let n = from.read(&mut buf).expect("it comes");
+        assert!(n > 0, "it ended: {}", text(&got));
+        got.extend_from_slice(&buf[..n]);
+    }
+    got
+}
+
+fn connect(node: &Node) -> TcpStream {
+    let stream = TcpStream::connect(node.address).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+    stream
+}
+
+fn old(words: &str) -> String {
+    words.replace("HTTP/1.1", "HTTP/1.0")
+}
+
+/// An answer without a length ends with its connection; a reset is no such end. What is held of one is a failed attempt that
+/// may have run; of what has been passed on the client can tell that it is not whole.
+#[test]
+fn an_answer_without_a_length_that_is_reset_is_not_whole() {
+    const HEADS: [&str; 2] =
+        ["HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "HTTP/1.0 200 OK\r\nX-Version: old\r\n\r\n"];
+    for head in HEADS {
+        for count in [0, 1000] {
+            let server = Server::new(move |m, out| {
+                if m.header("x-txn") == Some("whole") {
+                    write(out, head.as_bytes());
+                    write(out, &bytes(count));
+                    return Then::Close;
+                }
+                write(out, head.as_bytes());
+                write(out, &bytes(count));
+                Then::Reset
+            });
+            let (_registry, node) = before(&[&server]);
+            let whole = Client::to(&node).ask(&request("slip", "whole", 15_000));
+            assert_eq!((whole.status(), whole.body), (200, bytes(count)), "the same with a proper end");
+            let cut = Client::to(&node).ask(&request("slip", "cut", 15_000));
+            assert_eq!((cut.status(), server.seen().len()), (502, 2), "{head} {count}: it may have run");
+            let cut = Client::to(&node).ask(&request("look", "cut", 15_000));
+            assert_eq!(cut.status(), 503, "{head} {count}: whatever was tried, none of it was whole");
+        }
+        for (count, version) in [(20_000, "1.1"), (20_000, "1.0"), (90_000, "1.1"), (90_000, "1.0")] {
+            let (go, wait) = mpsc::channel::<()>();
+            let wait = Mutex::new(wait);
+            let server = Server::new(move |_, out| {
+                write(out, head.as_bytes());
+                write(out, &bytes(count));
+                // The reset comes when the first bytes are with the client.
+                wait.lock().expect("no panic").recv_timeout(PATIENCE).expect("it is told");
+                Then::Reset
+            });
+            let (_registry, node) = before(&[&server]);
+            let mut client = connect(&node);
+            let words = request("slip", "cut", 15_000);
+            let words = if version == "1.0" { old(&words) } else { words };
+            client.write_all(words.as_bytes()).expect("it reads");
+            let mut got = read_some(&mut client, 5000);
+            go.send(()).expect("the server waits");
+            let end = client.read_to_end(&mut got);
+            if version == "1.0" {
+                assert!(end.is_err(), "{head} {count}: the connection's end would be the answer's");
+            } else {
+                assert!(!got.ends_with(b"0\r\n\r\n"), "{head} {count}: no last chunk");
+            }
+            until("it is counted as failed", || node.figure("app.bad_gateway.slip") == 1);
+            assert_eq!(server.seen().len(), 1, "it was not sent again");
+        }
+    }
+}
+
+/// A chunk that can't be read, behind more than is held of an answer: its client is told at once, not when the server has
+/// been silent for long.
+#[test]
+fn an_unreadable_chunk_behind_what_was_passed_on_ends_the_answer_at_once() {
+    for count in [5_000, 72_000, 300_000] {
+        let server = Server::new(move |_, out| {
+            write(out, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for piece in bytes(count).chunks(6000) {
+                write(out, &chunk(piece));
+            }
+            if count < 65_536 {
+                // Past what is held of so small a one.
+                std::thread::sleep(Duration::from_millis(200));
+            }
+            write(out, b"zz\r\n");
+            Then::Keep
+        });
+        let (_registry, node) = before(&[&server]);
+        for version in ["1.1", "1.0"] {
+            let words = request("slip", version, 15_000);
+            let mut client = connect(&node);
+            let began = Instant::now();
+            let words = if version == "1.0" { old(&words) } else { words };
+            client.write_all(words.as_bytes()).expect("it reads");
+            let mut got = Vec::new();
+            let end = client.read_to_end(&mut got);
+            assert!(began.elapsed() < Duration::from_secs(8), "{count}: after {:?}", began.elapsed());
+            assert!(got.starts_with(b"HTTP/1.1 200") || version == "1.0", "{}", text(&got[..100]));
+            if version == "1.0" {
+                assert!(end.is_err(), "{count}: a clean end of {} bytes", got.len());
+            } else {
+                assert!(!got.ends_with(b"0\r\n\r\n"), "{count}: a last chunk");
+            }
+        }
+        until("both are counted as failed", || node.figure("app.bad_gateway.slip") == 2);
+    }
+}
+
+/// Answers that never end. One that says next to nothing is held until its time is over, and its client is told; one that had
+/// begun well, and was passed on, is broken off soon after its client's time, and can be told from a whole one.
+#[test]
+fn a_client_is_owed_an_end_of_an_answer_that_has_none() {
+    for (count, trickles) in [(10, false), (10, true), (20_000, false), (20_000, true)] {
+        let server = Server::new(move |_, out| {
+            write(out, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            write(out, &chunk(&bytes(count)));
+            while trickles && out.write_all(&chunk(b"on")).is_ok() {
+                std::thread::sleep(Duration::from_millis(20));
+            }
+            Then::Keep
+        });
+        let (_registry, node) = before(&[&server]);
+        for version in ["1.1", "1.0"] {
+            let words = request("slip", &format!("{version}-{count}"), 1200);
+            let mut client = connect(&node);
+            let began = Instant::now();
+            client
+                .write_all(if version == "1.0" { old(&words) } else { words }.as_bytes())
+                .expect("it reads");
+            let mut got = Vec::new();
+            let ended = if count == 10 {
+                got = read_some(&mut client, 12);
+                Ok(0)
+            } else {
+                client.read_to_end(&mut got)
+            };
+            let took = began.elapsed();
+            assert!(took < Duration::from_millis(1200 + 500 + 2500), "{count}, {trickles}: {took:?}");
+            let status = text(&got[..12]);
+            if count == 10 {
+                assert!(status.ends_with(" 502") || status.ends_with(" 504"), "{status}: failed, no refusal");
+            } else if version == "1.1" {
+                assert!(status.ends_with(" 200") && !got.ends_with(b"0\r\n\r\n"), "{count}: no last chunk");
+            } else {
+                assert!(ended.is_err(), "{count}: a reset, and no clean end");
+            }
+        }
+    }
+}
+
+/// An answer of unknown length that goes on coming past its client's time is no such answer.
+#[test]
+fn an_answer_that_goes_on_coming_is_passed_on_to_its_end() {
+    let server = Server::new(move |_, out| {
+        write(out, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for piece in bytes(60_000).chunks(3000) {
+            write(out, &chunk(piece));
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        write(out, b"0\r\n\r\n");
+        Then::Keep
+    });
+    let (_registry, node) = before(&[&server]);
+    let heard = Client::to(&node).ask(&request("slip", "slow", 1200));
+    assert_eq!((heard.status(), heard.body), (200, bytes(60_000)));
+}
+
+/// Half a line from a server on a connection between requests: the next request goes by another one, whole, and once.
+#[test]
+fn half_a_line_on_an_idle_connection_reaches_nobody() {
+    let (go, wait) = mpsc::channel::<()>();
+    let wait = Mutex::new(wait);
+    let (wrote, written) = mpsc::channel::<()>();
+    let server = Server::new(move |m, out| {
+        write(out, &answer(200, "", m.header("x-txn").expect("an id")));
+        wait.lock().expect("no panic").recv_timeout(PATIENCE).expect("its answer has come");
+        write(out, b"HTTP/1.1 2");
+        wrote.send(()).expect("the test waits");
+        Then::Keep
+    });
+    let (_registry, node) = before(&[&server]);
+    for (n, class) in ["slip", "look", "pay", "slip", "look"].into_iter().enumerate() {
+        let heard = Client::to(&node).ask(&request(class, &format!("t{n}"), 15_000));
+        assert_eq!((heard.status(), text(&heard.body)), (200, format!("t{n}")), "{class}");
+        go.send(()).expect("the server waits");
+        written.recv_timeout(PATIENCE).expect("it has written");
+    }
+    let conns: Vec<usize> = server.seen().iter().map(|m| m.conn).collect();
+    assert_eq!(conns, [1, 2, 3, 4, 5]);
+}
+
+/// A kept connection that is reset under the next request, once that was written: it may have run, and what may not run again
+/// is not sent again.
+#[test]
+fn a_reset_under_the_next_request_is_no_word_that_it_never_ran() {
+    for (class, status, attempts) in [("slip", 502, 1), ("look", 200, 2), ("pay", 200, 2)] {
+        let server = Server::new(|m, out| {
+            let first = m.header("x-txn") == Some("first");
+            if first || m.conn > 1 {
+                write(out, &answer(200, "", "served"));
+                return Then::Keep;
+            }
+            Then::Reset
+        });
+        let (_registry, node) = before(&[&server]);
+        let mut client = Client::to(&node);
+        assert_eq!(client.ask(&request(class, "first", 15_000)).status(), 200);
+        rest();
+        assert_eq!(client.ask(&request(class, "second", 15_000)).status(), status, "{class}");
+        let seen = server.seen();
+        assert_eq!(seen[1].conn, 1, "{class}: the kept connection was used");
+        let again = seen.iter().filter(|m| m.header("x-txn") == Some("second")).count();
+        assert_eq!(again, attempts, "{class}");
+    }
+}
+
+/// Where attempts may not be called off, one whose connection has yet to come up when its client leaves, or has had its
+/// answer, is not begun after all.
+#[test]
+fn a_connection_that_comes_up_after_its_client_left_carries_nothing() {
+    for cancel in [true, false] {
+        let (full, fillers) = full_listener();
+        let at = full.local_addr().expect("bound");
+        let registry = Registry::new(&[host("s0", at, "active", 1)]);
+        let mut told = told(registry.address);
+        told["settings"]["Limits"]["Cancel"] = json!(cancel);
+        told["settings"]["Limits"]["ConnectTimeout"] = json!(20_000.0);
+        for class in told["settings"]["Classes"].as_array_mut().expect("classes") {
+            class["Slo"] = json!(60_000.0);
+        }
+        let node = Node::ready(&told);
+        let least = |_| {
+            std::thread::sleep(Duration::from_millis(10));
+            node.descriptors()
+        };
+        let before = (0..30).map(least).min().expect("some were counted");
+        let mut client = Client::to(&node);
+        client.send(&request("slip", "left", 60_000));
+        until("it is taken", || node.figure("app.in_progress") == 1);
+        drop(client);
+        until("the node knows that it left", || node.figure("app.in_progress") == 0);
+        let server = Server::on(full, |m, out| {
+            write(out, &answer(200, "", m.header("x-txn").expect("an id")));
+            Then::Keep
+        });
+        drop(fillers);
+        // Its connection comes up before this one's, or at the same time.
+        let heard = Client::to(&node).ask(&request("look", "later", 15_000));
+        assert_eq!(text(&heard.body), "later");
+        let ids = || -> Vec<String> {
+            server.seen().iter().filter_map(|m| m.header("x-txn").map(str::to_string)).collect()
+        };
+        until("no attempt is out", || ids().len() > 1 || node.descriptors() <= before + 1);
+        let ids = ids();
+        assert_eq!(ids, ["later"], "attempts may be called off: {cancel}");
+    }
+}
