A connection to a server rests 15 ms after an answer, as a second one may come behind it

Ruled out: two answers in one read, and bytes that come while a connection is idle (both are seen before it is used; the second is forced here with half a line).

At fault: Pool::take, which gave the connection that was used last, however lately. Now it is the one used last of those that have rested 15 ms; where four rest at once at a server, the one that has for longest, so that a busy one does not get a connection for each request. Road not taken: to rest only after a server was seen to do so, as the first crossing at each of hundreds of nodes would be lost. Cost: up to four connections more to a server at nodes that use one within 15 ms.

The test plays a server that answers twice where less than 10 ms have passed; on the code before the second request has "the same again".

--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -20,6 +20,11 @@
 /// The part of the servers' keep-alive after which a connection is not used any more: one that is written to
 /// when its server closes it ends as a reset, and fails what must not be repeated.
 const IDLE_SHARE: f64 = 0.5;
+/// For how long a connection rests after an answer: a second one may come some milliseconds behind the first, and would pass
+/// for the answer to the next request.
+const REST: Duration = Duration::from_millis(15);
+/// So many of a server's rest at once at the most: one that is that busy would else have a connection for each request.
+const RESTING: usize = 4;
 /// What a connect fails with through no fault of the server: ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS, ENOMEM.
 const OWN_ERRORS: [i32; 5] = [23, 24, 99, 105, 12];
 
@@ -128,18 +133,20 @@
         all.retain(|_, links| !links.is_empty());
     }
 
-    /// The connection that was used last, if any still stands. `sure` asks the kernel whether it stands, for what must not
-    /// be sent in vain.
+    /// Of the connections that still stand and have rested, the one that was used last; where too many rest, the one that has
+    /// for longest. `sure` asks the kernel whether it stands, for what must not be sent in vain.
     pub(crate) fn take(&self, server: ServerId, sure: bool) -> Option<Link> {
         let mut idle = self.idle.borrow_mut();
         let links = idle.get_mut(&server)?;
-        while let Some(link) = links.pop() {
-            let quiet = |sock: &Sock| if sure { sock.quiet() } else { sock.seems_quiet() };
-            if link.since.elapsed() < self.idle_most && quiet(&link.sock) {
+        loop {
+            let rested = links.partition_point(|l| l.since.elapsed() >= REST);
+            let at = rested.checked_sub(1).or((links.len() >= RESTING).then_some(0))?;
+            let link = links.remove(at);
+            let quiet = if sure { link.sock.quiet() } else { link.sock.seems_quiet() };
+            if link.since.elapsed() < self.idle_most && quiet {
                 return Some(link);
             }
         }
-        None
     }
 
     /// Notes an attempt until something comes back, or it ends.
--- a/tests/large.rs
+++ b/tests/large.rs
@@ -438,12 +438,14 @@
     let (_registry, node) = node_before(&server);
     let mut client = Client::to(&node);
     for n in 0..3 {
+        rest();
         client.send(&request("look", &format!("h{n}"), 15_000).replace("GET", "HEAD"));
         let head = client.head();
         assert!(
             head.starts_with("HTTP/1.1 200") && head.to_lowercase().contains("content-length: 90000"),
             "{head}"
         );
+        rest();
         assert_eq!(client.ask(&request("look", &format!("g{n}"), 15_000)).body, b"a");
     }
     assert_eq!(server.seen().iter().map(|m| m.conn).max(), Some(1), "the connection to the server is kept");
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -109,6 +109,7 @@
     let node = Node::ready(&config(registry.address));
     let mut client = Client::to(&node);
     for n in 0..5 {
+        rest();
         let heard = client.ask(&request("pay", &format!("t{n}"), 15_000));
         assert_eq!((heard.status(), heard.body), (200, format!("for t{n}").into_bytes()));
     }
--- a/tests/server_ends.rs
+++ b/tests/server_ends.rs
@@ -275,6 +275,39 @@
     assert_eq!((heard.status(), heard.body), (200, bytes(60_000)));
 }
 
+/// A server that answers twice: the second answer comes while the next request is out, and must not pass for the answer to it.
+#[test]
+fn a_second_answer_that_comes_late_answers_nobody() {
+    let answered: Mutex<std::collections::BTreeMap<usize, Instant>> = Mutex::default();
+    let server = Server::new(move |m, out| {
+        let last = answered.lock().expect("no panic").remove(&m.conn);
+        if last.is_some_and(|at| at.elapsed() < Duration::from_millis(10)) {
+            // Some milliseconds late, and right ahead of the proper one.
+            write(out, &answer(200, "", "the same again"));
+        }
+        write(out, &answer(200, "", m.header("x-txn").expect("an id")));
+        answered.lock().expect("no panic").insert(m.conn, Instant::now());
+        Then::Keep
+    });
+    let (_registry, node) = before(&[&server]);
+    let mut client = Client::to(&node);
+    for round in 0..12 {
+        // The next is with the node when it has passed the last one's answer on.
+        let ids = [0, 1, 2].map(|n| format!("r{round}-{n}"));
+        let words: Vec<String> = ids.iter().map(|id| request("slip", id, 15_000)).collect();
+        client.send(&words.concat());
+        for id in ids {
+            let heard = client.hear().expect("an answer");
+            assert_eq!((heard.status(), text(&heard.body)), (200, id));
+        }
+        rest();
+    }
+    let seen = server.seen();
+    let connections = seen.iter().map(|m| m.conn).max().expect("some came");
+    assert_eq!(seen.len(), 36);
+    assert!(connections < 12, "{connections} connections: they are used again once they have rested");
+}
+
 /// Half a line from a server on a connection between requests: the next request goes by another one, whole, and once.
 #[test]
 fn half_a_line_on_an_idle_connection_reaches_nobody() {
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -325,6 +325,7 @@
     for client in &mut clients {
         assert_eq!(client.hear().expect("an answer").status(), 200);
     }
+    rest();
     silent.store(true, Ordering::SeqCst);
     let began = Instant::now();
     for (n, client) in clients.iter_mut().enumerate() {
@@ -389,6 +390,7 @@
     let node = Node::ready(&config);
     let mut client = Client::to(&node);
     for n in 0..4 {
+        rest();
         assert_eq!(client.ask(&request("look", &format!("t{n}"), 15_000)).status(), 200);
     }
     assert_eq!((a.open(), b.open()), (1, 1));
