Tests: two answers in one piece, half an answer whose client left, a probe of the process before

Crossings that were sound and had no test: what stands behind an answer that is held or passed on, by length or in chunks, is never the next request's; a client that leaves while its answer is half read takes the connection along; a probe that was out when its server's new process was listed ejects no new one.

--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -873,6 +873,25 @@
     assert!(failed(&node.wait(150.0), id), "370 ms after it");
 }
 
+/// A probe that is still out when its server's new process is listed tells of the process before: it takes no turn away.
+#[test]
+fn a_probe_of_the_process_before_ejects_no_new_one() {
+    for outcome in [Outcome::ConnectFailed, Outcome::TimedOut, Outcome::NotSent] {
+        let mut node = Node::fleet(settings(), 3);
+        let (id, actions) = node.ask(UNSAFE);
+        let server = sent_to(&actions).expect("sent");
+        let actions = node.end(id, Outcome::ConnectFailed);
+        assert!(actions.contains(&Action::Probe(server)), "{actions:?}");
+        node.now += 5.0;
+        let started = Some(node.now);
+        node.event(Event::ListChange(vec![Entry { started, ..entry(server.0, 1.0) }]));
+        node.event(Event::Probed { server, outcome, took: 5.0 });
+        let status = node.balancer.status();
+        let one = status.servers.iter().find(|s| s.server == server).expect("it is up");
+        assert!(!one.ejected, "{outcome:?}");
+    }
+}
+
 /// Where the list does not tell when processes start, each death that a node sees for itself is followed by a cold start.
 #[test]
 fn a_server_that_dies_a_second_time_is_cold_a_second_time() {
--- a/tests/server_ends.rs
+++ b/tests/server_ends.rs
@@ -398,3 +398,70 @@
         assert_eq!(ids, ["later"], "attempts may be called off: {cancel}");
     }
 }
+
+/// More than one answer in one piece: the first is the request's, and the connection carries no other, whatever the framing
+/// and whether the answer was held or passed on.
+#[test]
+fn what_stands_behind_an_answer_answers_nobody() {
+    for (count, chunked) in [(10, false), (10, true), (200_000, false), (200_000, true)] {
+        let server = Server::new(move |m, out| {
+            let id = m.header("x-txn").expect("an id");
+            let body = [id.as_bytes(), &bytes(count)].concat();
+            let mut words = if chunked {
+                let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                [&head[..], &chunk(&body), b"0\r\n\r\n"].concat()
+            } else {
+                [format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes(), body]
+                    .concat()
+            };
+            words.extend(answer(200, "", "the same again"));
+            write(out, &words);
+            Then::Keep
+        });
+        let (_registry, node) = before(&[&server]);
+        for n in 0..3 {
+            let id = format!("t{n}");
+            let heard = Client::to(&node).ask(&request("slip", &id, 15_000));
+            assert_eq!(heard.status(), 200, "{count}, {chunked}");
+            assert!(heard.body == [id.as_bytes(), &bytes(count)].concat(), "{count}, {chunked}: {id}");
+            rest();
+        }
+        let conns: Vec<usize> = server.seen().iter().map(|m| m.conn).collect();
+        assert_eq!(conns, [1, 2, 3], "{count}, {chunked}");
+    }
+}
+
+/// A client that leaves while its answer is half read ends the connection with the attempt: the other half is nobody's.
+#[test]
+fn half_an_answer_ends_with_its_attempt() {
+    let (go, wait) = mpsc::channel::<()>();
+    let (wait, went) = (Mutex::new(wait), Arc::new(Mutex::new(false)));
+    let other = went.clone();
+    let server = Server::new(move |m, out| {
+        let id = m.header("x-txn").expect("an id");
+        let (head, rest) = (format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\nhalf", 4 + id.len()), id);
+        write(out, head.as_bytes());
+        if id == "left" {
+            wait.lock().expect("no panic").recv_timeout(PATIENCE).expect("its client has left");
+        }
+        write(out, rest.as_bytes());
+        if id == "left" {
+            *other.lock().expect("no panic") = true;
+        }
+        Then::Keep
+    });
+    let (_registry, node) = before(&[&server]);
+    let mut client = Client::to(&node);
+    client.send(&request("slip", "left", 15_000));
+    until("it is at the server", || server.seen().len() == 1);
+    drop(client);
+    until("the node knows that it left", || node.figure("app.in_progress") == 0);
+    go.send(()).expect("the server waits");
+    until("the other half is written", || *went.lock().expect("no panic"));
+    rest();
+    let heard = Client::to(&node).ask(&request("slip", "next", 15_000));
+    assert_eq!((heard.status(), text(&heard.body)), (200, "halfnext".to_string()));
+    let seen: Vec<(usize, String)> =
+        server.seen().iter().map(|m| (m.conn, m.header("x-txn").unwrap_or_default().to_string())).collect();
+    assert_eq!(seen, [(1, "left".to_string()), (2, "next".to_string())]);
+}
