--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -14,7 +14,7 @@
 use hyper::client::conn::http1::Connection;
 use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, StatusCode, Version};
-use magpietally_core::{Ended, Place, Target};
+use magpietally_core::{Ended, Place};
 use magpietally_policy::{Outcome, ServerId};
 use tokio::time::timeout_at;
 
@@ -26,23 +26,27 @@
 /// Turned away unseen.
 const TURNED_AWAY: HeaderName = HeaderName::from_static("x-turned-away");
 
-/// For how long an answer of unknown length is held from its first bytes on, so that one that breaks may be repeated.
+/// How much of an answer of unknown length must have come before it is passed on. One that says next to nothing and has no
+/// end would be its client's only answer: while it is held its time can run out, and its client can be told.
+const ENOUGH: usize = 2 * 1024;
+/// For how long it is held from then on, so that one that breaks may be repeated.
 const HOLD_UNKNOWN: Duration = Duration::from_millis(50);
 /// How long before its attempt is given up it is passed on at the latest.
 const PASS_BEFORE: Duration = Duration::from_millis(10);
 
-/// One request to a server, and how it ended. `place` tells where the server is and whether it still takes new work;
-/// `fresh` asks for a connection of its own: a probe is to tell whether the process takes connections, which a kept
-/// one could not.
+/// One request to a server, given up at a time, and how it ended. `may` tells where the server is, if the request may still be
+/// written to it, and `now_at` where it is if it takes new work at all; `fresh` asks for a connection of its own: a probe is
+/// to tell whether the process takes connections, which a kept one could not.
 pub(crate) async fn exchange(
     pool: &Rc<Pool>,
-    place: impl Fn() -> Option<Place> + Clone + 'static,
-    to: Target,
+    may: impl Fn() -> Option<Place>,
+    now_at: impl Fn() -> Option<Place> + 'static,
+    to: (ServerId, Instant),
     message: &Message,
     fresh: bool,
 ) -> Ended<Reply> {
     let kept = Cell::new(None);
-    let (outcome, reply) = talk(pool, place, to, message, fresh, &kept).await;
+    let (outcome, reply) = talk(pool, may, now_at, to, message, fresh, &kept).await;
     // What is passed on while it comes has kept its server waiting until its last byte.
     let took = message.body.uploading().and_then(|u| u.over_since()).map(|since| since.elapsed());
     Ended { outcome, reply, kept: kept.get(), took }
@@ -50,8 +54,9 @@
 
 async fn talk(
     pool: &Rc<Pool>,
-    now_at: impl Fn() -> Option<Place> + Clone + 'static,
-    Target { server, end }: Target,
+    may: impl Fn() -> Option<Place>,
+    now_at: impl Fn() -> Option<Place> + 'static,
+    (server, end): (ServerId, Instant),
     message: &Message,
     fresh: bool,
     kept: &Cell<Option<Duration>>,
@@ -61,8 +66,8 @@
     let sure = message.method != Method::GET;
     let mut pooled = if fresh { None } else { pool.take(server, sure) };
     loop {
-        // A drain holds from the moment it is told, also for what waited on a connection until now.
-        let Some(place) = now_at() else { return (Outcome::NotSent, None) };
+        // A drain holds from the moment it is told, also for what waited on a connection until now; so does a client's leaving.
+        let Some(place) = may() else { return (Outcome::NotSent, None) };
         pooled = pooled.filter(|link| link.place == place);
         let reused = pooled.is_some();
         kept.set(pooled.as_ref().map(|link| link.since.elapsed()));
@@ -78,7 +83,7 @@
             Ok(link) => link,
             Err(outcome) => return (outcome, None),
         };
-        if now_at() != Some(place) {
+        if may() != Some(place) {
             return (Outcome::NotSent, None);
         }
         let sent = Instant::now();
@@ -267,7 +272,7 @@
         // not past the time that there is for its first bytes.
         let mut hold_until = None;
         while held.len() <= BODY_MOST && !(large && held.len() > 0) {
-            if held.len() > 0 && framing.length().is_none() && hold_until.is_none() {
+            if held.len() >= ENOUGH && framing.length().is_none() && hold_until.is_none() {
                 hold_until = Some((Instant::now() + HOLD_UNKNOWN).min(end - PASS_BEFORE));
             }
             let frame = match hold_until {
