Settings: every missing, mistyped or impossible field is named by file and path

Seen: `Slo: number expected` named neither the class nor the file, ranges were named in the policy's words (`classes[0].aim`), two classes or tenants of one name were taken, a class whose name can't stand in a path was never asked for, `limits` of another type counted as absent. Absent fields were filled from figures that fit one deployment: a keep-alive of 15 s, 10 s for asking, 20,000 open requests, no deadline, lists that come by themselves.

At fault: `crates/settings` read each field by its last name and defaulted most; `config.rs` looked into values without asking of what type they are.

Now what the pages describe and the program reads has to be there, of its type and in range; the error is `BALANCER_CONFIG: FILE: settings.Classes[1].Deadline: -5: must be above 0`, on the simulator's wire `Options.…`. Optional stay what a page calls so, and what has no meaning beside the rest (a group of a class that is not keyed, the longest stay where none is told). Unknown keys are still passed over. The configurations of four sites, lists pushed and asked for, with and without tenants, hold all of it.

A reload took discovery's address and dropped all else without a word. It still does not replace the rest, on which half of a node's state stands, but the first field that differs is named in the log.

In tests/input.rs and the adapter's the words in the policy's terms are replaced by the whole path with its file, which is stricter; fixtures name all that is needed.

--- a/crates/http/src/config.rs
+++ b/crates/http/src/config.rs
@@ -1,13 +1,14 @@
 //! What the node is told at its start: environment and configuration file.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use magpietally_config::file::read_plain;
 use magpietally_core::Listing;
 use magpietally_policy::Discovery;
 use magpietally_settings::{told, Told};
 use magpietally_structures::GOLDEN;
-use serde_json::Value;
+use serde_json::{Map, Value};
 
 use crate::list::listing;
 use crate::management;
@@ -35,6 +36,8 @@
     pub known: Option<Listing>,
     /// The settings.
     pub told: Told,
+    /// What the file says of all that holds until the process ends.
+    pub lasting: Arc<Value>,
 }
 
 /// The largest configuration that is read, in bytes: a list of thousands of servers is a tenth of it.
@@ -44,6 +47,8 @@
 /// The fewest that a node can do anything with.
 const SOCKETS_LEAST: u64 = 32;
 
+/// What a reload does not replace. The rest of the file is discovery's address, which it does, and what only a start needs.
+const LASTING: [&str; 5] = ["name", "listen", "management", "limits", "settings"];
 /// Descriptors of the process itself: standard streams, the runtime's, the listener, discovery's old and new call,
 /// and those that one side gives up while the other takes them.
 const RESERVE: usize = 16;
@@ -81,6 +86,11 @@
         Ok(part)
     }
 
+    /// The first field of a newer file that says something else of what holds until the process ends.
+    pub fn changed(&self, newer: &Self) -> Option<String> {
+        difference(&self.lasting, &newer.lasting)
+    }
+
     /// How many connections of clients there may be: half of what the process itself does not need, within what
     /// memory can bear.
     pub fn clients_most(&self) -> usize {
@@ -103,55 +113,71 @@
 /// Reads the configuration of this process.
 ///
 /// # Errors
-/// One line that names the field.
+/// One line that names the file and the field, or the variable.
 pub fn load() -> Result<Config, String> {
-    parse(&file()?, |name| std::env::var(name).ok())
+    let (file, value) = file()?;
+    parse(&file, &value, |name| std::env::var(name).ok())
 }
 
 /// Reads the file again. The environment is that of the start: what it says of discovery is what the file now
 /// replaces, so here the file goes first. The rest of the environment still holds.
 ///
 /// # Errors
-/// One line that names the field.
+/// One line that names the file and the field, or the variable.
 pub fn reload() -> Result<Config, String> {
-    parse(&file()?, |name| std::env::var(name).ok().filter(|_| name != "BALANCER_DISCOVERY"))
+    let (file, value) = file()?;
+    parse(&file, &value, |name| std::env::var(name).ok().filter(|_| name != "BALANCER_DISCOVERY"))
 }
 
-fn file() -> Result<Value, String> {
+/// What the file holds, and how it is named in what is wrong with it.
+fn file() -> Result<(String, Value), String> {
     let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG: not set".to_string())?;
-    let text = read_plain(path.as_ref(), FILE_MOST).map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))?;
-    serde_json::from_str(&text).map_err(|e| format!("BALANCER_CONFIG: not JSON: {e}"))
+    let name = format!("BALANCER_CONFIG: {path}");
+    let text = read_plain(path.as_ref(), FILE_MOST).map_err(|e| format!("{name}: {e}"))?;
+    let value = serde_json::from_str(&text).map_err(|e| format!("{name}: not JSON: {e}"))?;
+    Ok((name, value))
 }
 
 /// Reads a configuration; what the environment names goes before what the file says.
-fn parse(value: &Value, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+fn parse(file: &str, value: &Value, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let here = |words: String| format!("{file}: {words}");
+    let f = value.as_object().ok_or_else(|| here("object expected".into()))?;
+    let there = |name: &str| f.get(name).filter(|v| !v.is_null());
+    let text_of = |name: &str| {
+        let value = there(name).ok_or_else(|| here(format!("{name} is missing")))?;
+        magpietally_settings::text(value, name).map_err(here)
+    };
+    // Where it is from, as well.
     let text = |name: &str| {
         let upper = format!("BALANCER_{}", name.to_uppercase());
-        let file = || value.get(name).and_then(Value::as_str).map(|v| (name.to_string(), v.to_string()));
-        env(&upper).map(|v| (upper, v)).or_else(file).ok_or_else(|| format!("{name}: text expected"))
+        match env(&upper) {
+            Some(words) => Ok((upper, words)),
+            None => text_of(name).map(|words| (here(name.to_string()), words.to_string())),
+        }
     };
     let address = |name: &str| {
         let (from, words) = text(name)?;
         words.parse().map_err(|_| format!("{from}: IP address and port expected, not {words:?}"))
     };
     // Where a node is told nothing of it, it has no second address.
-    let managed =
-        env("BALANCER_MANAGEMENT").is_some() || !matches!(value.get("management"), None | Some(Value::Null));
+    let managed = env("BALANCER_MANAGEMENT").is_some() || there("management").is_some();
     let management = if managed { Some(address("management")?) } else { None };
     let inherited = env("BALANCER_FD").map(|words| {
         words.parse().map_err(|_| format!("BALANCER_FD: number of a descriptor expected, not {words:?}"))
     });
-    let seed = value.get("seed").and_then(Value::as_str).ok_or("seed: text expected")?;
-    let known = match value.get("known") {
-        None | Some(Value::Null) => None,
-        Some(known) => Some(listing(known.clone()).map_err(|e| format!("known: {e}"))?),
-    };
-    let mut told =
-        told(value.get("settings").unwrap_or(&Value::Null)).map_err(|e| format!("settings: {e}"))?;
+    let seed = text_of("seed")?;
+    let known = there("known").map(|known| listing(known.clone()).map_err(|e| here(format!("known: {e}"))));
+    let settings = there("settings").ok_or_else(|| here("settings is missing".into()))?;
+    let mut told = told(settings).map_err(here)?;
+    speakable(&told).map_err(here)?;
     // Nothing comes by itself over HTTP: where lists are pushed, it is an agent that has them, and it has to be watched.
     if told.settings.discovery == Discovery::Pushed {
         told.settings.discovery = Discovery::Agent;
     }
+    let limits = there("limits").map_or(Ok(None), |l| {
+        l.as_object().map(Some).ok_or_else(|| here("limits: object expected".into()))
+    })?;
+    let limit = |name, default, least| limit(limits, name, default, least).map_err(here);
     Ok(Config {
         name: text("name")?.1,
         listen: address("listen")?,
@@ -159,16 +185,56 @@
         management,
         inherited: inherited.transpose()?,
         seed: u64::from_str_radix(seed, 16)
-            .map_err(|_| format!("seed: hex digits expected, not {seed:?}"))?,
-        sockets: limit(value, "sockets", SOCKETS, SOCKETS_LEAST)?,
-        memory_mb: limit(value, "memory_mb", MEMORY_MB, MEMORY_LEAST)?,
-        known,
+            .map_err(|_| here(format!("seed: hex digits expected, not {seed:?}")))?,
+        sockets: limit("sockets", SOCKETS, SOCKETS_LEAST)?,
+        memory_mb: limit("memory_mb", MEMORY_MB, MEMORY_LEAST)?,
+        known: known.transpose()?,
         told,
+        lasting: Arc::new(LASTING.iter().filter_map(|name| Some((*name, there(name)?.clone()))).collect()),
     })
 }
 
-fn limit(value: &Value, name: &str, default: u64, least: u64) -> Result<usize, String> {
-    let told = value.get("limits").and_then(|l| l.get(name));
+/// A class is the first part of a path, and a tenant the value of a header: what can't stand there would never be asked for,
+/// or be asked for under a name that is not the settings'.
+fn speakable(told: &Told) -> Result<(), String> {
+    let in_path = |b: u8| b.is_ascii_alphanumeric() || b"-._~!$&'()*+,;=:@".contains(&b);
+    let class = |name: &str| name.bytes().all(in_path) && name != "." && name != "..";
+    if let Some(n) = told.classes.iter().position(|name| !class(name)) {
+        let name = &told.classes[n];
+        return Err(format!("settings.Classes[{n}].Name: {name:?} can't be a part of a path"));
+    }
+    let tenant = |name: &str| name.trim() == name && name.bytes().all(|b| matches!(b, b' '..=b'~'));
+    if let Some(n) = told.tenants.iter().position(|name| !tenant(name)) {
+        let name = &told.tenants[n];
+        return Err(format!("settings.Customers[{n}].Name: {name:?} can't be the value of a header"));
+    }
+    Ok(())
+}
+
+/// The path of the first field in which two values differ.
+fn difference(old: &Value, new: &Value) -> Option<String> {
+    let nothing = Value::Null;
+    let inside = |at: String, old: &Value, new: &Value| {
+        difference(old, new).map(|rest| match rest.as_str() {
+            "" => at,
+            part if part.starts_with('[') => at + part,
+            part => format!("{at}.{part}"),
+        })
+    };
+    match (old, new) {
+        (Value::Object(a), Value::Object(b)) => a
+            .keys()
+            .chain(b.keys())
+            .find_map(|k| inside(k.clone(), a.get(k).unwrap_or(&nothing), b.get(k).unwrap_or(&nothing))),
+        (Value::Array(a), Value::Array(b)) if a.len() == b.len() => {
+            (0..a.len()).find_map(|n| inside(format!("[{n}]"), &a[n], &b[n]))
+        }
+        _ => (old != new).then(String::new),
+    }
+}
+
+fn limit(limits: Option<&Map<String, Value>>, name: &str, default: u64, least: u64) -> Result<usize, String> {
+    let told = limits.and_then(|l| l.get(name)).filter(|v| !v.is_null());
     let count = match told {
         None => default,
         Some(v) => v.as_u64().ok_or_else(|| format!("limits.{name}: whole number expected"))?,
--- a/crates/http/src/service.rs
+++ b/crates/http/src/service.rs
@@ -92,7 +92,7 @@
         if let Some(at) = management.as_ref().and_then(|m| m.local_addr().ok()) {
             tracing::info!(target: "node", "{} is managed at {at}", config.name);
         }
-        let life = Life::new(config.told.longest_deadline, config.inherited.is_some());
+        let life = Life::new(config.told.longest_deadline(), config.inherited.is_some());
         Ok(Self { listeners, management, process: Process::new(config.told.classes.len(), life) })
     }
 }
@@ -216,8 +216,9 @@
     }
 }
 
-/// Takes over what a new configuration says of discovery, also while the node stops. A file that can't be read
-/// changes nothing. Signals that come in quick succession are one: the file is read after the last.
+/// Takes over what a new configuration says of discovery, also while the node stops. All else in it holds from the next start
+/// on: half of a node's state goes by it. A file that can't be read changes nothing. Signals that come in quick succession
+/// are one: the file is read after the last.
 async fn reload(node: Rc<Node>, mut hangup: Signal) {
     while hangup.recv().await.is_some() {
         match config::reload() {
@@ -225,6 +226,9 @@
                 tracing::info!(target: "reload", "discovery is {}", config.discovery);
                 node.carrier().discovery.set(config.discovery);
                 node.list_moved();
+                if let Some(field) = node.carrier().config.changed(&config) {
+                    tracing::warn!(target: "reload", "{field} is another in the file; it holds from the next start on");
+                }
             }
             Err(words) => tracing::warn!(target: "reload", "{words}; the old configuration stays"),
         }
--- a/crates/http/tests/common/mod.rs
+++ b/crates/http/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! A node's configuration with one class, for tests that run workers in their own process.
 
 use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
 use std::time::Duration;
 
 use magpietally_http::config::Config;
@@ -20,10 +21,12 @@
 /// A node that listens at a free port. Requests of its class `look` have so many milliseconds.
 pub fn config(discovery: SocketAddr, time: f64) -> Config {
     let settings = json!({
-        "Classes": [{"Name": "look", "Slo": time, "Deadline": time, "Idempotency": "pure"}],
-        "Contract": {"ColdShare": 0.2, "WarmWithin": 20000.0, "FallMultiple": 3.0, "Fall": 1000.0},
+        "Classes": [{"Name": "look", "Slo": time, "Deadline": time, "Idempotency": "pure", "Value": 1.0, "LateValue": 0.0}],
+        "Contract": {"AskWithin": 10000.0, "ColdShare": 0.2, "WarmWithin": 20000.0, "FallMultiple": 3.0, "Fall": 1000.0},
+        "Goal": {"Whole": 1.0, "WorstWindow": 0.0, "WorstClass": 0.0, "WorstTenant": 0.0}, "OverShareWorth": 1.0,
         "Discovery": "subscribe", "Weights": "nominal", "Me": 0, "PeersTotal": 1, "Tick": 1.0,
-        "Limits": {"AttemptsCap": 1, "ConnectTimeout": 1000.0, "Keepalive": 15000.0},
+        "Limits": {"AttemptsCap": 1, "MayDuplicate": false, "Cancel": false, "Probes": false, "RetryAfter": false,
+            "ConnectTimeout": 1000.0, "Keepalive": 15000.0, "OpenCap": 20000},
     });
     let listen = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port is free");
     Config {
@@ -37,5 +40,6 @@
         memory_mb: 64,
         known: None,
         told: magpietally_settings::told(&settings).expect("good settings"),
+        lasting: Arc::default(),
     }
 }
--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -6,7 +6,7 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
 use magpietally_policy::*;
-use magpietally_settings::{list, number, optional, text, told, whole, Fields, Told, WireError};
+use magpietally_settings::{list, number, optional, text, told_as, whole, Fields, Told, WireError};
 use serde_json::{json, Value};
 
 /// The longest line that is read, in bytes: a batch for thousands of instances is a tenth of it.
@@ -117,7 +117,7 @@
                 self.tables.insert(whole(at(1), "Table")?, entries);
             }
             "CREATE" => {
-                let Told { settings, classes, tenants, .. } = told(at(2))?;
+                let Told { settings, classes, tenants, .. } = told_as(at(2), "Options")?;
                 let balancer = Balancer::new(settings, whole(at(1), "Prng")?).map_err(|e| e.to_string())?;
                 self.instances.insert(me, Instance { balancer, classes, tenants });
             }
--- a/crates/simhost/tests/adapter.rs
+++ b/crates/simhost/tests/adapter.rs
@@ -7,12 +7,15 @@
     json!({
         "Me": 0, "PeersTotal": 2, "Tick": 2.0, "Weights": "rough", "Discovery": "subscribe", "Unheard": [1],
         "Classes": [
-            {"Name": "buy", "Slo": 100, "Deadline": 500, "Idempotency": "side_effect", "Value": 10},
+            {"Name": "buy", "Slo": 100, "Deadline": 500, "Idempotency": "side_effect", "Value": 10,
+             "LateValue": 0},
             {"Name": "note", "Slo": 250, "Deadline": 1000, "Idempotency": "token", "DedupScope": "cell",
-             "MemorySpan": 2000, "Value": 3}
+             "MemorySpan": 2000, "Value": 3, "LateValue": 0}
         ],
         "Customers": [{"Name": "west", "QuotaPerS": 50.0, "Share": 1.0}],
-        "Limits": {"AttemptsCap": 3, "Cancel": true, "ConnectTimeout": 50, "MayDuplicate": true, "Probes": true},
+        "Goal": {"Whole": 1, "WorstWindow": 0, "WorstClass": 0, "WorstTenant": 0}, "OverShareWorth": 1,
+        "Limits": {"AttemptsCap": 3, "Cancel": true, "ConnectTimeout": 50, "MayDuplicate": true, "Probes": true,
+                   "RetryAfter": false, "Keepalive": 15000, "OpenCap": 20000},
         "Contract": {"ColdShare": 0.15, "DrainGrace": 250, "Fall": 1000, "FallMultiple": 4, "WarmWithin": 23000,
                      "AskWithin": 10000}
     })
@@ -114,10 +117,10 @@
         batch(1, 1.0, json!([{"I": 0, "input": input}]))
     };
     for (line, words) in [
-        (with("Weights", json!("heavy")), "Weights: heavy is unknown"),
-        (with("Discovery", json!("gossip")), "Discovery: gossip is unknown"),
-        (with("Tick", json!("2")), "Tick: number expected"),
-        (with("Tick", json!(-2)), "tick: -2"),
+        (with("Weights", json!("heavy")), "Options.Weights: heavy is unknown"),
+        (with("Discovery", json!("gossip")), "Options.Discovery: gossip is unknown"),
+        (with("Tick", json!("2")), "Options.Tick: number expected"),
+        (with("Tick", json!(-2)), "Options.Tick: -2: must not be negative"),
         (after(json!(["SUBMIT", 1, "sell", "west", null, 900.0, 0, 0])), "Band: unknown"),
         (after(json!(["SUBMIT", "x", "buy", "west", null, 900.0, 0, 0])), "Corr: whole number expected"),
         (after(json!(["RESPONSE", 1, 0, 11, "maybe", 1.0, false, null])), "outcome: maybe is unknown"),
@@ -127,10 +130,10 @@
         (after(json!(["ROSTER", 1, [[11, "a", "x", "c", "on", 1, null]]])), "Cluster: whole number expected"),
         (after(json!(["SUBMIT", 1, "buy", "west", null])), "DropDead: number expected"),
         ("{".to_string(), "not JSON"),
-        (json!({"round": 1, "parts": []}).to_string(), "Time is missing"),
-        (batch(1, 1.0, json!([{"input": []}])), "I is missing"),
-        (no_me, "Me is missing"),
-        (no_classes, "no classes"),
+        (json!({"round": 1, "parts": []}).to_string(), "batch.Time is missing"),
+        (batch(1, 1.0, json!([{"input": []}])), "parts.I is missing"),
+        (no_me, "Options.Me is missing"),
+        (no_classes, "Options.Classes: no classes"),
     ] {
         let error = Host::default().line(&line).expect_err(words);
         assert!(error.contains(words), "{error}");
--- a/crates/site/examples/path.rs
+++ b/crates/site/examples/path.rs
@@ -458,14 +458,19 @@
         "known": {"seq": 0, "whole": true, "hosts": hosts(at)},
         "settings": {
             "Classes": [
-                {"Name": "lookup", "Slo": 500.0, "Deadline": 2000.0, "Value": 1.0, "Idempotency": "pure"},
-                {"Name": "signup", "Slo": 500.0, "Deadline": 2000.0, "Value": 1.0, "Idempotency": "side_effect"},
+                {"Name": "lookup", "Slo": 500.0, "Deadline": 2000.0, "Value": 1.0, "LateValue": 0.0,
+                    "Idempotency": "pure"},
+                {"Name": "signup", "Slo": 500.0, "Deadline": 2000.0, "Value": 1.0, "LateValue": 0.0,
+                    "Idempotency": "side_effect"},
             ],
             "Customers": [{"Name": "punjab-clubs", "QuotaPerS": 1e6}],
-            "Contract": {"ColdShare": 0.2, "WarmWithin": 20000.0, "FallMultiple": 3.0, "Fall": 1000.0},
+            "Contract": {"AskWithin": 10000.0, "ColdShare": 0.2, "WarmWithin": 20000.0, "FallMultiple": 3.0,
+                "Fall": 1000.0},
+            "Goal": {"Whole": 1.0, "WorstWindow": 0.0, "WorstClass": 0.0, "WorstTenant": 0.0},
             "Discovery": "subscribe", "Weights": "nominal", "OverShareWorth": 0.5, "Me": 0, "PeersTotal": 1,
             "Tick": 1.0,
-            "Limits": {"AttemptsCap": 3, "ConnectTimeout": 150.0, "Keepalive": 15000.0, "OpenCap": 20000},
+            "Limits": {"AttemptsCap": 3, "MayDuplicate": false, "Cancel": false, "Probes": false, "RetryAfter": false,
+                "ConnectTimeout": 150.0, "Keepalive": 15000.0, "OpenCap": 20000},
         }
     })
 }
--- a/tests/input.rs
+++ b/tests/input.rs
@@ -64,26 +64,26 @@
     assert_eq!(node.exit_code(), Some(0));
 }
 
-/// Settings whose numbers make no sense end the start with their names.
+/// Settings whose numbers make no sense end the start with one line that names the file and the field.
 #[test]
 fn numbers_that_make_no_sense_are_named() {
     let good = config("127.0.0.1:1".parse().expect("an address"));
     type Spoil = fn(&mut Value);
     let cases: [(&str, Spoil); 14] = [
-        ("OpenCap", |c| c["settings"]["Limits"]["OpenCap"] = json!(-1)),
-        ("OpenCap", |c| c["settings"]["Limits"]["OpenCap"] = json!(0)),
-        ("Keepalive", |c| c["settings"]["Limits"]["Keepalive"] = json!(-1.0)),
-        ("Deadline", |c| c["settings"]["Classes"][1]["Deadline"] = json!(-5)),
-        ("PeersTotal", |c| c["settings"]["PeersTotal"] = json!(-3)),
-        ("nodes: ", |c| c["settings"]["PeersTotal"] = json!(u64::MAX)),
-        ("AttemptsCap", |c| c["settings"]["Limits"]["AttemptsCap"] = json!(1.5)),
-        ("own number", |c| c["settings"]["Me"] = json!(1e18)),
-        ("cold_share", |c| c["settings"]["Contract"]["ColdShare"] = json!(7)),
-        ("connect_timeout", |c| c["settings"]["Limits"]["ConnectTimeout"] = json!(-0.5)),
-        ("aim", |c| c["settings"]["Classes"][0]["Slo"] = json!(0)),
+        ("settings.Limits.OpenCap", |c| c["settings"]["Limits"]["OpenCap"] = json!(-1)),
+        ("settings.Limits.OpenCap", |c| c["settings"]["Limits"]["OpenCap"] = json!(0)),
+        ("settings.Limits.Keepalive", |c| c["settings"]["Limits"]["Keepalive"] = json!(-1.0)),
+        ("settings.Classes[1].Deadline", |c| c["settings"]["Classes"][1]["Deadline"] = json!(-5)),
+        ("settings.PeersTotal", |c| c["settings"]["PeersTotal"] = json!(-3)),
+        ("settings.PeersTotal", |c| c["settings"]["PeersTotal"] = json!(u64::MAX)),
+        ("settings.Limits.AttemptsCap", |c| c["settings"]["Limits"]["AttemptsCap"] = json!(1.5)),
+        ("settings.Me: 1000000000000000000: own number", |c| c["settings"]["Me"] = json!(1e18)),
+        ("settings.Contract.ColdShare", |c| c["settings"]["Contract"]["ColdShare"] = json!(7)),
+        ("settings.Limits.ConnectTimeout", |c| c["settings"]["Limits"]["ConnectTimeout"] = json!(-0.5)),
+        ("settings.Classes[0].Slo", |c| c["settings"]["Classes"][0]["Slo"] = json!(0)),
         ("limits.sockets", |c| c["limits"]["sockets"] = json!(3)),
         ("limits.memory_mb", |c| c["limits"]["memory_mb"] = json!(-64)),
-        ("number out of range", |c| c["seed"] = json!("WEIGHT")),
+        ("not JSON: number out of range", |c| c["seed"] = json!("WEIGHT")),
     ];
     for (words, spoil) in cases {
         let mut config = good.clone();
@@ -93,7 +93,8 @@
         std::fs::write(&file, text).expect("a file");
         let (code, told) = run_small(&["node"], &file);
         assert_eq!(code, Some(1), "{words}: {told}");
-        assert!(told.contains(words) && told.lines().count() == 1, "{words}: {told}");
+        let begins = format!("magpietally: BALANCER_CONFIG: {file}: {words}");
+        assert!(told.starts_with(&begins) && told.lines().count() == 1, "{words}: {told}");
     }
 }
 
