A client's claim of time or a missing tenant costs no other client its service

Searched: what of the policy's and the node's state is shared by tenants. Two things let one client harm others.

In an unsafe class, or a keyed one that may not be refused, a client with less time than the most seen counts as one that was refused before and comes back. And the most seen was whatever a client claimed: one `X-Remaining-Ms: 600000` made repeats of all others for ten minutes. At fault: `conclude` in repeats.rs, and `read` in clients.rs, which believed any time up to ten minutes. Now a refused repeat makes no further one due, and no request has more time than its class has in all.

At a site with tenants a request of none of them counted as within a share without a bound: a misspelt name went before every tenant's requests beyond its share. Now it counts as beyond. Without tenants nothing changes.

Shared on purpose, and left: the retry budget, ejections, limits, usual times of a class. They protect servers, which all tenants share; quotas and what is served so far are kept for each.

Tests: one_refusal_turns_away_one_at_most_who_comes_with_less_time, who_is_no_tenant_has_no_share_where_there_are_tenants (policy), who_claims_more_time_than_its_class_has_turns_nobody_else_away (the program).

--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -535,6 +535,10 @@
     let class = told.classes.iter().position(|c| c == name).ok_or_else(|| unread(StatusCode::NOT_FOUND))?;
     let checked = check(&parts.method, &parts.headers, told.settings.classes[class].effect);
     let (txn, remaining) = checked.map_err(|bad| unread(bad.status))?;
+    // No client waits for longer than its class does in all. Who says so else sets the measure by which others are taken for
+    // repeats, and may fill the node with what is held for it.
+    let remaining =
+        remaining.min(told.deadlines.get(class).map_or(remaining, |ms| Duration::from_secs_f64(ms / 1000.0)));
     let tenant = header(&parts.headers, &ORG).ok().flatten();
     let tenant = tenant.and_then(|org| told.tenants.iter().position(|t| t == org));
     let mut uri = Uri::builder();
--- a/crates/policy/src/balance/overload.rs
+++ b/crates/policy/src/balance/overload.rs
@@ -20,7 +20,8 @@
         let (size, _) = self.sizes();
         self.arrivals.add(self.now, self.set.rules.fall_window, 1.0 / size.max(1.0));
         let tenant = tenant.filter(|t| *t < self.set.tenants.len());
-        let in_share = tenant.is_none_or(|t| self.take_quota(t));
+        // Where there are tenants, who comes as none of them has no share.
+        let in_share = tenant.map_or(self.set.tenants.is_empty(), |t| self.take_quota(t));
         let (came, attempts) = (self.now, Vec::new());
         let asked = came - self.age(class, deadline);
         let streaming = false;
--- a/crates/policy/src/balance/repeats.rs
+++ b/crates/policy/src/balance/repeats.rs
@@ -150,7 +150,8 @@
         if request.may_repeat(class, &self.set.limits, self.now, None) {
             actions.push(Action::Refuse { id, stay_away: self.stay_away(request.class) });
             let pace = &mut self.classes[request.class];
-            pace.refused.add(self.now, pace.most_left, 1.0);
+            // A refused repeat makes no further one due: all with less time would be taken for it.
+            pace.refused.add(self.now, pace.most_left, if request.asked < request.came { 0.0 } else { 1.0 });
         } else {
             actions.push(Action::Fail(id));
         }
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -489,6 +489,33 @@
     assert!(refused(&actions, old) && !refused(&actions, fresh), "{actions:?}");
 }
 
+/// One refusal makes one repeat due. Counted anew with each that was taken for a repeat and refused for it, it went on turning
+/// away whoever came with less time than others of the class, and did so for as long as the longest time that any had named.
+#[test]
+fn one_refusal_turns_away_one_at_most_who_comes_with_less_time() {
+    for (most, left) in [(PATIENCE, PATIENCE - 200.0), (600_000.0, PATIENCE)] {
+        let mut node = Node::fleet(settings(), 3);
+        let (id, _) = node.ask_with(UNSAFE, None, most);
+        node.end_after(id, Outcome::Done, 10.0);
+        node.event(Event::List { entries: Vec::new(), saved: false });
+        let (id, _) = node.ask_with(UNSAFE, None, most);
+        assert!(refused(&node.wait(60.0), id));
+        node.event(Event::List { entries: (0..3).map(|id| entry(id, 1.0)).collect(), saved: false });
+        let mut away = 0;
+        for _ in 0..40 {
+            node.now += 20.0;
+            let (id, actions) = node.ask_with(UNSAFE, None, left);
+            if refused(&actions, id) {
+                away += 1;
+            } else {
+                assert!(sent_to(&actions).is_some(), "{actions:?}");
+                node.end_after(id, Outcome::Done, 10.0);
+            }
+        }
+        assert_eq!(away, 1, "of 40 with {left} ms left, where others have {most}");
+    }
+}
+
 /// Guards overload: first come, first served starved the classes with short aims.
 #[test]
 fn the_held_request_of_most_worth_goes_first() {
@@ -545,6 +572,23 @@
     assert!(!actions.iter().any(|a| matches!(a, Action::Send { id, .. } if *id == beyond)));
 }
 
+/// Clients under a name that the settings do not have would else be served before all tenants that are beyond their shares.
+#[test]
+fn who_is_no_tenant_has_no_share_where_there_are_tenants() {
+    for tenants in [vec![Tenant { quota_per_s: 1000.0 }], Vec::new()] {
+        let shared = !tenants.is_empty();
+        let mut node = Node::fleet(Settings { tenants, ..settings() }, 1);
+        let out: Vec<_> = (0..4).map(|_| node.ask_for(SAFE, Some(0)).0).collect();
+        let [nobody, out_of_range, tenant] = [None, Some(7), Some(0)].map(|of| node.ask_for(SAFE, of).0);
+        let (last, _) = node.ask_for(SAFE, None);
+        node.now += 10.0;
+        let sent = sends(&node.end(out[0], Outcome::Done));
+        // Of equal worth the youngest goes first.
+        assert_eq!(sent.first(), Some(if shared { &tenant } else { &last }), "{sent:?}");
+        assert!(!sent.contains(&nobody) && !sent.contains(&out_of_range), "{sent:?}");
+    }
+}
+
 /// Guards incident i5f50fa: with most answers quick, a fifth of all could be cut off at a mean within the target.
 #[test]
 fn a_cut_off_attempt_weighs_more_than_a_late_answer() {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -147,3 +147,22 @@
     node.terminate();
     assert_eq!(node.exit_code(), Some(0));
 }
+
+/// One client that claims to wait for ten minutes, and one refusal, must not make repeats of all others of its class.
+#[test]
+fn who_claims_more_time_than_its_class_has_turns_nobody_else_away() {
+    let server = Peer::good("done");
+    let hosts = [host("s0", server.address, "active", 1)];
+    let registry = Registry::new(&hosts);
+    let mut told = config(registry.address);
+    let class = &mut told["settings"]["Classes"][2];
+    (class["LateValue"], class["Slo"]) = (json!(0.0), json!(4000.0));
+    let node = Node::ready(&told);
+    let ask = |id: &str, left| Client::to(&node).ask(&request("slip", id, left)).status();
+    assert_eq!(ask("claims", 600_000), 200);
+    registry.tell(2, &[], &[host("s0", server.address, "left", 1)]);
+    until("nobody is left, and one is refused", || ask("refused", 20_000) == 503);
+    registry.tell(3, &hosts, &hosts);
+    until("it is back", || Client::to(&node).ask(&request("look", "look", 15_000)).status() == 200);
+    assert_eq!(ask("ordinary", 19_500), 200);
+}
