Send cold servers a part of what warm ones answer, counted in requests

Seen: many nodes together pushed cold servers over.

At fault: within_slow_start in turns.rs spaced sends in time, by the node's own pace of answers or, before the first, by its arrivals over the *present* size of its servers. Rates that are taken right after an event are one event in a window at the least, so that the sum over nodes grew with their number; with all servers cold the division by present size took all caution away; and arrivals count each repeat of a client.

Now the node counts what one unit of warm weight has borne (answers of warm servers over their size), and a cold server is ready once its part of the growth since the last send makes a request. Counts add up over nodes as rates of rare events do not, so neither the number of nodes, nor a new one, nor one with next to no traffic makes a difference. Where no warm server has answered for a window, a fifth of what is refused stands in, and a cold server gets more for what it has answered itself. The random wait before the first send stays, less one part in the number of nodes, so that a lone node need not wait at all. Two rates and the present size go.

Turns stay as they were: a server that is not ready is passed over in place.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -60,8 +60,8 @@
     class_served: Served, // How well each class, and each tenant within its share, is served.
     tenant_served: Served,
     quotas: Vec<Allowance>,            // Own part of each tenant's share.
-    pace: Rate,                        // Requests answered a second, for one unit of weight.
-    arrivals: Rate,                    // Requests that came, likewise; stands in until one has been answered.
+    borne: f64,                        // What one unit of warm weight has borne so far, in requests.
+    bore: Millis,                      // When a warm server last answered.
     times: BTreeMap<u64, Vec<Millis>>, // By kind of machine, each class's usual time with nothing else.
     retry_budget: f64,
     lost: f64,         // Part of the attempts that went unanswered, lately.
@@ -91,6 +91,7 @@
     down: bool, // Ejected for refused or broken connections: a process that will come back cold.
     probing: bool,
     returned: Option<Millis>, // Came back at that time from what looked like a restart.
+    borne: f64,               // What a warm one had borne when this one was last sent to, or placed.
     stagger: f64,             // A part of 1, by which the first send to it is put off while it is cold.
 }
 
@@ -197,6 +198,7 @@
         Ok(Self {
             random: SplitMix(seed),
             chosen: f64::NEG_INFINITY,
+            bore: f64::NEG_INFINITY,
             crowd: 1.0,
             classes: settings.classes.iter().map(usual).collect(),
             fleet: 1.0,
--- a/crates/policy/src/balance/ejection.rs
+++ b/crates/policy/src/balance/ejection.rs
@@ -42,7 +42,7 @@
     }
 
     pub(super) fn on_probed(&mut self, id: ServerId, outcome: Outcome, took: Millis) {
-        let (now, stagger) = (self.now, self.random.part());
+        let (now, borne, stagger) = (self.now, self.borne, self.random.part() - 1.0 / self.set.nodes as f64);
         self.wake(id);
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.probing = false;
@@ -54,7 +54,7 @@
             // whole fleet on cold budgets in a jam that ejects each server once.
             // As often as that, as the list may tell late of each start or never.
             if server.down {
-                (server.returned, server.last_sent, server.stagger) = (Some(now), now, stagger);
+                (server.returned, server.borne, server.stagger) = (Some(now), borne, stagger);
             }
             (server.ejected, server.consecutive_failures, server.down) = (None, 0, false);
             self.note(id);
--- a/crates/policy/src/balance/limits.rs
+++ b/crates/policy/src/balance/limits.rs
@@ -31,7 +31,7 @@
     /// What the end of an attempt says of its server's pace, for the limit, the share and the usual times.
     pub(super) fn learn(&mut self, class: usize, attempt: &Attempt, outcome: Outcome, took: Millis) {
         let Attempt { server: id, at_limit, alone, .. } = *attempt;
-        let (now, done) = (self.now, outcome == Outcome::Done);
+        let done = outcome == Outcome::Done;
         let (first, least_limit) = (self.first_limit(), self.least_limit());
         let part = match outcome {
             Outcome::Done => (took / self.set.classes[class].aim).min(LATE),
@@ -43,14 +43,10 @@
             // What was turned away unseen says nothing of the pace of the rest, which shares the limit.
             _ => return,
         };
-        if done && self.servers.get(&id).is_some_and(|s| s.warmth(now, &self.set.rules) >= 1.0) {
-            // Measured on warm servers alone: measured on cold ones too, a cold budget would feed on itself.
-            let (_, size) = self.sizes();
-            self.pace.add(now, self.set.rules.fall_window, 1.0 / size.max(f64::MIN_POSITIVE));
-        }
         let count = self.set.classes.len();
-        let pace = &mut self.classes[class];
         if done {
+            self.bear(Some(id));
+            let pace = &mut self.classes[class];
             pace.seen = pace.seen.saturating_add(1);
             pace.mean += (took - pace.mean) / f64::from(pace.seen.min(200));
         }
@@ -71,8 +67,9 @@
         // Sizes that the list does not tell: a server whose answers come later than the fleet's beyond a part
         // of the aim has too many turns. In calm nothing is beyond it, and turns stay even.
         let excess = (part - SHARE_FROM).max(0.0);
-        pace.excess += (excess - pace.excess) * SHARE_GAIN.0;
-        s.share = s.share.powf(1.0 - SHARE_GAIN.1) * (SHARE_GAIN.0 * (pace.excess - excess)).exp();
+        let usual = &mut self.classes[class].excess;
+        *usual += (excess - *usual) * SHARE_GAIN.0;
+        s.share = s.share.powf(1.0 - SHARE_GAIN.1) * (SHARE_GAIN.0 * (*usual - excess)).exp();
         let unused = s.allowed(self.fleet, least_limit) > 2.0 * (s.out.len() as f64 + 1.0);
         if unused || (s.limit < 1.0 && !at_limit) {
             // A limit that was never reached protects nobody when the fleet slows down at once.
--- a/crates/policy/src/balance/list.rs
+++ b/crates/policy/src/balance/list.rs
@@ -183,14 +183,14 @@
         let first = self.cursor_at.map_or(self.set.number, behind) % count;
         for id in newcomers {
             let Ok(place) = self.subset.binary_search(&id) else { continue };
+            let stagger = self.random.part() - 1.0 / self.set.nodes as f64;
             let Some(server) = self.servers.get_mut(&id).filter(|s| s.turn.is_nan()) else { continue };
-            let stagger = self.random.part();
             let after = (place + count - first) % count;
             let warmth = server.warmth(self.now, &self.set.rules);
             // Cold ones take a random place: by the cursors alone, many nodes would come at once.
-            let p = if warmth < 1.0 { stagger } else { after as f64 / count as f64 };
+            let p = if warmth < 1.0 { stagger.max(0.0) } else { after as f64 / count as f64 };
             (server.turn, server.turn_warmth) = (self.cursor + p / (server.size * warmth), warmth);
-            (server.stagger, server.last_sent) = (stagger, server.last_sent.max(self.now));
+            (server.borne, server.stagger) = (self.borne, stagger);
             self.turns.set(id, server.turn);
             self.aside.remove(id);
             self.note(id);
--- a/crates/policy/src/balance/overload.rs
+++ b/crates/policy/src/balance/overload.rs
@@ -17,8 +17,6 @@
             return actions.push(Action::Fail(id));
         }
         self.retry_budget = (self.retry_budget + self.set.tuning.retry_share).min(self.set.tuning.retry_most);
-        let (size, _) = self.sizes();
-        self.arrivals.add(self.now, self.set.rules.fall_window, 1.0 / size.max(1.0));
         let tenant = tenant.filter(|t| *t < self.set.tenants.len());
         let in_share = tenant.is_none_or(|t| self.take_quota(t));
         let (came, attempts) = (self.now, Vec::new());
@@ -186,7 +184,7 @@
         let (zone, cell) = (server.entry.zone, server.entry.cell);
         server.out.push((id, request.attempts.len()));
         let rested = self.now - server.last_sent;
-        (server.last_sent, server.stagger) = (self.now, 1.0);
+        (server.last_sent, server.borne, server.stagger) = (self.now, self.borne, 1.0);
         let alone = server.out.len() == 1;
         let at_limit =
             if allowed < 1.0 { rested <= 2.0 * rest } else { 2.0 * server.out.len() as f64 >= allowed };
--- a/crates/policy/src/balance/repeats.rs
+++ b/crates/policy/src/balance/repeats.rs
@@ -154,6 +154,7 @@
         } else {
             actions.push(Action::Fail(id));
         }
+        self.bear(None);
         self.forget(id, actions);
     }
 
--- a/crates/policy/src/balance/turns.rs
+++ b/crates/policy/src/balance/turns.rs
@@ -3,7 +3,8 @@
 use super::*;
 
 const SLOW_START_CAUTION: f64 = 0.5; // Part of the cold budget used; the rest is for chance and uneven nodes.
-const LOOKS_MOST: usize = 64; // How many cold servers, or sizes, one event looks at where it need not.
+const REFUSED: f64 = 0.2; // What a refused request counts as where no warm server answers: it comes again.
+const LOOKS_MOST: usize = 64; // How many cold servers one event looks at where it need not.
 const STEPS_MOST: f64 = 4096.0; // How many turns are made up for one by one; more than these are at once.
 const REST_AHEAD: f64 = 1.125; // How far the fleet's factor may rise until a resting server is looked at.
 const ROUNDING: f64 = 1e-6; // How much sooner, in ms or parts, a server is looked at, as sums are rounded.
@@ -106,20 +107,35 @@
         }
     }
 
-    /// The subset's size as it is now, and that of its warm servers. Of many, with cold ones among them, it
-    /// is added up now and then.
-    pub(super) fn sizes(&mut self) -> (f64, f64) {
-        let lasts = |at: Millis| self.subset.len() > LOOKS_MOST && self.now < at + self.warmth_step();
-        if let Some((_, all, warm)) = self.sizes.filter(|s| self.cold.is_empty() || lasts(s.0)) {
+    /// The subset's size once all is warm, and that of what is warm and not ejected, added up now and then.
+    fn sizes(&mut self) -> (f64, f64) {
+        if let Some((_, all, warm)) = self.sizes.filter(|s| self.now < s.0 + self.warmth_step()) {
             return (all, warm);
         }
-        let warmth = |s: &Server| s.warmth(self.now, &self.set.rules);
-        let all = self.rotated().map(|s| s.size * warmth(s)).sum();
-        let warm = self.rotated().filter(|s| warmth(s) >= 1.0).map(|s| s.size).sum();
+        let warm = |s: &&Server| s.ejected.is_none() && s.warmth(self.now, &self.set.rules) >= 1.0;
+        let all = self.rotated().map(|s| s.size).sum();
+        let warm = self.rotated().filter(warm).map(|s| s.size).sum();
         self.sizes = Some((self.now, all, warm));
         (all, warm)
     }
 
+    /// Counts what warm servers bear, the measure for cold ones: their answers. While none comes, a part of
+    /// what is refused stands in, and a cold server gets more for what it answered itself; beside warm ones
+    /// that does not count, or a cold budget would feed on itself.
+    pub(super) fn bear(&mut self, answered: Option<ServerId>) {
+        let (all, warm) = self.sizes();
+        let silent = warm <= 0.0 || self.now - self.bore > self.set.rules.fall_window;
+        let server = answered.and_then(|id| self.servers.get_mut(&id));
+        match server.map(|s| (s.warmth(self.now, &self.set.rules), s)) {
+            Some((warmth, s)) if warmth < 1.0 && silent => s.borne -= SLOW_START_CAUTION / (warmth * s.size),
+            Some((warmth, _)) if warmth >= 1.0 && warm > 0.0 => {
+                (self.borne, self.bore) = (self.borne + 1.0 / warm, self.now);
+            }
+            None if silent && all > 0.0 => self.borne += REFUSED / all,
+            _ => {}
+        }
+    }
+
     pub(super) fn ready(&self, server: &Server) -> bool {
         server.ejected.is_none() && self.within_slow_start(server) && self.has_room(server)
     }
@@ -142,19 +158,12 @@
     }
 
     /// Rule 4: what all nodes send to a cold server in one window must stay below a multiple of what it can
-    /// do by now. What a warm server of its size is seen to answer is the measure, and each node spaces its
-    /// sends by its own traffic's part: a least of one send a window for each node would by the number of
-    /// nodes alone be more than a cold server can take. Before the first send a random part of the space is
-    /// waited, or all nodes would send at once when they hear of it.
+    /// do by now. Each sends it a part of what it sees a warm server bear, counted in requests, not in time:
+    /// these add up to that part of what all see, however many or new they are and however little each sees.
+    /// Before the first send a random part is waited, or all would send when they hear of it; one need not.
     fn within_slow_start(&self, server: &Server) -> bool {
-        let rules = &self.set.rules;
-        let warmth = server.warmth(self.now, rules);
-        if warmth >= 1.0 {
-            return true;
-        }
-        let part = SLOW_START_CAUTION * rules.fall_multiple * warmth;
-        let pace = if self.pace.latest() > 0.0 { self.pace.latest() } else { self.arrivals.latest() };
-        let space = 1000.0 / (part * pace * server.size);
-        self.now - server.last_sent >= space * server.stagger
+        let warmth = server.warmth(self.now, &self.set.rules);
+        let part = SLOW_START_CAUTION * self.set.rules.fall_multiple * warmth;
+        warmth >= 1.0 || (self.borne - server.borne) * part * server.size >= server.stagger
     }
 }
