--- a/crates/policy/src/balance/overload.rs
+++ b/crates/policy/src/balance/overload.rs
@@ -25,19 +25,9 @@
         let streaming = false;
         let request = Request { class, tenant, in_share, asked, came, deadline, attempts, streaming, once };
         self.tally((class, tenant, in_share), Served::ask);
-        let overdue = self.overdue(&request);
         self.requests.insert(id, request);
-        if !self.waiting.is_empty() {
-            self.hold(id);
-            self.serve_waiting(actions);
-        } else if overdue {
-            self.conclude(id, actions);
-        } else if let Some(server) = self.next_turn(|b, s| b.ready(s) && b.may_go(id, s)) {
-            self.send(id, server, actions);
-        } else {
-            self.hold(id);
-            self.held_since = self.held_since.or(Some(self.now));
-        }
+        self.hold(id);
+        self.serve_waiting(actions);
     }
 
     /// How long ago the client first asked. One that comes back after a refusal still gives up when the time
