Clients: a connection is closed over no unread request, and room is made one by one

Seen on real sockets: a connection that is to be closed (evicted, idle for too long, or as the node ends) is chosen in one turn and closed in a later one. A request that came in between was closed over, which resets the connection, or read in the very turn in which its connection was dropped. Where all connections were busy, one that became idle made no room until some closed.

At fault: http/src/clients.rs, `converse` (both ends polled in random order, no second look), `evict` (removes from the table before the close), `accept` (waits for a close alone) and `empty_backlog` (no limit).

Now the choice is looked at again in the turn that closes, before the connection is read; where bytes have come, it stays and another makes room. Accepting waits for the close itself, and looks again every 20 ms. The kernel is asked of those that are next to go, not of all that are idle, for each newcomer.

Tests in http/src/clients/crossing.rs, the bytes written in the same turn as the choice.

--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -74,8 +74,10 @@
 const STILL_DEALT: Duration = Duration::from_millis(200);
 /// How long the backlog is emptied at the end.
 const BACKLOG_WITHIN: Duration = Duration::from_millis(100);
-/// How long accepting rests when descriptors have run out.
+/// How long accepting rests when descriptors have run out, or when all connections are busy and none more may be held.
 const EXHAUSTED: Duration = Duration::from_millis(20);
+/// So many descriptors are left to others when they have run out: the call to discovery, and attempts.
+const LEFT: usize = 8;
 
 const TXN: HeaderName = HeaderName::from_static("x-txn");
 const ORG: HeaderName = HeaderName::from_static("x-org");
@@ -85,6 +87,27 @@
 struct Client {
     sock: Rc<Sock>,
     close: Notify,
+    /// It is to make room, and has not closed yet.
+    evicted: Cell<bool>,
+    /// It has ended, and is read a little longer.
+    lingers: Cell<bool>,
+}
+
+impl Client {
+    /// Ends when the connection is to be closed. That is decided elsewhere, some turns ago: where bytes have come since, it
+    /// stays, as one that is closed over unread bytes is reset, and the request is lost that they may be.
+    async fn told_to_close(&self, freed: &Notify) {
+        loop {
+            self.close.notified().await;
+            let evicted = self.evicted.take();
+            let may_cross = self.sock.phase().0 == Phase::Idle || evicted;
+            if !may_cross || self.sock.quiet() {
+                return;
+            }
+            // Another has to make room.
+            freed.notify_one();
+        }
+    }
 }
 
 /// The connections of clients.
@@ -93,6 +116,8 @@
     open: RefCell<HashMap<u64, Rc<Client>>>,
     last: Cell<u64>,
     most: usize,
+    /// By how many less are held for now, as descriptors have run out.
+    less: Cell<usize>,
     freed: Notify,
 }
 
@@ -100,8 +125,8 @@
     /// No connections yet.
     pub fn new(node: Rc<Node>) -> Rc<Self> {
         let most = node.carrier().config.clients_most();
-        let (open, last, freed) = (RefCell::default(), Cell::new(0), Notify::new());
-        Rc::new(Self { node, open, last, most, freed })
+        let (open, last, less, freed) = (RefCell::default(), Cell::new(0), Cell::new(0), Notify::new());
+        Rc::new(Self { node, open, last, most, less, freed })
     }
 
     /// How many connections there are.
@@ -113,9 +138,7 @@
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         let mut logged: Option<Instant> = None;
         loop {
-            while self.count() >= self.most && !self.evict() {
-                self.freed.notified().await;
-            }
+            self.room().await;
             match listener.accept().await {
                 Ok((stream, _)) => self.serve(stream),
                 Err(error) => {
@@ -124,19 +147,35 @@
                         logged = Some(Instant::now());
                         tracing::warn!(target: "accept", "{error}");
                     }
-                    if !self.node.carrier().pool.evict() {
-                        self.evict();
-                    }
+                    // Whatever became free would else be taken by the next of the backlog.
+                    let held = self.count().saturating_sub(LEFT);
+                    self.less.set(self.most.saturating_sub(held.max(1)));
+                    self.node.carrier().pool.evict();
                     tokio::time::sleep(EXHAUSTED).await;
                 }
             }
         }
     }
 
+    /// Waits until one connection more may be held. The descriptor of one that makes room is free when its task has ended, and
+    /// no sooner: a crowd that waits in the backlog would else be let in all at once.
+    async fn room(&self) {
+        while self.count() >= self.most.saturating_sub(self.less.get()).max(1) {
+            if !self.open.borrow().values().any(|c| c.evicted.get()) {
+                self.evict();
+            }
+            // One that is busy may be idle by then.
+            let _ = timeout(EXHAUSTED, self.freed.notified()).await;
+        }
+    }
+
     /// Accepts what the backlog still holds, but not without end what a crowd goes on adding to it.
     pub async fn empty_backlog(self: &Rc<Self>, listener: &TcpListener) {
         let began = Instant::now();
         while began.elapsed() < BACKLOG_WITHIN {
+            if timeout(EXHAUSTED, self.room()).await.is_err() {
+                continue;
+            }
             let Ok(Ok((stream, _))) = timeout(EXHAUSTED, listener.accept()).await else { return };
             self.serve(stream);
         }
@@ -144,6 +183,7 @@
 
     /// Closes connections that say nothing, on which a request takes too long to come, or whose answer is not read.
     pub fn sweep(&self) {
+        self.less.set(self.less.get().saturating_sub(1));
         for client in self.open.borrow().values() {
             let (phase, since) = client.sock.phase();
             let over = match phase {
@@ -207,36 +247,39 @@
         self.node.process().life().stopping().is_none() && self.idle() >= self.most / IDLE_PART
     }
 
-    /// Closes one connection, those first that never said a word, then the one that has been idle for longest, then
-    /// the one whose request has been coming for longest; false where all are busy.
-    fn evict(&self) -> bool {
-        let (number, client) = {
-            let open = self.open.borrow();
-            let rank = |c: &Client| match c.sock.phase() {
-                (Phase::Idle, since) if c.sock.quiet() => {
-                    // A crowd that says nothing must not push out those that are used.
-                    let crowd = !c.sock.spoke() && since.elapsed() >= FRESH;
-                    Some((if crowd { 0 } else { 1 }, since))
-                }
-                (Phase::Reading, since) if since.elapsed() >= STALE => Some((2, since)),
-                _ => None,
-            };
-            let least = open.iter().filter_map(|(n, c)| Some((rank(c)?, *n))).min();
-            let Some((_, number)) = least else { return false };
-            (number, open.get(&number).cloned())
+    /// Has one connection closed, those first that never said a word, then the one that has been idle for longest, then
+    /// the one whose request has been coming for longest; none where all are busy.
+    fn evict(&self) {
+        let open = self.open.borrow();
+        let rank = |c: &Client| match c.sock.phase() {
+            _ if c.lingers.get() => None,
+            (Phase::Idle, since) => {
+                // A crowd that says nothing must not push out those that are used.
+                let crowd = !c.sock.spoke() && since.elapsed() >= FRESH;
+                Some((if crowd { 0 } else { 1 }, since))
+            }
+            (Phase::Reading, since) if since.elapsed() >= STALE => Some((2, since)),
+            _ => None,
         };
-        if let Some(client) = client {
+        let mut all: Vec<_> = open.iter().filter_map(|(n, c)| Some((rank(c)?, *n, c))).collect();
+        all.sort_unstable_by_key(|(rank, number, _)| (*rank, *number));
+        // The kernel is asked of no more than it takes.
+        if let Some((.., client)) = all.into_iter().find(|(.., client)| client.sock.quiet()) {
+            client.evicted.set(true);
             client.close.notify_one();
         }
-        self.open.borrow_mut().remove(&number);
-        true
     }
 
     fn serve(self: &Rc<Self>, stream: TcpStream) {
         let Ok(sock) = Sock::of_client(stream) else { return };
         let number = self.last.get() + 1;
         self.last.set(number);
-        let client = Rc::new(Client { sock, close: Notify::new() });
+        let client = Rc::new(Client {
+            sock,
+            close: Notify::new(),
+            evicted: Cell::default(),
+            lingers: Cell::default(),
+        });
         self.open.borrow_mut().insert(number, client.clone());
         let clients = self.clone();
         tokio::task::spawn_local(async move {
@@ -256,13 +299,16 @@
             .auto_date_header(false)
             .serve_connection(io(client.sock.clone()), service);
         tokio::select! {
+            // Before the connection is read: a request that it takes in this very turn would be dropped with it.
+            biased;
+            () = client.told_to_close(&self.freed) => {}
             // What breaks a client's connection is the client's to see.
             _ = conn => {
                 if !client.sock.broken() {
+                    client.lingers.set(true);
                     let _ = timeout(LINGER, client.sock.linger()).await;
                 }
             }
-            () = client.close.notified() => {}
         }
     }
 }
@@ -615,6 +661,9 @@
     Ok((txn, Duration::from_millis(remaining.min(LONGEST))))
 }
 
+#[cfg(test)]
+mod crossing;
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/http/src/clients/crossing.rs
@@ -0,0 +1,191 @@
+//! A connection is to be closed, and bytes come in that very moment: on real sockets, written between the decision and the
+//! turn in which the connection's task hears of it.
+
+use magpietally_core::{Life, Process};
+use serde_json::json;
+use tokio::task::LocalSet;
+
+use super::*;
+use crate::config::Config;
+use crate::service::{start, Extras};
+
+const ASK: &[u8] = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
+/// How long anything is waited for: far longer than it takes.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn clients(sockets: usize) -> Rc<Clients> {
+    let settings = json!({
+        "Classes": [{"Name": "look", "Slo": 1000.0, "Deadline": 1000.0, "Idempotency": "pure"}],
+        "Contract": {"ColdShare": 0.2, "WarmWithin": 20000.0, "FallMultiple": 3.0, "Fall": 1000.0},
+        "Discovery": "subscribe", "Weights": "nominal", "Me": 0, "PeersTotal": 1, "Tick": 1.0,
+        "Limits": {"AttemptsCap": 1, "ConnectTimeout": 1000.0, "Keepalive": 15000.0},
+    });
+    let nowhere = "127.0.0.1:1".parse().expect("an address");
+    let config = Config {
+        name: "node-0".into(),
+        listen: nowhere,
+        discovery: nowhere,
+        management: None,
+        inherited: None,
+        seed: 1,
+        sockets,
+        memory_mb: 64,
+        known: None,
+        told: magpietally_settings::told(&settings).expect("good settings"),
+    };
+    let process = Process::new(1, Life::new(1000.0, false));
+    Clients::new(start(config, process, String::new(), Extras::default()).expect("good settings"))
+}
+
+fn play<T>(story: impl std::future::Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async { timeout(PATIENCE, story).await.expect("it ends") })
+}
+
+/// A connection that the node holds, and its far end.
+async fn connected(clients: &Rc<Clients>, listener: &TcpListener) -> TcpStream {
+    let far = TcpStream::connect(listener.local_addr().expect("bound")).await.expect("it listens");
+    clients.serve(listener.accept().await.expect("one has come").0);
+    far
+}
+
+async fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.expect("a port")
+}
+
+/// The status of what is answered next; `None` where the connection ends instead.
+async fn heard(far: &TcpStream) -> Option<u16> {
+    let mut came = Vec::new();
+    while !came.ends_with(b"\r\n\r\n") {
+        far.readable().await.expect("a socket");
+        let mut some = [0; 512];
+        match far.try_read(&mut some) {
+            Ok(0) => return None,
+            Ok(n) => came.extend_from_slice(&some[..n]),
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(_) => return None,
+        }
+    }
+    String::from_utf8_lossy(&came).split(' ').nth(1).and_then(|s| s.parse().ok())
+}
+
+/// Written in this turn: nothing else runs meanwhile.
+fn write(far: &TcpStream, bytes: &[u8]) {
+    assert_eq!(far.try_write(bytes).expect("room for it"), bytes.len());
+}
+
+async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "waited in vain: {what}");
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+fn only(clients: &Clients) -> Rc<Client> {
+    clients.open.borrow().values().next().cloned().expect("one is open")
+}
+
+#[test]
+fn a_request_that_crosses_the_closing_of_its_connection_is_answered() {
+    // What makes room, what has been idle for too long, and what a node that ends closes.
+    let evict = |clients: &Clients| clients.evict();
+    let notify = |clients: &Clients| only(clients).close.notify_one();
+    for decide in [&evict as &dyn Fn(&Clients), &notify] {
+        for (spoke, crossing) in [(true, true), (false, true), (true, false), (false, false)] {
+            play(async {
+                let (clients, listener) = (clients(64), listener().await);
+                let far = connected(&clients, &listener).await;
+                if spoke {
+                    write(&far, ASK);
+                    assert_eq!(heard(&far).await, Some(503));
+                    until("it is idle", || only(&clients).sock.phase().0 == Phase::Idle).await;
+                }
+                decide(&clients);
+                if crossing {
+                    write(&far, ASK);
+                    assert_eq!(heard(&far).await, Some(503), "spoke {spoke}");
+                    assert!(!only(&clients).evicted.get(), "it may be evicted another time");
+                    // The other order: what has come is seen when it is decided.
+                    write(&far, ASK);
+                    clients.evict();
+                    assert_eq!(heard(&far).await, Some(503), "spoke {spoke}");
+                    until("it is idle", || only(&clients).sock.phase().0 == Phase::Idle).await;
+                    decide(&clients);
+                }
+                assert_eq!(heard(&far).await, None, "spoke {spoke}");
+                until("it is closed", || clients.count() == 0).await;
+            });
+        }
+    }
+}
+
+/// The rest of a request that was coming for too long comes as it has to make room.
+#[test]
+fn half_a_request_that_makes_room_is_answered_if_the_rest_crosses_that() {
+    for crossing in [true, false] {
+        play(async {
+            let (clients, listener) = (clients(64), listener().await);
+            let far = connected(&clients, &listener).await;
+            write(&far, &ASK[..20]);
+            until("it is chosen", || {
+                clients.evict();
+                only(&clients).evicted.get()
+            })
+            .await;
+            if crossing {
+                write(&far, &ASK[20..]);
+            }
+            assert_eq!(heard(&far).await, crossing.then_some(503));
+        });
+    }
+}
+
+/// A crowd waits in the backlog: as many are let in as have been closed, and not one more.
+#[test]
+fn a_crowd_is_let_in_one_by_one() {
+    play(async {
+        let (clients, listener) = (clients(64), listener().await);
+        let most = clients.most;
+        let mut crowd = Vec::new();
+        for _ in 0..4 * most {
+            crowd.push(TcpStream::connect(listener.local_addr().expect("bound")).await.expect("it listens"));
+        }
+        let held = Rc::new(Cell::new(0));
+        let (watched, seen) = (clients.clone(), held.clone());
+        tokio::task::spawn_local(async move { watched.accept(&listener).await });
+        until("the last has come", || {
+            // Those that have not closed yet hold their descriptors.
+            seen.set(seen.get().max(clients.count()));
+            clients.last.get() == 4 * most as u64
+        })
+        .await;
+        assert_eq!(held.get(), most);
+    });
+}
+
+/// All that may be held are busy or have just spoken; one that becomes idle makes room, though it does not close.
+#[test]
+fn one_that_becomes_idle_makes_room_for_who_waits() {
+    play(async {
+        let (clients, listener) = (clients(64), listener().await);
+        let at = listener.local_addr().expect("bound");
+        let mut held = Vec::new();
+        for _ in 0..clients.most {
+            held.push(connected(&clients, &listener).await);
+        }
+        let all: Vec<Rc<Client>> = clients.open.borrow().values().cloned().collect();
+        all.iter().for_each(|c| c.sock.enter(Phase::Busy));
+        let watched = clients.clone();
+        tokio::task::spawn_local(async move { watched.accept(&listener).await });
+        let newcomer = TcpStream::connect(at).await.expect("it listens");
+        write(&newcomer, ASK);
+        // A turn of those that accept has found nobody who could go.
+        for _ in 0..3 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(clients.last.get(), all.len() as u64);
+        all[0].sock.enter(Phase::Idle);
+        assert_eq!(heard(&newcomer).await, Some(503));
+    });
+}
--- a/crates/http/src/service.rs
+++ b/crates/http/src/service.rs
@@ -140,7 +140,7 @@
 }
 
 /// A core with HTTP for its carrier.
-fn start(
+pub(crate) fn start(
     mut config: Config,
     process: Process,
     label: String,
