--- a/crates/http/src/clients/crossing.rs
+++ b/crates/http/src/clients/crossing.rs
@@ -15,10 +15,12 @@
 
 fn clients(sockets: usize) -> Rc<Clients> {
     let settings = json!({
-        "Classes": [{"Name": "look", "Slo": 1000.0, "Deadline": 1000.0, "Idempotency": "pure"}],
-        "Contract": {"ColdShare": 0.2, "WarmWithin": 20000.0, "FallMultiple": 3.0, "Fall": 1000.0},
+        "Classes": [{"Name": "look", "Slo": 1000.0, "Deadline": 1000.0, "Idempotency": "pure", "Value": 1.0, "LateValue": 0.0}],
+        "Contract": {"AskWithin": 10000.0, "ColdShare": 0.2, "WarmWithin": 20000.0, "FallMultiple": 3.0, "Fall": 1000.0},
+        "Goal": {"Whole": 1.0, "WorstWindow": 0.0, "WorstClass": 0.0, "WorstTenant": 0.0}, "OverShareWorth": 1.0,
         "Discovery": "subscribe", "Weights": "nominal", "Me": 0, "PeersTotal": 1, "Tick": 1.0,
-        "Limits": {"AttemptsCap": 1, "ConnectTimeout": 1000.0, "Keepalive": 15000.0},
+        "Limits": {"AttemptsCap": 1, "MayDuplicate": false, "Cancel": false, "Probes": false, "RetryAfter": false,
+            "ConnectTimeout": 1000.0, "Keepalive": 15000.0, "OpenCap": 20000},
     });
     let nowhere = "127.0.0.1:1".parse().expect("an address");
     let config = Config {
@@ -32,6 +34,7 @@
         memory_mb: 64,
         known: None,
         told: magpietally_settings::told(&settings).expect("good settings"),
+        lasting: Default::default(),
     };
     let process = Process::new(1, Life::new(1000.0, false));
     Clients::new(start(config, process, String::new(), Extras::default()).expect("good settings"))
