Test of a broken upload makes its body before its client connects

Seen: an_upload_that_breaks_at_the_server_is_refused_and_not_repeated failed in 3 of 7 runs of its file on a busy machine: its client had no answer. Looked at: the server had taken no connection, the log had no line of the request, and the client read a plain end 5 s after it had connected. Ruled out: a close over unread bytes, which would be a reset. The 30 MB were made behind the head, byte by byte in a debug build: 5 s, of which the node waits 1.5 s. The node is right, the test now has its body ready; it asserts what it did.

--- a/tests/large.rs
+++ b/tests/large.rs
@@ -374,12 +374,14 @@
     });
     let registry = Registry::new(&[host("s0", at, "active", 1)]);
     let node = Node::ready(&config(registry.address));
+    // Made beforehand, which takes seconds on a busy machine: a connection that rests for so long is closed.
+    let body = bytes(30_000_000);
     let mut client = Client::to(&node);
     client.send(&upload("slip", "t1", "Content-Length: 30000000"));
     let mut out = client.writer();
     let writer = std::thread::spawn(move || {
         // The node stops reading when there is nobody to pass it to.
-        let _ = out.write_all(&bytes(30_000_000));
+        let _ = out.write_all(&body);
     });
     let heard = client.hear().expect("an answer");
     assert_eq!(heard.status(), 503, "it never ran");
