A request that is over is not written, whether or not attempts may be called off

Seen by a probe on sockets: with Limits.Cancel false a client leaves while its attempt waits for a connection, which comes up up to 1.5 s late; the request is then written for nobody. Lines at fault: the policy's forget pushes Cancel only where the settings let attempts be called off, and exchange asked Core::place alone before it wrote. Of one that is not written there is nothing to call off. A final answer of another copy had the same hole.

Target names its request, Core::wants says whether that still awaits its answer, and exchange asks it beside the place, when it begins and once its connection stands. Where Cancel is true nothing changes: the attempt's task is ended as before.

--- a/crates/core/src/carrier.rs
+++ b/crates/core/src/carrier.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use magpietally_policy::{Outcome, ServerId};
+use magpietally_policy::{Outcome, RequestId, ServerId};
 
 use crate::node::Core;
 
@@ -35,6 +35,8 @@
     pub server: ServerId,
     /// When the attempt is given up.
     pub end: Instant,
+    /// Whose attempt it is; `None` for a probe.
+    pub request: Option<RequestId>,
 }
 
 /// How an attempt ended.
@@ -59,8 +61,8 @@
     /// What comes back.
     type Reply: 'static;
 
-    /// Makes one attempt. It must ask [`Core::place`] when it begins, and again once its connection stands: a drain
-    /// holds from the moment it is told.
+    /// Makes one attempt. It must ask [`Core::place`] and [`Core::wants`] when it begins, and again once its connection
+    /// stands: a drain holds from the moment it is told, and so does a client's leaving.
     fn attempt(
         core: Rc<Core<Self>>,
         to: Target,
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -488,6 +488,7 @@
         let Some(open) = state.table.get_mut(id) else { return };
         let now = Instant::now();
         let end = now + span(timeout.unwrap_or(f64::INFINITY));
+        let to = Target { server, end, request: Some(id) };
         let attempt = open.attempts.len();
         let (core, request) = (self.clone(), open.request.clone());
         let may_go_on = self.gate.as_ref().is_none_or(|gate| gate.may_go_on(open.epoch, open.taken));
@@ -495,7 +496,7 @@
             (spawn_local(async move { core.not_noted(id, attempt) }), None)
         } else if self.ledger.is_none() || !self.right(open.class).needs_intent() {
             let task = spawn_local(async move {
-                let ended = C::attempt(core.clone(), Target { server, end }, request).await;
+                let ended = C::attempt(core.clone(), to, request).await;
                 core.attempt_ended(id, attempt, ended);
             });
             (task, None)
@@ -506,7 +507,7 @@
                 if !core.promised(id, attempt, pending, end).await {
                     return core.not_noted(id, attempt);
                 }
-                let ended = C::attempt(core.clone(), Target { server, end }, request).await;
+                let ended = C::attempt(core.clone(), to, request).await;
                 core.attempt_ended(id, attempt, ended);
             });
             (task, intent)
@@ -647,4 +648,11 @@
     pub fn place(&self, server: ServerId) -> Option<Place> {
         self.state.borrow().members.place(server)
     }
+
+    /// Does anyone wait for what goes there? A request that has its answer, or whose client has left, is not written any more,
+    /// whether or not the settings let attempts be called off: of one that is not written there is nothing to call off.
+    pub fn wants(&self, to: &Target) -> bool {
+        let state = self.state.borrow();
+        to.request.is_none_or(|id| state.table.get(id).is_some_and(|open| open.answer.is_some()))
+    }
 }
--- a/crates/http/src/carrier.rs
+++ b/crates/http/src/carrier.rs
@@ -45,16 +45,17 @@
     type Reply = Reply;
 
     async fn attempt(core: Rc<Core<Self>>, to: Target, request: Rc<Message>) -> Ended<Reply> {
-        let at = core.clone();
-        exchange(&core.carrier().pool, move || at.place(to.server), to, &request, false).await
+        let (at, by) = (core.clone(), core.clone());
+        let wanted = move || by.wants(&to);
+        exchange(&core.carrier().pool, move || at.place(to.server), wanted, to, &request, false).await
     }
 
     async fn probe(core: Rc<Core<Self>>, server: ServerId) -> Outcome {
         let pool = &core.carrier().pool;
         // As long as a connection may take, and as long again for the answer.
-        let to = Target { server, end: Instant::now() + 2 * pool.connect };
+        let to = Target { server, end: Instant::now() + 2 * pool.connect, request: None };
         let (at, probe) = (core.clone(), Message::probe(core.carrier().budget.lease()));
-        exchange(pool, move || at.place(server), to, &probe, true).await.outcome
+        exchange(pool, move || at.place(server), || true, to, &probe, true).await.outcome
     }
 
     async fn follow(core: Rc<Core<Self>>) -> String {
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -32,17 +32,18 @@
 const PASS_BEFORE: Duration = Duration::from_millis(10);
 
 /// One request to a server, and how it ended. `place` tells where the server is and whether it still takes new work;
-/// `fresh` asks for a connection of its own: a probe is to tell whether the process takes connections, which a kept
-/// one could not.
+/// `wanted` tells whether anyone waits for the answer; `fresh` asks for a connection of its own: a probe is to tell whether
+/// the process takes connections, which a kept one could not.
 pub(crate) async fn exchange(
     pool: &Rc<Pool>,
     place: impl Fn() -> Option<Place> + Clone + 'static,
+    wanted: impl Fn() -> bool,
     to: Target,
     message: &Message,
     fresh: bool,
 ) -> Ended<Reply> {
     let kept = Cell::new(None);
-    let (outcome, reply) = talk(pool, place, to, message, fresh, &kept).await;
+    let (outcome, reply) = talk(pool, place, wanted, to, message, fresh, &kept).await;
     // What is passed on while it comes has kept its server waiting until its last byte.
     let took = message.body.uploading().and_then(|u| u.over_since()).map(|since| since.elapsed());
     Ended { outcome, reply, kept: kept.get(), took }
@@ -51,7 +52,8 @@
 async fn talk(
     pool: &Rc<Pool>,
     now_at: impl Fn() -> Option<Place> + Clone + 'static,
-    Target { server, end }: Target,
+    wanted: impl Fn() -> bool,
+    Target { server, end, .. }: Target,
     message: &Message,
     fresh: bool,
     kept: &Cell<Option<Duration>>,
@@ -62,7 +64,7 @@
     let mut pooled = if fresh { None } else { pool.take(server, sure) };
     loop {
         // A drain holds from the moment it is told, also for what waited on a connection until now.
-        let Some(place) = now_at() else { return (Outcome::NotSent, None) };
+        let Some(place) = now_at().filter(|_| wanted()) else { return (Outcome::NotSent, None) };
         pooled = pooled.filter(|link| link.place == place);
         let reused = pooled.is_some();
         kept.set(pooled.as_ref().map(|link| link.since.elapsed()));
@@ -78,7 +80,7 @@
             Ok(link) => link,
             Err(outcome) => return (outcome, None),
         };
-        if now_at() != Some(place) {
+        if now_at() != Some(place) || !wanted() {
             return (Outcome::NotSent, None);
         }
         let sent = Instant::now();
