A client's end is seen also behind bytes that nobody has read

Seen by probes on sockets: a request is held, or its attempt is out; behind it stand a line's end, another request, half of one or junk, and its client closes, half-closes or resets. 12 of 12 such requests were sent to a server that came 3 s later, and an attempt that broke after its client had gone was repeated twice. Without bytes behind, all three ends were seen at once. Also what a body that is passed on has left unread hides the end.

At fault: hyper's server looks for the end in mid-message only while its read buffer is empty (mid_message_detect_eof gives Pending else, and nobody has asked to be woken), and Clients::converse relied on it.

Each request is now raced against Sock::gone, which waits for the runtime's word that the other side has closed: that is kept apart from the word that there is something to read, so it costs no read, no look and no loop, and needs no room. An end alone (a FIN) counts as gone, as before and as the protocol has it. The service ends, and with it the request; the connection is then read out as after any answer. What stays open: an end behind more than the socket's buffer takes is not at the node yet.

--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -2,7 +2,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::convert::Infallible;
+use std::error::Error;
+use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -249,7 +250,15 @@
     async fn converse(self: &Rc<Self>, client: Rc<Client>) {
         let service = service_fn(|request| {
             let (clients, sock) = (self.clone(), client.sock.clone());
-            async move { Ok::<_, Infallible>(respond(clients, sock, request).await) }
+            async move {
+                let gone = sock.clone();
+                tokio::select! {
+                    biased;
+                    // hyper stops looking for the end where anything stands unread behind the request.
+                    () = gone.gone() => Err(Gone),
+                    answer = respond(clients, sock, request) => Ok(answer),
+                }
+            }
         });
         let conn = http1::Builder::new()
             .max_buf_size(HEAD_MOST)
@@ -267,6 +276,18 @@
     }
 }
 
+/// The client closed its connection before its answer.
+#[derive(Debug)]
+struct Gone;
+
+impl fmt::Display for Gone {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        to.write_str("the client has gone")
+    }
+}
+
+impl Error for Gone {}
+
 /// Answers one request.
 async fn respond(clients: Rc<Clients>, sock: Rc<Sock>, request: Request<Incoming>) -> Response<Out> {
     let node = &clients.node;
--- a/crates/http/src/sock.rs
+++ b/crates/http/src/sock.rs
@@ -12,8 +12,8 @@
 use hyper_util::rt::TokioIo;
 use magpietally_core::Figures;
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::tcp::OwnedReadHalf;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
 
 use crate::message::BODY_MOST;
@@ -164,6 +164,8 @@
     /// Both ways: this half's reads clear the runtime's word that there is something to read when they come short, so that
     /// no second read is made only to find nothing.
     half: RefCell<OwnedReadHalf>,
+    /// The same stream of a client, to wait for its end while the other half is lent to whoever reads.
+    end: Option<OwnedWriteHalf>,
     /// The last read took all that there was.
     drained: Cell<bool>,
     out: RefCell<Progress>,
@@ -219,10 +221,15 @@
         stream.set_nodelay(true)?;
         let now = Instant::now();
         let (half, other) = stream.into_split();
-        // Dropped plainly it would end the stream's way out.
-        other.forget();
+        let end = if serves {
+            Some(other)
+        } else {
+            other.forget();
+            None
+        };
         Ok(Rc::new(Self {
             half: RefCell::new(half),
+            end,
             drained: Cell::new(true),
             out: RefCell::default(),
             counted: RefCell::default(),
@@ -395,6 +402,17 @@
         while std::future::poll_fn(&mut read).await.is_ok_and(|came| came > 0) {}
     }
 
+    /// Waits until a client has closed its connection or broken it off, whatever it left unread: whoever reads a message
+    /// may have stopped, and would not see the end behind more bytes. Reads nothing, and looks at nothing until the
+    /// runtime has word of it.
+    pub async fn gone(&self) {
+        match &self.end {
+            // Nobody asks the kernel for urgent bytes, so all that this waits for is the end that is told with them.
+            Some(end) => _ = end.ready(Interest::PRIORITY).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Was what came back one head and a body of this length as it stands, or else chunks up to the last? More
     /// than that would be taken for the answer to the next request.
     pub fn heard_just(&self, body: usize, chunked: bool) -> bool {
@@ -456,6 +474,15 @@
     }
 }
 
+/// Dropped plainly, the half that waits for the end would end the stream's way out, ahead of a reset too.
+impl Drop for Sock {
+    fn drop(&mut self) {
+        if let Some(end) = self.end.take() {
+            end.forget();
+        }
+    }
+}
+
 /// hyper's side of a watched socket.
 pub type Io = TokioIo<Watched>;
 
