A connection that is chosen to be closed is closed before its next request is read

Such a request is lost: its client may send again only what the node has not read. It happens where a stopping node closes idle connections, and where more tasks are due than one turn takes, so that the runtime looks at the sockets between the choice and the close.

At fault: the select in Clients::converse picked between the connection and its close at random. It now looks at the close first: what was chosen had nothing to read then, and nobody else reads it.

--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -265,13 +265,16 @@
             .auto_date_header(false)
             .serve_connection(io(client.sock.clone()), service);
         tokio::select! {
+            // What was chosen to be closed had nothing to read. Whoever looked at the request that has come since would have
+            // taken it, and the close would lose it; unread, it is sent once more.
+            biased;
+            () = client.close.notified() => {}
             // What breaks a client's connection is the client's to see.
             _ = conn => {
                 if !client.sock.broken() {
                     let _ = timeout(LINGER, client.sock.linger()).await;
                 }
             }
-            () = client.close.notified() => {}
         }
     }
 }
@@ -636,6 +639,9 @@
     Ok((txn, Duration::from_millis(remaining.min(LONGEST))))
 }
 
+#[cfg(test)]
+mod closes;
+
 #[cfg(test)]
 mod tests {
     use super::*;
