An answer that only its connection's end ends is reset where the node's end cuts it off

Seen by a test: an HTTP/1.0 client gets an answer of unknown length; SIGTERM comes and the node ends at its time. The client read 414 bytes and a plain end, and takes them for the whole answer, which no server made.

At fault: Passing told its socket that it would break only where the server's side broke. Chunks and lengths need nothing of this.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -322,10 +322,6 @@
             Some(Ok(_)) if self.length == Some(self.rest.came as u64) => self.end(cx),
             Some(Ok(_)) => {}
             Some(Err(_)) => {
-                // Its client must see that it is not whole, also one that takes the connection's end for the answer's.
-                if self.by_close {
-                    self.to.will_break();
-                }
                 if let Some(underway) = self.underway.take() {
                     underway.end(End::BadGateway);
                 }
@@ -337,6 +333,7 @@
             }
             None => {
                 self.to.end_of_message();
+                self.to.is_whole();
                 self.end(cx);
             }
         }
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -337,6 +337,10 @@
                     Out::Passing(passing) => {
                         passing.underway = underway;
                         passing.by_close = old && passing.length.is_none();
+                        if passing.by_close {
+                            // Until it is whole: the node's own end may cut it off.
+                            sock.will_break();
+                        }
                     }
                     Out::Whole(_) => {
                         if let Some(underway) = underway {
--- a/crates/http/src/sock.rs
+++ b/crates/http/src/sock.rs
@@ -180,7 +180,7 @@
     due: Cell<Instant>,
     /// How much had come when the present request's head was whole.
     head_came: Cell<Option<usize>>,
-    /// What it is told is not whole, and never will be.
+    /// What it is told is not whole, and may never be.
     breaks: Cell<bool>,
     /// Since when the node has been waiting for more, where nobody keeps it from reading.
     waits: Cell<Option<Instant>>,
@@ -274,11 +274,17 @@
         out.chunked || out.body > BODY_MOST
     }
 
-    /// The message will never be whole, and who reads it must be able to tell: the connection is to end by a reset.
+    /// Nothing but the connection's end tells who reads the message where it ends: until it is whole the connection is to end
+    /// by a reset, whoever ends it.
     pub fn will_break(&self) {
         self.breaks.set(true);
     }
 
+    /// It is whole, and may end in order.
+    pub fn is_whole(&self) {
+        self.breaks.set(false);
+    }
+
     /// Is it to end by a reset? Then that is seen to.
     pub fn broken(&self) -> bool {
         // Where the socket is broken already, it is broken.
@@ -477,6 +483,7 @@
 /// Dropped plainly, the half that waits for the end would end the stream's way out, ahead of a reset too.
 impl Drop for Sock {
     fn drop(&mut self) {
+        self.broken();
         if let Some(end) = self.end.take() {
             end.forget();
         }
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -231,3 +231,30 @@
     assert!(rests.ended(), "it ends in order");
     assert_eq!(node.exit_code(), Some(0));
 }
+
+/// An answer whose end only the connection's end tells is cut off by the node's own end: its client must not take it for whole.
+#[test]
+fn an_answer_of_unknown_length_that_the_nodes_end_cuts_off_is_reset() {
+    let server = Peer::new(|_| {
+        Say::By(Box::new(|out| {
+            out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")?;
+            until("the node is gone", || out.write_all(b"1\r\n.\r\n").is_err());
+            Err(std::io::ErrorKind::Other.into())
+        }))
+    });
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let mut told = config(registry.address);
+    for class in 0..3 {
+        told["settings"]["Classes"][class]["Deadline"] = json!(1500.0);
+    }
+    let mut node = Node::ready(&told);
+    let address: SocketAddr = node.address;
+    let mut client = TcpStream::connect(address).expect("it listens");
+    let words = request("look", "t1", 1400).replace("HTTP/1.1", "HTTP/1.0");
+    client.write_all(words.as_bytes()).expect("it is taken");
+    assert!(client.read(&mut [0; 1]).expect("it begins") > 0);
+    node.terminate();
+    let ended = client.read_to_end(&mut Vec::new());
+    assert_eq!(ended.map_err(|e| e.kind()), Err(std::io::ErrorKind::ConnectionReset));
+    assert_eq!(node.exit_code(), Some(0));
+}
