--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -313,8 +313,6 @@
     pub to: Rc<Sock>,
     /// What it is counted as.
     pub underway: Option<Underway>,
-    /// Nothing but its connection's end tells its client where it ends.
-    pub by_close: bool,
     /// It will not be whole.
     pub broken: bool,
 }
@@ -339,10 +337,6 @@
             Some(Ok(_)) if self.length == Some(self.rest.came as u64) => self.end(cx),
             Some(Ok(_)) => {}
             Some(Err(_)) => {
-                // Its client must see that it is not whole, also one that takes the connection's end for the answer's.
-                if self.by_close {
-                    self.to.will_break();
-                }
                 if let Some(underway) = self.underway.take() {
                     underway.end(End::BadGateway);
                 }
@@ -354,6 +348,7 @@
             }
             None => {
                 self.to.end_of_message();
+                self.to.is_whole();
                 self.end(cx);
             }
         }
