Crossings of a node's last answer and of a client's last moment have tests

Both were sound and had no test that forces them. What comes behind an answer that closes its connection, a whole request and 100 kB that stand unread, is read out for half a second, taken by nobody, and resets nothing: without Sock::linger the client's next write breaks. An answer that is there in the turn in which its client's time ends is given, one that comes next is given back to who sent it: with the time asked first the test fails.

--- a/crates/http/src/clients/closes.rs
+++ b/crates/http/src/clients/closes.rs
@@ -142,3 +142,48 @@
         }
     });
 }
+
+/// The last answer says that its connection closes. What comes behind it all the same, here a whole request, is read so that no
+/// reset takes the answer along, and goes no further: it would be lost.
+#[test]
+fn what_comes_behind_the_last_answer_is_not_taken_and_resets_nothing() {
+    run(async {
+        let node = node();
+        let clients = Clients::new(node.clone());
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let mut stream = TcpStream::connect(listener.local_addr().expect("bound")).await.expect("it listens");
+        let (accepted, _) = listener.accept().await.expect("it comes");
+        node.process().change(|life| life.stop(Instant::now() - Duration::from_secs(3)));
+        clients.serve(accepted);
+        // More than whoever reads the head takes with it: the rest is unread in the socket when the answer is out.
+        let behind = b"x".repeat(100_000);
+        stream.write_all(&[READY, ASKS, &behind].concat()).await.expect("it is open");
+        let mut heard = Vec::new();
+        // One answer and the way out's end, while this side could still send; nothing is cut off.
+        stream.read_to_end(&mut heard).await.expect("an end in order");
+        stream.write_all(ASKS).await.expect("the node still reads");
+        drop(stream);
+        while clients.count() > 0 {
+            yield_now().await;
+        }
+        let heard = String::from_utf8(heard).expect("a head");
+        assert_eq!(heard.matches("HTTP/1.1 503").count(), 1, "{heard}");
+        assert!(heard.to_ascii_lowercase().contains("connection: close"), "{heard}");
+        assert_eq!(node.open_requests(), 0);
+    });
+}
+
+/// Both orders of an answer and the end of its client's time, in one turn: one that is there is given, one that comes next finds
+/// nobody and can't be given twice.
+#[test]
+fn an_answer_in_the_turn_in_which_its_time_ends_is_given_once() {
+    run(async {
+        let over = Instant::now();
+        let (module, answered) = oneshot::channel();
+        assert!(module.send(Answer::Refused(1.0)).is_ok());
+        assert!(matches!(in_time(over, answered).await, Some(Answer::Refused(_))));
+        let (module, answered) = oneshot::channel();
+        assert!(in_time(over, answered).await.is_none());
+        assert!(module.send(Answer::Refused(1.0)).is_err());
+    });
+}
