--- a/tests/service.rs
+++ b/tests/service.rs
@@ -478,3 +478,96 @@
     assert!(last > Duration::ZERO, "the drain was known though the watch was silent");
     assert!(last < Duration::from_millis(7750), "the drained server was sent to {last:?} after the silence");
 }
+
+/// Idle clients of all kinds hold what clients may hold while discovery is down: it is called when it is back, servers are
+/// reached, and who asks is answered; no descriptor more than told is held, which the kernel would refuse.
+#[test]
+fn idle_clients_leave_descriptors_to_discovery_and_servers() {
+    let (a, b) = (Peer::good("a"), Peer::good("b"));
+    let registry = Registry::new(&[host("s0", a.address, "active", 1)]);
+    // In the second case the kernel allows less than the node is told: descriptors do run out.
+    for (told, real, runs_out) in [(256, 256, false), (256, 64, true)] {
+        let mut config = config(registry.address);
+        config["limits"]["sockets"] = json!(told);
+        let node = Node::listening(&config, Some(real));
+        node.wait_ready();
+        registry.down(true);
+        let calls = registry.calls().len();
+        let mut crowd = Vec::new();
+        // They come together: the node finds all of them in its backlog.
+        node.pause(true);
+        for n in 0..600 {
+            let mut client = Client::to(&node);
+            match n % 3 {
+                0 => {}
+                1 => client.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"),
+                _ => client.send("POST /slip/7 HTTP/1.1\r\nHost: x\r\nX-Txn: half"),
+            }
+            crowd.push(client);
+        }
+        node.pause(false);
+        for n in 0..20 {
+            let heard = Client::to(&node).ask(&request("slip", &format!("t{n}"), 20_000));
+            assert_eq!((heard.status(), heard.body.as_slice()), (200, b"a".as_slice()), "request {n}");
+            assert!(node.descriptors() <= real, "{} of {real}", node.descriptors());
+        }
+        until("discovery is called while it is down", || registry.calls().len() > calls + 2);
+        // Others go on coming while it is back.
+        let stop = Arc::new(AtomicBool::new(false));
+        let (at, stopped) = (node.address, stop.clone());
+        let rush = std::thread::spawn(move || {
+            let mut crowd = std::collections::VecDeque::new();
+            while !stopped.load(Ordering::SeqCst) {
+                crowd.push_back(std::net::TcpStream::connect(at));
+                crowd.drain(..crowd.len().saturating_sub(400));
+                std::thread::sleep(Duration::from_millis(1));
+            }
+        });
+        registry.tell(2, &[host("s1", b.address, "active", 1)], &[]);
+        registry.down(false);
+        until("the new list counts", || {
+            let heard = Client::to(&node).try_ask(&request("look", "t", 15_000));
+            heard.is_some_and(|m| m.body == b"b")
+        });
+        stop.store(true, Ordering::SeqCst);
+        rush.join().expect("no panic");
+        assert_eq!(node.logged("Too many open files"), runs_out, "told {told}, real {real}");
+        registry.tell(3, &[host("s0", a.address, "active", 1)], &[]);
+    }
+}
+
+/// A process starts anew with the list that was saved, discovery says nothing, turns its calls away or lets them wait, and
+/// clients rush in at its first moment: it is ready within 10 s, and serves.
+#[test]
+fn a_process_that_starts_anew_is_ready_whatever_discovery_does() {
+    let a = Peer::good("a");
+    let silent = Peer::new(|_| Say::Nothing);
+    let slow = Peer::new(|_| Say::Later(Duration::from_millis(3000), answer(503, "", "")));
+    let (_refuses, dead) = refusing();
+    let (full, _fillers) = full_listener();
+    let cases = [silent.address, slow.address, dead, full.local_addr().expect("bound")];
+    let starts = cases.map(|discovery| {
+        let mut config = config(discovery);
+        config["known"] = json!({"seq": 41, "whole": true, "hosts": [host("s0", a.address, "active", 1)]});
+        std::thread::spawn(move || {
+            let node = Node::listening(&config, Some(256));
+            let began = Instant::now();
+            let mut crowd: Vec<Client> = Vec::new();
+            let ready = |client: &mut Client| {
+                let heard = client.try_ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+                heard.is_some_and(|m| m.status() == 200)
+            };
+            until("it is ready", || {
+                crowd.extend((0..10).map(|_| Client::to(&node)));
+                crowd.drain(..crowd.len().saturating_sub(300));
+                ready(&mut Client::to(&node))
+            });
+            assert!(began.elapsed() < Duration::from_secs(10), "{:?}", began.elapsed());
+            let heard = Client::to(&node).ask(&request("slip", "t1", 15_000));
+            assert_eq!((heard.status(), heard.body.as_slice()), (200, b"a".as_slice()));
+        })
+    });
+    for start in starts {
+        start.join().expect("ready and serving");
+    }
+}
