--- a/tests/server_ends.rs
+++ b/tests/server_ends.rs
@@ -220,41 +220,47 @@
 /// begun well, and was passed on, is broken off soon after its client's time, and can be told from a whole one.
 #[test]
 fn a_client_is_owed_an_end_of_an_answer_that_has_none() {
-    for (count, trickles) in [(10, false), (10, true), (20_000, false), (20_000, true)] {
-        let server = Server::new(move |_, out| {
-            write(out, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-            write(out, &chunk(&bytes(count)));
-            while trickles && out.write_all(&chunk(b"on")).is_ok() {
-                std::thread::sleep(Duration::from_millis(20));
-            }
-            Then::Keep
-        });
-        let (_registry, node) = before(&[&server]);
-        for version in ["1.1", "1.0"] {
-            let words = request("slip", &format!("{version}-{count}"), 1200);
-            let mut client = connect(&node);
-            let began = Instant::now();
-            client
-                .write_all(if version == "1.0" { old(&words) } else { words }.as_bytes())
-                .expect("it reads");
-            let mut got = Vec::new();
-            let ended = if count == 10 {
-                got = read_some(&mut client, 12);
-                Ok(0)
-            } else {
-                client.read_to_end(&mut got)
-            };
-            let took = began.elapsed();
-            assert!(took < Duration::from_millis(1200 + 500 + 2500), "{count}, {trickles}: {took:?}");
-            let status = text(&got[..12]);
-            if count == 10 {
-                assert!(status.ends_with(" 502") || status.ends_with(" 504"), "{status}: failed, no refusal");
-            } else if version == "1.1" {
-                assert!(status.ends_with(" 200") && !got.ends_with(b"0\r\n\r\n"), "{count}: no last chunk");
-            } else {
-                assert!(ended.is_err(), "{count}: a reset, and no clean end");
+    let cases = [(10, false), (10, true), (20_000, false), (20_000, true)];
+    std::thread::scope(|all| {
+        for (count, trickles) in cases {
+            for version in ["1.1", "1.0"] {
+                all.spawn(move || owed_an_end(count, trickles, version));
             }
         }
+    });
+}
+
+/// The answer begins with so many bytes, and then is silent, or trickles.
+fn owed_an_end(count: usize, trickles: bool, version: &str) {
+    let server = Server::new(move |_, out| {
+        write(out, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        write(out, &chunk(&bytes(count)));
+        while trickles && out.write_all(&chunk(b"on")).is_ok() {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        Then::Keep
+    });
+    let (_registry, node) = before(&[&server]);
+    let words = request("slip", "t1", 1200);
+    let mut client = connect(&node);
+    let began = Instant::now();
+    client.write_all(if version == "1.0" { old(&words) } else { words }.as_bytes()).expect("it reads");
+    let mut got = Vec::new();
+    let ended = if count == 10 {
+        got = read_some(&mut client, 12);
+        Ok(0)
+    } else {
+        client.read_to_end(&mut got)
+    };
+    let took = began.elapsed();
+    assert!(took < Duration::from_millis(1200 + 500 + 2500), "{count}, {trickles}: {took:?}");
+    let status = text(&got[..got.len().min(12)]);
+    if count == 10 {
+        assert!(status.ends_with(" 502") || status.ends_with(" 504"), "{status}: failed, no refusal");
+    } else if version == "1.1" {
+        assert!(status.ends_with(" 200") && !got.ends_with(b"0\r\n\r\n"), "{count}: no last chunk");
+    } else {
+        assert!(ended.is_err(), "{count}: a reset, and no clean end");
     }
 }
 
