--- a/crates/core/src/status.rs
+++ b/crates/core/src/status.rs
@@ -78,48 +78,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn status(n: u64) -> ServerStatus {
-        ServerStatus { server: ServerId(n), out: 0, limit: 4.0, share: 1.0, warmth: 1.0, ejected: false }
-    }
-
-    fn line(all: &[ServerStatus]) -> String {
-        let names: Vec<String> = (0..5000).map(|n| format!("box-{n}")).collect();
-        servers(all, |id| names.get(id.0 as usize).map(String::as_str))
-    }
-
-    #[test]
-    fn few_are_told_one_by_one() {
-        let mut all: Vec<ServerStatus> = (0..3).map(status).collect();
-        (all[1].warmth, all[2].ejected, all[2].out) = (0.5, true, 2);
-        assert_eq!(
-            line(&all),
-            "; box-0 out 0 limit 4.00 share 1.00; box-1 out 0 limit 4.00 share 1.00 warmth 0.50; \
-             box-2 out 2 limit 4.00 share 1.00 ejected"
-        );
-        assert_eq!(line(&[]), "");
-    }
-
-    #[test]
-    fn of_many_the_line_sums_up_and_names_who_stands_out() {
-        let mut all: Vec<ServerStatus> = (0..5000).map(status).collect();
-        assert_eq!(
-            line(&all),
-            "; 5000 servers: ejected 0 cold 0 full 0 out 0, limits 4.00/4.00/4.00 shares 1.00/1.00/1.00"
-        );
-        (all[4711].ejected, all[17].share, all[300].limit, all[8].out) = (true, 0.5, 0.25, 4);
-        let told = line(&all);
-        assert!(
-            told.starts_with("; 5000 servers: ejected 1 cold 0 full 1 out 4, limits 0.25/4.00/4.00"),
-            "{told}"
-        );
-        let named: Vec<&str> =
-            told.split("; ").filter_map(|part| part.split(' ').next()?.strip_prefix("box-")).collect();
-        assert_eq!(named, ["4711", "300", "17"]);
-        all.iter_mut().step_by(2).for_each(|s| s.ejected = true);
-        let told = line(&all);
-        assert!(told.len() < 800 && told.contains("more stand out"), "{} long", told.len());
-    }
-}
+mod tests;
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -160,30 +160,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn what_is_about_one_connection_goes_no_further() {
-        let mut headers = HeaderMap::new();
-        let all = [
-            ("connection", "close, X-Private"),
-            ("connection", "Keep-Alive,, not a name"),
-            ("keep-alive", "timeout=5"),
-            ("x-private", "1"),
-            ("x-private", "2"),
-            ("te", "trailers"),
-            ("content-length", "3"),
-            ("x-txn", "7"),
-            ("cookie", "m=1"),
-            ("cookie", "n=2"),
-        ];
-        for (name, value) in all {
-            headers.append(HeaderName::from_static(name), HeaderValue::from_static(value));
-        }
-        keep_end_to_end(&mut headers);
-        let mut left: Vec<_> = headers.iter().map(|(n, v)| (n.as_str(), v.to_str().unwrap_or("?"))).collect();
-        left.sort_unstable();
-        assert_eq!(left, [("cookie", "m=1"), ("cookie", "n=2"), ("x-txn", "7")]);
-    }
-}
+mod tests;
