Test of an answer that the node's end cuts off has one that is passed on

Its server gave a few bytes at a time. Such an answer is held since an answer of unknown length is passed on from 2 KiB on, so that its client had a whole 502 in place of a broken 200. It gives 2 KiB at a time now; what is asserted is the same.

--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -237,8 +237,10 @@
 fn an_answer_of_unknown_length_that_the_nodes_end_cuts_off_is_reset() {
     let server = Peer::new(|_| {
         Say::By(Box::new(|out| {
-            out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")?;
-            until("the node is gone", || out.write_all(b"1\r\n.\r\n").is_err());
+            // So much, and so steadily, that it is passed on and not given up before the node ends.
+            let chunk = format!("800\r\n{}\r\n", "x".repeat(0x800));
+            out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+            until("the node is gone", || out.write_all(chunk.as_bytes()).is_err());
             Err(std::io::ErrorKind::Other.into())
         }))
     });
