--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -156,7 +156,7 @@
     let registry = Registry::new(&hosts);
     let mut told = config(registry.address);
     let class = &mut told["settings"]["Classes"][2];
-    (class["LateValue"], class["Slo"]) = (json!(0.0), json!(4000.0));
+    (class["LateValue"], class["Slo"], class["Deadline"]) = (json!(0.0), json!(4000.0), json!(20_000.0));
     let node = Node::ready(&told);
     let ask = |id: &str, left| Client::to(&node).ask(&request("slip", id, left)).status();
     assert_eq!(ask("claims", 600_000), 200);
