--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -22,7 +22,7 @@
 const IDLE_SHARE: f64 = 0.5;
 /// For how long a connection rests after an answer: a second one may come some milliseconds behind the first, and would pass
 /// for the answer to the next request.
-const REST: Duration = Duration::from_millis(15);
+const REST: Duration = Duration::from_millis(8);
 /// So many of a server's rest at once at the most: one that is that busy would else have a connection for each request.
 const RESTING: usize = 4;
 /// What a connect fails with through no fault of the server: ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS, ENOMEM.
