Tests of closing connections share one node, made as the program makes it

Seen on reading the change again: closes.rs and crossing.rs each had the same settings, runtime and connection, and closes.rs put its core together by hand beside service::start. Both take them from clients/harness.rs now, which calls service::start.

--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -697,6 +697,8 @@
 mod closes;
 #[cfg(test)]
 mod crossing;
+#[cfg(test)]
+mod harness;
 
 #[cfg(test)]
 mod tests;
--- a/crates/http/src/clients/crossing.rs
+++ b/crates/http/src/clients/crossing.rs
@@ -1,60 +1,8 @@
 //! A connection is to be closed, and bytes come in that very moment: on real sockets, written between the decision and the
 //! turn in which the connection's task hears of it.
 
-use magpietally_core::{Life, Process};
-use serde_json::json;
-use tokio::task::LocalSet;
-
+use super::harness::*;
 use super::*;
-use crate::config::Config;
-use crate::service::{start, Extras};
-
-const ASK: &[u8] = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
-/// How long anything is waited for: far longer than it takes.
-const PATIENCE: Duration = Duration::from_secs(30);
-
-fn clients(sockets: usize) -> Rc<Clients> {
-    let settings = json!({
-        "Classes": [{"Name": "look", "Slo": 1000.0, "Deadline": 1000.0, "Idempotency": "pure", "Value": 1.0, "LateValue": 0.0}],
-        "Contract": {"AskWithin": 10000.0, "ColdShare": 0.2, "WarmWithin": 20000.0, "FallMultiple": 3.0, "Fall": 1000.0},
-        "Goal": {"Whole": 1.0, "WorstWindow": 0.0, "WorstClass": 0.0, "WorstTenant": 0.0}, "OverShareWorth": 1.0,
-        "Discovery": "subscribe", "Weights": "nominal", "Me": 0, "PeersTotal": 1, "Tick": 1.0,
-        "Limits": {"AttemptsCap": 1, "MayDuplicate": false, "Cancel": false, "Probes": false, "RetryAfter": false,
-            "ConnectTimeout": 1000.0, "Keepalive": 15000.0, "OpenCap": 20000},
-    });
-    let nowhere = "127.0.0.1:1".parse().expect("an address");
-    let config = Config {
-        name: "node-0".into(),
-        listen: nowhere,
-        discovery: nowhere,
-        management: None,
-        inherited: None,
-        seed: 1,
-        sockets,
-        memory_mb: 64,
-        known: None,
-        told: magpietally_settings::told(&settings).expect("good settings"),
-        lasting: Default::default(),
-    };
-    let process = Process::new(1, Life::new(1000.0, false));
-    Clients::new(start(config, process, String::new(), Extras::default()).expect("good settings"))
-}
-
-fn play<T>(story: impl std::future::Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, async { timeout(PATIENCE, story).await.expect("it ends") })
-}
-
-/// A connection that the node holds, and its far end.
-async fn connected(clients: &Rc<Clients>, listener: &TcpListener) -> TcpStream {
-    let far = TcpStream::connect(listener.local_addr().expect("bound")).await.expect("it listens");
-    clients.serve(listener.accept().await.expect("one has come").0);
-    far
-}
-
-async fn listener() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").await.expect("a port")
-}
 
 /// The status of what is answered next; `None` where the connection ends instead.
 async fn heard(far: &TcpStream) -> Option<u16> {
@@ -97,20 +45,20 @@
     for decide in [&evict as &dyn Fn(&Clients), &notify] {
         for (spoke, crossing) in [(true, true), (false, true), (true, false), (false, false)] {
             play(async {
-                let (clients, listener) = (clients(64), listener().await);
+                let (clients, listener) = (clients(64, 1000.0), listener().await);
                 let far = connected(&clients, &listener).await;
                 if spoke {
-                    write(&far, ASK);
+                    write(&far, READY);
                     assert_eq!(heard(&far).await, Some(503));
                     until("it is idle", || only(&clients).sock.phase().0 == Phase::Idle).await;
                 }
                 decide(&clients);
                 if crossing {
-                    write(&far, ASK);
+                    write(&far, READY);
                     assert_eq!(heard(&far).await, Some(503), "spoke {spoke}");
                     assert!(!only(&clients).evicted.get(), "it may be evicted another time");
                     // The other order: what has come is seen when it is decided.
-                    write(&far, ASK);
+                    write(&far, READY);
                     clients.evict();
                     assert_eq!(heard(&far).await, Some(503), "spoke {spoke}");
                     until("it is idle", || only(&clients).sock.phase().0 == Phase::Idle).await;
@@ -128,16 +76,16 @@
 fn half_a_request_that_makes_room_is_answered_if_the_rest_crosses_that() {
     for crossing in [true, false] {
         play(async {
-            let (clients, listener) = (clients(64), listener().await);
+            let (clients, listener) = (clients(64, 1000.0), listener().await);
             let far = connected(&clients, &listener).await;
-            write(&far, &ASK[..20]);
+            write(&far, &READY[..20]);
             until("it is chosen", || {
                 clients.evict();
                 only(&clients).evicted.get()
             })
             .await;
             if crossing {
-                write(&far, &ASK[20..]);
+                write(&far, &READY[20..]);
             }
             assert_eq!(heard(&far).await, crossing.then_some(503));
         });
@@ -148,7 +96,7 @@
 #[test]
 fn a_crowd_is_let_in_one_by_one() {
     play(async {
-        let (clients, listener) = (clients(64), listener().await);
+        let (clients, listener) = (clients(64, 1000.0), listener().await);
         let most = clients.most;
         let mut crowd = Vec::new();
         for _ in 0..4 * most {
@@ -171,7 +119,7 @@
 #[test]
 fn one_that_becomes_idle_makes_room_for_who_waits() {
     play(async {
-        let (clients, listener) = (clients(64), listener().await);
+        let (clients, listener) = (clients(64, 1000.0), listener().await);
         let at = listener.local_addr().expect("bound");
         let mut held = Vec::new();
         for _ in 0..clients.most {
@@ -182,7 +130,7 @@
         let watched = clients.clone();
         tokio::task::spawn_local(async move { watched.accept(&listener).await });
         let newcomer = TcpStream::connect(at).await.expect("it listens");
-        write(&newcomer, ASK);
+        write(&newcomer, READY);
         // A turn of those that accept has found nobody who could go.
         for _ in 0..3 {
             tokio::task::yield_now().await;
