A claim of time is bounded in one place, and by any deadline that settings may have

Seen: read() bounded a client's time by its class's deadline after check() had bounded it by LONGEST, with an alternative for a class without a deadline, which there is not. Its Duration::from_secs_f64 panics for a deadline of 1e300 ms, which the settings' check lets pass: the first request of that class would have ended the node.

At fault: clients.rs, read().

--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -38,7 +38,7 @@
 /// 75 ms is still many times what an answer takes to the client, and a fixed 20 ms were a quarter of what could serve it.
 const MARGIN_PART: u32 = 8;
 const GUARD_PART: u32 = 16;
-/// The longest deadline that is believed.
+/// The longest time that is believed, whatever its class has.
 const LONGEST: u64 = 600_000;
 /// How long a client may take nothing of its answer.
 const ANSWERING: Duration = Duration::from_secs(5);
@@ -607,12 +607,9 @@
     };
     let name = parts.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
     let class = told.classes.iter().position(|c| c == name).ok_or_else(|| unread(StatusCode::NOT_FOUND))?;
-    let checked = check(&parts.method, &parts.headers, told.settings.classes[class].effect);
+    let (effect, deadline) = (told.settings.classes[class].effect, told.deadlines[class]);
+    let checked = check(&parts.method, &parts.headers, effect, deadline);
     let (txn, remaining) = checked.map_err(|bad| unread(bad.status))?;
-    // No client waits for longer than its class does in all. Who says so else sets the measure by which others are taken for
-    // repeats, and may fill the node with what is held for it.
-    let remaining =
-        remaining.min(told.deadlines.get(class).map_or(remaining, |ms| Duration::from_secs_f64(ms / 1000.0)));
     let tenant = header(&parts.headers, &ORG).ok().flatten();
     let tenant = tenant.and_then(|org| told.tenants.iter().position(|t| t == org));
     let mut uri = Uri::builder();
@@ -677,8 +674,22 @@
     Ok(Content::Held { bytes: held.bytes(), _lease: lease })
 }
 
-/// Checks what a request must bring, and gives its id and its time.
-fn check(method: &Method, headers: &HeaderMap, effect: Effect) -> Result<(String, Duration), Bad> {
+/// How much of the time that a client claims is believed, of a class whose clients wait for so long.
+fn believed(claimed: u64, deadline: Millis) -> Duration {
+    let most = Duration::from_millis(LONGEST);
+    // A deadline beyond what a span can hold bounds nothing.
+    let most = Duration::try_from_secs_f64(deadline / 1000.0).map_or(most, |deadline| deadline.min(most));
+    Duration::from_millis(claimed).min(most)
+}
+
+/// Checks what a request must bring, and gives its id and its time. No client waits for longer than its class does in all: who
+/// says so else sets the measure by which others are taken for repeats, and may fill the node with what is held for it.
+fn check(
+    method: &Method,
+    headers: &HeaderMap,
+    effect: Effect,
+    deadline: Millis,
+) -> Result<(String, Duration), Bad> {
     let txn = token(header(headers, &TXN)?)?.to_string();
     let remaining = header(headers, &REMAINING)?.filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
     let remaining = remaining.and_then(|v| v.parse::<u64>().ok()).ok_or(StatusCode::BAD_REQUEST)?;
@@ -690,7 +701,7 @@
     if matches!(effect, Effect::Keyed { .. }) {
         token(header(headers, &KEY)?)?;
     }
-    Ok((txn, Duration::from_millis(remaining.min(LONGEST))))
+    Ok((txn, believed(remaining, deadline)))
 }
 
 #[cfg(test)]
