A call that is turned away has its words like any other that failed

Ended::Shed carried a status, and the same words were made of it in a second place. It carries the words. What is logged and how such calls are counted stays.

--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -77,8 +77,8 @@
 
 /// Why a call ended.
 enum Ended {
-    /// The service has turned it away at once, with this status.
-    Shed(StatusCode),
+    /// The service has turned it away at once.
+    Shed(String),
     /// It failed or broke.
     Broken(String),
     /// It brought what can't be read; the whole list is needed.
@@ -152,8 +152,7 @@
     }
     match ended {
         Ok(()) => "the watch ended".to_string(),
-        Err(Ended::Shed(status)) => format!("status {status}"),
-        Err(Ended::Broken(words)) => words,
+        Err(Ended::Shed(words) | Ended::Broken(words)) => words,
         Err(Ended::Unreadable(words)) => {
             reader.forget_version();
             format!("unreadable line dropped: {words}")
@@ -264,10 +263,8 @@
     let answer = timeout_at(began + ANSWER, send.send_request(request)).await;
     let answer: Response<Incoming> = answer.map_err(|_| broken("no answer"))??;
     if answer.status() != StatusCode::OK {
-        if began.elapsed() < AT_ONCE {
-            return Err(Ended::Shed(answer.status()));
-        }
-        return Err(Ended::Broken(format!("status {}", answer.status())));
+        let words = format!("status {}", answer.status());
+        return Err(if began.elapsed() < AT_ONCE { Ended::Shed(words) } else { Ended::Broken(words) });
     }
     Ok(Call { answer: answer.into_body(), began, _driver: driver })
 }
