Membership's fleet takes the network's own faults in place of a copy

membership::sim::Faults had four of simnet::Faults' six fields with the same defaults, and was turned into it at each call. It is that type now; two tests name the rest by its default, which From did. The same runs: the fleet, suspicion and same_run tests pass unchanged otherwise.

--- a/crates/membership/src/sim.rs
+++ b/crates/membership/src/sim.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+pub use magpietally_simnet::Faults;
 use magpietally_simnet::{Clocks, Limits, World};
 use magpietally_transport::{Kind, Name, Now, Outgoing, Peer};
 
@@ -16,31 +17,6 @@
 use crate::room::{Room, Settings};
 use crate::view::{Liveness, View};
 
-/// What the network does to every datagram.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Faults {
-    /// Share of datagrams lost.
-    pub loss: f64,
-    /// Least time on the way.
-    pub delay: Duration,
-    /// Up to this much more, evenly drawn.
-    pub jitter: Duration,
-    /// Share of datagrams that arrive twice.
-    pub duplicate: f64,
-}
-
-impl Default for Faults {
-    fn default() -> Self {
-        Self { loss: 0.0, delay: Duration::from_millis(1), jitter: Duration::from_millis(2), duplicate: 0.0 }
-    }
-}
-
-impl From<Faults> for magpietally_simnet::Faults {
-    fn from(f: Faults) -> Self {
-        Self { loss: f.loss, delay: f.delay, jitter: f.jitter, duplicate: f.duplicate, ..Self::default() }
-    }
-}
-
 /// A room whose peers are addresses, on a network whose nodes are names.
 struct Named {
     room: Room,
@@ -84,7 +60,7 @@
     /// [`magpietally_simnet::NODES_MAX`]; what is over is not there.
     pub fn new(n: usize, settings: &Settings, faults: Faults, seed: u64) -> Self {
         let limits = Limits { datagram: DATAGRAM_MAX, ..Limits::default() };
-        let mut world = World::new(seed, faults.into(), limits, 0);
+        let mut world = World::new(seed, faults, limits, 0);
         let names: BTreeMap<SocketAddrV4, Name> = (0..n)
             .map(|i| (addr(i), name(i)))
             .take_while(|(_, name)| world.add(name, Clocks::default()).is_ok())
@@ -128,7 +104,7 @@
 
     /// The network's faults from now on.
     pub fn set_faults(&mut self, faults: Faults) {
-        self.world.net_mut().set_faults(faults.into());
+        self.world.net_mut().set_faults(faults);
     }
 
     /// Datagrams from `from` to `to` are lost from now on (one way).
--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -99,6 +99,7 @@
         duplicate: 0.1,
         delay: Duration::from_millis(5),
         jitter: Duration::from_millis(20),
+        ..Faults::default()
     });
     f.run(120 * S);
     let all: Vec<usize> = (0..10).collect();
--- a/crates/membership/tests/suspicion.rs
+++ b/crates/membership/tests/suspicion.rs
@@ -161,6 +161,7 @@
             duplicate: 0.1,
             delay: Duration::from_millis(20),
             jitter: Duration::from_millis(2),
+            ..Faults::default()
         });
         w.run(10 * S)?;
         w.settle(120 * S)
@@ -189,6 +190,7 @@
                     duplicate: 0.1,
                     delay: Duration::from_millis(rng.random_range(1..50)),
                     jitter: Duration::from_millis(20),
+                    ..Faults::default()
                 }),
                 _ => w.fleet.heal(),
             }
