Calls that discovery rejects at once back off with jitter, in one place

Cause: `Asking::failed` made each call anew after 0.2 to 0.4 s, however it had failed, and `Shed` in the carrier held such calls back only behind forty in a row.

Ruled out: a send decided before the news, a connection or a retry that names the server (the sends are first attempts of nodes whose list is the one of their start), the drain path of the policy (nodes with a watch stop in time), cold servers.

The change: a failure of the list says whether the call was rejected at once. `Asking` then backs off, 1.25 to 2.5 s at first, growing by a fifth behind each further rejection and by half behind five; a node alone keeps its short pauses for some seconds. `Shed` is gone: the decision is in one place. A watch that opens is told in the log with the time that its call took.

--- a/crates/core/src/carrier.rs
+++ b/crates/core/src/carrier.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use magpietally_policy::{Outcome, RequestId, ServerId};
+use magpietally_policy::{ListFailure, Outcome, RequestId, ServerId};
 
 use crate::node::Core;
 
@@ -54,6 +54,15 @@
     pub took: Option<Duration>,
 }
 
+/// How following the list of servers came to its end.
+#[derive(Clone, Debug)]
+pub struct Unfollowed {
+    /// What the policy is told of it.
+    pub failure: ListFailure,
+    /// What the log is told.
+    pub words: String,
+}
+
 /// What moves bytes for a core: attempts, probes, and the list of servers.
 ///
 /// The futures run on the core's thread. Dropping one calls it off: an attempt's connection must end with it.
@@ -75,8 +84,8 @@
     fn probe(core: Rc<Core<Self>>, server: ServerId) -> impl Future<Output = Outcome> + 'static;
 
     /// Follows the list of servers from [`Core::version`] on, handing what it brings to [`Core::listed`] and
-    /// [`Core::list_alive`]; ends when the source does, with words for the log.
-    fn follow(core: Rc<Core<Self>>) -> impl Future<Output = String> + 'static;
+    /// [`Core::list_alive`]; ends when the source does.
+    fn follow(core: Rc<Core<Self>>) -> impl Future<Output = Unfollowed> + 'static;
 
     /// A server's process has ended or moved: what is kept of its connections is void.
     fn forget(&self, server: ServerId);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,7 +26,7 @@
 mod status;
 mod table;
 
-pub use carrier::{Carrier, Ended, Payload, Target};
+pub use carrier::{Carrier, Ended, Payload, Target, Unfollowed};
 pub use figures::{End, Figures, Underway};
 pub use gate::{Ask, Gate, NotProposed, Ruling};
 pub use ids::Ids;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::task::{spawn_local, AbortHandle};
 
-use crate::carrier::{Carrier, Ended, Payload, Target};
+use crate::carrier::{Carrier, Ended, Payload, Target, Unfollowed};
 use crate::clock::{ms, span, Clock};
 use crate::epochs::{Epochs, For};
 use crate::gate::{Ask, Gate, Ruling};
@@ -583,9 +583,9 @@
     fn subscribe(self: &Rc<Self>) {
         let core = self.clone();
         let call = spawn_local(async move {
-            let words = C::follow(core.clone()).await;
+            let Unfollowed { failure, words } = C::follow(core.clone()).await;
             tracing::info!(target: "list", "{words}");
-            core.feed(Event::ListFailed);
+            core.feed(Event::ListFailed(failure));
         });
         // One call at a time: what the policy no longer waits for is only load on the service.
         if let Some(old) = self.state.borrow_mut().call.replace(call.abort_handle()) {
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -6,7 +6,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use magpietally_core::{Carrier, Core, Ended, Life, Listing, Member, Payload, Process, Setup, Target};
+use magpietally_core::{
+    Carrier, Core, Ended, Life, Listing, Member, Payload, Process, Setup, Target, Unfollowed,
+};
 use magpietally_policy::{Class, Effect, Goal, Group, Limits, Listed, Outcome, Rules, ServerId, Settings};
 use tokio::task::LocalSet;
 
@@ -51,7 +53,7 @@
         Outcome::Done
     }
 
-    async fn follow(_: Rc<Core<Self>>) -> String {
+    async fn follow(_: Rc<Core<Self>>) -> Unfollowed {
         std::future::pending().await
     }
 
--- a/crates/core/tests/late.rs
+++ b/crates/core/tests/late.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use common::{run, settings, setup, until, Boxes, Request, SLIP};
-use magpietally_core::{Answer, Asked, Carrier, Core, Ended, Listing, Member, Target};
+use magpietally_core::{Answer, Asked, Carrier, Core, Ended, Listing, Member, Target, Unfollowed};
 use magpietally_policy::{Effect, Group, Listed, Outcome, RequestId, ServerId, Settings};
 
 /// Keeps each attempt until it is told to go on, and notes whether it might be written when it began, and then.
@@ -45,7 +45,7 @@
         Outcome::Done
     }
 
-    async fn follow(_: Rc<Core<Self>>) -> String {
+    async fn follow(_: Rc<Core<Self>>) -> Unfollowed {
         std::future::pending().await
     }
 
--- a/crates/http/src/carrier.rs
+++ b/crates/http/src/carrier.rs
@@ -6,12 +6,12 @@
 use std::time::Instant;
 
 use magpietally_config::{ListFile, State};
-use magpietally_core::{Carrier, Core, Ended, Figures, Listing, Member, Target};
-use magpietally_policy::{Discovery, Listed, Outcome, ServerId};
+use magpietally_core::{Carrier, Core, Ended, Figures, Listing, Member, Target, Unfollowed};
+use magpietally_policy::{ListFailure, Listed, Outcome, ServerId};
 
 use crate::budget::Budget;
 use crate::config::Config;
-use crate::discovery::{self, Shed};
+use crate::discovery;
 use crate::message::{Message, Reply};
 use crate::pool::Pool;
 use crate::upstream::exchange;
@@ -22,8 +22,6 @@
     pub config: Config,
     /// Where discovery is now; a reload moves it.
     pub discovery: Cell<SocketAddr>,
-    /// Whether discovery turns calls away.
-    pub shed: Shed,
     /// Its connections to servers.
     pub pool: Rc<Pool>,
     /// What may be held of large messages.
@@ -39,7 +37,7 @@
         let pool = Rc::new(Pool::new(config.servers_most(), config.told.keepalive, connect, figures));
         let budget = Budget::of(config.memory_mb);
         let discovery = Cell::new(config.discovery);
-        Self { discovery, shed: Shed::default(), config, pool, budget, boxes }
+        Self { discovery, config, pool, budget, boxes }
     }
 }
 
@@ -63,17 +61,12 @@
         exchange(pool, place.clone(), place, (server, end), &probe, true).await.outcome
     }
 
-    async fn follow(core: Rc<Core<Self>>) -> String {
+    async fn follow(core: Rc<Core<Self>>) -> Unfollowed {
         if let Some(file) = core.carrier().boxes.clone() {
             return follow_file(core, file).await;
         }
         let to = core.carrier().discovery.get();
-        if core.carrier().config.told.settings.discovery == Discovery::Agent {
-            // An agent has one caller, and what it has counts at once.
-            core.carrier().shed.forget();
-        }
-        let carrier = core.clone();
-        discovery::follow(core, to, &carrier.carrier().shed).await
+        discovery::follow(core, to).await
     }
 
     fn forget(&self, server: ServerId) {
@@ -86,7 +79,7 @@
 }
 
 /// Hands each list of a file on, whole: the policy sees what is not in it any more as gone.
-async fn follow_file(core: Rc<Core<Http>>, mut file: ListFile) -> String {
+async fn follow_file(core: Rc<Core<Http>>, mut file: ListFile) -> Unfollowed {
     while let Some(applied) = file.next().await {
         let member = |b: &magpietally_config::AppBox| Member {
             name: b.name.clone(),
@@ -104,5 +97,6 @@
         let members = applied.list.boxes.iter().map(member).collect();
         core.listed(Listing { version: applied.version, whole: true, members });
     }
-    "nobody looks at the list's file any more".to_string()
+    let words = "nobody looks at the list's file any more".to_string();
+    Unfollowed { failure: ListFailure::Broken, words }
 }
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -1,6 +1,5 @@
 //! Calls to discovery: the whole list, and the watch that brings its changes.
 
-use std::cell::Cell;
 use std::fmt::Display;
 use std::future::{pending, Future};
 use std::net::SocketAddr;
@@ -12,7 +11,8 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{rt, Request, Response, StatusCode};
-use magpietally_core::{Carrier, Core, Listing};
+use magpietally_core::{Carrier, Core, Listing, Unfollowed};
+use magpietally_policy::ListFailure;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout_at, Instant};
 
@@ -46,39 +46,11 @@
 
 /// What comes sooner has not waited in the service's queue.
 const AT_ONCE: Duration = Duration::from_millis(300);
-/// So many calls in a row that the service turns away at once, ten seconds' worth, are not held against it.
-const SHED_FREE: u32 = 40;
-/// The most that a call's end is held back then, and the least.
-const SHED_MOST: Duration = Duration::from_millis(2000);
-const SHED_LEAST: Duration = Duration::from_millis(250);
-
-/// How many calls in a row the service has turned away at once. The policy's pauses are short, as a change counts as told 6 s
-/// after discovery could be reached. A service that turns away at once what it can't serve, and pays for each, might so be kept
-/// from its work for good by a fleet that asks again at once: such calls come more rarely after ten seconds. Then, and only
-/// where it does not refuse connections and lets no call wait, up to 2 s of the 6 s are gone before the first call.
-#[derive(Default)]
-pub struct Shed(Cell<u32>);
-
-impl Shed {
-    /// Nothing is known of the service.
-    pub fn forget(&self) {
-        self.0.set(0);
-    }
-
-    /// A call has ended; for how long its end is held back.
-    fn ended(&self, shed: bool) -> Duration {
-        self.0.set(if shed { self.0.get().saturating_add(1) } else { 0 });
-        match self.0.get().checked_sub(SHED_FREE) {
-            None | Some(0) => Duration::ZERO,
-            Some(beyond) => (SHED_LEAST * (1 << (beyond - 1).min(8))).min(SHED_MOST),
-        }
-    }
-}
 
 /// Why a call ended.
 enum Ended {
-    /// The service has turned it away at once.
-    Shed(String),
+    /// The service has rejected it at once.
+    Rejected(String),
     /// It failed or broke.
     Broken(String),
     /// It brought what can't be read; the whole list is needed.
@@ -138,26 +110,22 @@
     }
 }
 
-/// Watches from the version that the core has, or asks for the whole list first where it has to. Ends when
-/// the watch ends, with words on why.
-pub async fn follow<C: Carrier>(core: Rc<Core<C>>, to: SocketAddr, shed: &Shed) -> String {
-    follow_by(&core, &to, shed).await
+/// Watches from the version that the core has, or asks for the whole list first where it has none. Ends when the watch ends.
+pub async fn follow<C: Carrier>(core: Rc<Core<C>>, to: SocketAddr) -> Unfollowed {
+    follow_by(&core, &to).await
 }
 
-async fn follow_by(reader: &impl Reader, to: &impl Dial, shed: &Shed) -> String {
-    let ended = watch(reader, to).await;
-    let hold = shed.ended(matches!(ended, Err(Ended::Shed(_))));
-    if !hold.is_zero() {
-        sleep(hold).await;
-    }
-    match ended {
-        Ok(()) => "the watch ended".to_string(),
-        Err(Ended::Shed(words) | Ended::Broken(words)) => words,
+async fn follow_by(reader: &impl Reader, to: &impl Dial) -> Unfollowed {
+    let (failure, words) = match watch(reader, to).await {
+        Ok(()) => (ListFailure::Broken, "the watch ended".to_string()),
+        Err(Ended::Rejected(words)) => (ListFailure::Rejected, words),
+        Err(Ended::Broken(words)) => (ListFailure::Broken, words),
         Err(Ended::Unreadable(words)) => {
             reader.forget_version();
-            format!("unreadable line dropped: {words}")
+            (ListFailure::Broken, format!("unreadable line dropped: {words}"))
         }
-    }
+    };
+    Unfollowed { failure, words }
 }
 
 async fn watch(reader: &impl Reader, to: &impl Dial) -> Result<(), Ended> {
@@ -192,7 +160,9 @@
                 Said::Nothing if !heard => reader.list_alive(),
                 Said::Nothing => {}
             }
-            heard = true;
+            if !std::mem::replace(&mut heard, true) {
+                tracing::info!(target: "list", "watched, {:.1} ms after the call", body.began.elapsed().as_secs_f64() * 1e3);
+            }
         }
     }
 }
@@ -264,7 +234,7 @@
     let answer: Response<Incoming> = answer.map_err(|_| broken("no answer"))??;
     if answer.status() != StatusCode::OK {
         let words = format!("status {}", answer.status());
-        return Err(if began.elapsed() < AT_ONCE { Ended::Shed(words) } else { Ended::Broken(words) });
+        return Err(if began.elapsed() < AT_ONCE { Ended::Rejected(words) } else { Ended::Broken(words) });
     }
     Ok(Call { answer: answer.into_body(), began, _driver: driver })
 }
--- a/crates/http/src/discovery/clock.rs
+++ b/crates/http/src/discovery/clock.rs
@@ -164,7 +164,6 @@
     news: Cell<Option<u64>>,
     due: Cell<Option<Instant>>,
     call: RefCell<Option<AbortHandle>>,
-    shed: Shed,
 }
 
 impl Node {
@@ -181,8 +180,8 @@
                 Action::Subscribe => {
                     let node = self.clone();
                     let call = spawn_local(async move {
-                        follow_by(&node, &Wire(node.service.clone()), &node.shed).await;
-                        node.feed(Event::ListFailed);
+                        let ended = follow_by(&node, &Wire(node.service.clone())).await;
+                        node.feed(Event::ListFailed(ended.failure));
                     });
                     if let Some(old) = self.call.borrow_mut().replace(call.abort_handle()) {
                         old.abort();
@@ -271,7 +270,6 @@
                 news: Cell::new(None),
                 due: Cell::new(None),
                 call: RefCell::default(),
-                shed: Shed::default(),
             });
             node.feed(Event::List { entries: Vec::new(), saved: true });
             while service.now() < 40_000 && node.news.get().is_none() {
--- a/crates/http/src/service.rs
+++ b/crates/http/src/service.rs
@@ -225,7 +225,6 @@
             Ok(config) => {
                 tracing::info!(target: "reload", "discovery is {}", config.discovery);
                 node.carrier().discovery.set(config.discovery);
-                node.carrier().shed.forget();
                 node.list_moved();
                 if let Some(field) = node.carrier().config.changed(&config) {
                     tracing::warn!(target: "reload", "{field} is another in the file; it holds from the next start on");
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -134,6 +134,15 @@
     Agent,
 }
 
+/// How asking for the list failed, or a subscription ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListFailure {
+    /// Discovery could not be reached, failed after a while, or fell silent.
+    Broken,
+    /// Discovery is there and rejected the call at once: it has more callers than it can serve.
+    Rejected,
+}
+
 /// What the listed weights stand for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Weights {
@@ -336,7 +345,7 @@
     /// The entries that changed.
     ListChange(Vec<Entry>),
     /// Asking failed, or the subscription dropped.
-    ListFailed,
+    ListFailed(ListFailure),
     /// Discovery is elsewhere from now on: what was asked of it so far is void.
     DiscoveryMoved,
     /// A client asks for something; one final answer is owed from now on.
--- a/crates/policy/src/asking.rs
+++ b/crates/policy/src/asking.rs
@@ -2,12 +2,17 @@
 
 use magpietally_structures::SplitMix;
 
-use crate::api::{Discovery, Millis};
+use crate::api::{Discovery, ListFailure, Millis};
 
 // Whatever became of calls before, a change counts as told 6 s after discovery had it and could be reached, and a drain must
 // hold 750 ms later. A call may wait 3 s in the service's queue, fail, and the next wait as long: 0.75 s are left for the
 // pause that had begun before and for the one between them. So pauses do not grow. What keeps nodes from crowding the
 // service is that they are spread, and that each waits in its queue once at a time.
+//
+// Where the service rejects calls at once there is no such wait, and each rejection takes from its work: a fleet that asks again
+// at once keeps it from serving anybody. How many fellows are turned away, and how fast the service is, no node knows. So each
+// backs off with jitter (`docs/design/asking.md`): the first backoff lasts about as long as a service's queue takes to drain, so
+// that a fleet that it can serve in some seconds offers little more than that; later ones grow, for services that are slower.
 
 /// How far apart calls that fail begin, at the most.
 const APART: Millis = 400.0;
@@ -15,17 +20,52 @@
 const BEHIND: Millis = 100.0;
 /// The same where an agent is asked: what it has counts at once, and two calls in a row may fail. It has one caller.
 const AGENT: (Millis, Millis) = (120.0, 30.0);
+/// The backoff behind calls that are rejected at once, in a fleet.
+const FLEET: Backoff = Backoff { first: 2500.0, free: 1, growth: 1.2, steep: 5 };
+/// The same for a node that stands alone: there is no crowd of its own kind that would come back with it. Calls come more rarely
+/// after some seconds all the same, as its settings may be wrong.
+const ALONE: Backoff = Backoff { first: APART, free: 13, growth: 1.055, steep: 50 };
+/// By how much each longest pause exceeds the one before, once the service is seen to be overwhelmed, not just busy.
+const STEEP: f64 = 1.5;
+/// No pause is longer.
+const BACKOFF_MOST: Millis = 30_000.0;
 /// How long a call may be out with no word of it, where the settings would have it given up sooner: it may stand in the
 /// service's queue, and who calls again stands at the end of it.
 const OUT: Millis = 6000.0;
 
+/// How the pauses between calls grow that are rejected at once.
+#[derive(Clone, Copy)]
+struct Backoff {
+    /// The longest of the first pause.
+    first: Millis,
+    /// How many in a row have no longer one.
+    free: u32,
+    /// By how much each further one is longer than the one before.
+    growth: f64,
+    /// Behind more than so many they grow faster.
+    steep: u32,
+}
+
+impl Backoff {
+    /// The longest pause behind so many rejected calls in a row.
+    fn longest(self, rejected: u32) -> Millis {
+        let steps = |from: u32, to: u32| i32::try_from(to.saturating_sub(from)).unwrap_or(i32::MAX);
+        let grown = self.growth.powi(steps(self.free, rejected.min(self.steep)));
+        (self.first * grown * STEEP.powi(steps(self.steep, rejected))).min(BACKOFF_MOST)
+    }
+}
+
 /// The calls to discovery.
 #[derive(Default)]
 pub(crate) struct Asking {
     discovery: Discovery,
     /// The longest a node may leave off asking.
     within: Millis,
+    /// It is one of a fleet.
+    fleet: bool,
     call: Call,
+    /// How many calls in a row have been rejected at once.
+    rejected: u32,
 }
 
 /// Where a call stands.
@@ -42,34 +82,42 @@
 
 impl Asking {
     /// At a node's start.
-    pub(crate) fn new(discovery: Discovery, within: Millis) -> Self {
+    pub(crate) fn new(discovery: Discovery, within: Millis, nodes: usize) -> Self {
         let call = match discovery {
             Discovery::Pushed => Call::Settled,
             Discovery::Asked | Discovery::Agent => Call::AskAt(f64::NEG_INFINITY),
         };
-        Self { discovery, within, call }
+        Self { discovery, within, fleet: nodes > 1, call, rejected: 0 }
     }
 
     /// A call has been answered.
     pub(crate) fn answered(&mut self) {
-        self.call = Call::Settled;
+        (self.call, self.rejected) = (Call::Settled, 0);
     }
 
     /// Discovery is elsewhere: the new address is asked at once, whatever became of calls to the old one.
     pub(crate) fn moved(&mut self, now: Millis) {
-        self.call = Call::AskAt(now);
+        (self.call, self.rejected) = (Call::AskAt(now), 0);
     }
 
     /// A call has failed, or what it had opened has ended. The pause has jitter, so that nodes cut off together do not come
     /// back together.
-    pub(crate) fn failed(&mut self, now: Millis, random: &mut SplitMix) {
+    pub(crate) fn failed(&mut self, now: Millis, failure: ListFailure, random: &mut SplitMix) {
+        self.rejected = if failure == ListFailure::Rejected { self.rejected.saturating_add(1) } else { 0 };
         let (apart, behind) = match self.discovery {
             Discovery::Pushed => return,
             Discovery::Asked => ((self.within / 20.0).clamp(BEHIND, APART), BEHIND),
             Discovery::Agent => AGENT,
         };
         let took = if let Call::Asked(at) = self.call { now - at } else { 0.0 };
-        let span = (apart - took).max(behind);
+        let again = (apart - took).max(behind);
+        let span = match (self.discovery, self.rejected) {
+            (Discovery::Asked, 1..) => {
+                let backoff = if self.fleet { FLEET } else { ALONE };
+                backoff.longest(self.rejected).max(again)
+            }
+            _ => again,
+        };
         self.call = Call::AskAt(now + span * (0.5 + 0.5 * random.part()));
     }
 
@@ -90,7 +138,9 @@
                 return true;
             }
             // No answer at all: taken for a failure.
-            Call::Asked(at) if now - at >= self.within.max(OUT) => self.failed(now, random),
+            Call::Asked(at) if now - at >= self.within.max(OUT) => {
+                self.failed(now, ListFailure::Broken, random);
+            }
             _ => {}
         }
         false
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -209,7 +209,7 @@
             retry_budget: settings.tuning.retry_most,
             timer_due: f64::INFINITY,
             swept: f64::NEG_INFINITY,
-            asking: Asking::new(settings.discovery, settings.rules.ask_within),
+            asking: Asking::new(settings.discovery, settings.rules.ask_within, settings.nodes),
             set: settings,
             ..Self::default()
         })
@@ -221,7 +221,7 @@
         match event {
             Event::List { entries, saved } => self.on_list(entries, !saved, true),
             Event::ListChange(entries) => self.on_list(entries, true, false),
-            Event::ListFailed => self.asking.failed(now, &mut self.random),
+            Event::ListFailed(failure) => self.asking.failed(now, failure, &mut self.random),
             Event::DiscoveryMoved => self.asking.moved(now),
             Event::Request { .. } => self.on_request(event, actions),
             Event::Streaming { id, attempt } => self.on_streaming(id, attempt, actions),
--- a/crates/policy/tests/properties.rs
+++ b/crates/policy/tests/properties.rs
@@ -144,7 +144,7 @@
                 let changed = Entry { state: *state, started, ..entry(*server as u64, 1.0) };
                 day.event(Event::ListChange(vec![changed]));
             }
-            Step::ListFailed => day.event(Event::ListFailed),
+            Step::ListFailed => day.event(Event::ListFailed(ListFailure::Broken)),
             Step::Leave(i) => {
                 if let Some(id) = day.open.keys().nth(i % day.open.len().max(1)).copied() {
                     day.open.remove(&id);
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -694,7 +694,7 @@
             for _ in 0..10 {
                 // The first call goes out with the first list, before this loop.
                 node.wait(waits);
-                node.event(Event::ListFailed);
+                node.event(Event::ListFailed(ListFailure::Broken));
                 let start = node.now;
                 while !node.wait(1.0).contains(&Action::Subscribe) {
                     assert!(node.now - start < 10_000.0, "never asked again");
@@ -817,7 +817,7 @@
     node.end(id, Outcome::Done);
     let quiet = |actions: &[Action]| actions.iter().all(|a| matches!(a, Action::SetTimer(_)));
     assert!(quiet(&node.event(Event::ClientGone(id))), "the client left in the batch that ended it");
-    assert!(quiet(&node.event(Event::ListFailed)), "a pushed list is not asked for");
+    assert!(quiet(&node.event(Event::ListFailed(ListFailure::Broken))), "a pushed list is not asked for");
     let (server, outcome) = (ServerId(1), Outcome::TimedOut);
     let late = Event::Ended { id, attempt: 0, server, outcome, took: 1.0, finished: false };
     assert!(quiet(&node.event(late)), "an attempt ends once");
--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -181,7 +181,7 @@
             "TOPOLOGY" => {
                 let form = text(at(2), "Form")?;
                 if form == "Error" {
-                    return Ok(Some(Event::ListFailed));
+                    return Ok(Some(Event::ListFailed(ListFailure::Broken)));
                 }
                 let table = whole(at(3), "Table")?;
                 let entries =
--- a/crates/site/src/virt/listing.rs
+++ b/crates/site/src/virt/listing.rs
@@ -1,6 +1,6 @@
 //! News of the boxes on their way to the nodes.
 
-use magpietally_policy::{Entry, Event, Listed, ServerId};
+use magpietally_policy::{Entry, Event, ListFailure, Listed, ServerId};
 
 use super::shell::Node;
 use super::world::{Ev, World};
@@ -76,7 +76,7 @@
     pub(super) fn watch_ends(&mut self, n: usize, life: u32, call: u64) {
         if self.nodes[n].life == life && self.nodes[n].call == call && self.nodes[n].watching {
             self.nodes[n].watching = false;
-            self.feed(n, Event::ListFailed);
+            self.feed(n, Event::ListFailed(ListFailure::Broken));
         }
     }
 
@@ -97,7 +97,7 @@
             return;
         }
         if !ok || self.list.down() {
-            self.feed(n, Event::ListFailed);
+            self.feed(n, Event::ListFailed(ListFailure::Broken));
             return;
         }
         (self.nodes[n].watching, self.nodes[n].dealt) = (true, true);
--- a/crates/site/src/virt/plain.rs
+++ b/crates/site/src/virt/plain.rs
@@ -208,7 +208,7 @@
         match event {
             Event::List { entries, .. } => self.list(entries, true),
             Event::ListChange(entries) => self.list(entries, false),
-            Event::ListFailed | Event::DiscoveryMoved => {
+            Event::ListFailed(_) | Event::DiscoveryMoved => {
                 self.ask_at = Some(now + ASK_AGAIN);
                 actions.push(Action::SetTimer(ASK_AGAIN));
             }
