After a reload nodes follow on from the version they have: one call, not two

Each whole list is as dear as a watch.

So the list keeps its version when its source moves, and one watch brings what was missed.

--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -593,15 +593,11 @@
         }
     }
 
-    /// The list's source is elsewhere from now on. The list is kept; its version may mean nothing there, so the
-    /// whole is asked for, at once. Ending the old call first keeps its late lines out.
+    /// The list's source is elsewhere from now on, and is asked there at once. The list is kept with its version: all nodes
+    /// share one service, and at another address it goes on from there. Ending the old call first keeps its late lines out.
     pub fn list_moved(self: &Rc<Self>) {
-        {
-            let mut state = self.state.borrow_mut();
-            state.members.version = None;
-            if let Some(old) = state.call.take() {
-                old.abort();
-            }
+        if let Some(old) = self.state.borrow_mut().call.take() {
+            old.abort();
         }
         self.feed(Event::DiscoveryMoved);
     }
