--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -1,6 +1,8 @@
 //! The real program between scripted peers on loopback sockets.
 #![allow(dead_code)]
 
+pub mod queue;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
