Members names all nodes of a fleet, in as many datagrams as it takes

The view was one datagram, cut off at 65,507 bytes without a word: 480 nodes with names of 64 bytes, some 900 with short ones. A larger datagram can't be; smaller lines would only move the end. A query may now name the identity behind which to go on, and a part that is not the last names the one at which it ends. The list is ordered by identity, so a view that changes between two parts names none twice and leaves out none that stays; places counted in numbers would not hold that. A view of one datagram is told as before. The carrier's buffer is 1,401 bytes in place of 65,507, as nothing larger is taken.

With one datagram again the new tests fail: 481 lines of 1,026, and 480 of the nodes that stay missing from the second.

--- /dev/null
+++ b/crates/membership/src/answer/tests.rs
@@ -0,0 +1,77 @@
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use magpietally_transport::{Name, NAME_MAX};
+
+use super::*;
+use crate::view::{Entry, Liveness};
+
+/// Nodes with the longest lines there can be.
+fn entries(count: u16) -> Vec<Entry> {
+    let entry = |n: u16| Entry {
+        id: NodeId {
+            addr: SocketAddrV4::new(Ipv4Addr::new(127, 100, 100, 100), 10_000 + n),
+            name: Name::new(&format!("{n:0>NAME_MAX$}")).expect("a name"),
+            generation: u32::MAX,
+        },
+        incarnation: u16::MAX,
+        liveness: Liveness::Suspect,
+    };
+    (0..count).map(entry).collect()
+}
+
+/// All parts, one behind the other, as `magpietally members` asks for them; how many there were.
+fn asked(view: &mut View, mut between: impl FnMut(&mut View)) -> (String, usize) {
+    let (mut all, mut after, mut parts) = (String::new(), None, 0);
+    loop {
+        let part = view_part(view, &Stats::default(), after.as_ref());
+        assert!(part.len() <= ANSWER_MAX, "{} bytes", part.len());
+        let (next, text) = read_part(&part).expect("a part");
+        all += std::str::from_utf8(text).expect("text");
+        parts += 1;
+        assert!(parts < 100 && (next.is_none() || next > after), "it goes on behind the last");
+        match next {
+            None => return (all, parts),
+            next => after = next,
+        }
+        between(view);
+    }
+}
+
+#[test]
+fn a_view_of_any_size_is_told_whole_and_each_node_once() {
+    for count in [0, 1, 300, 1024, 3000] {
+        let mut view = View::default();
+        view.replace(entries(count));
+        let (all, parts) = asked(&mut view, |_| {});
+        let lines: Vec<&str> = all.lines().collect();
+        assert_eq!(lines.len(), usize::from(count) + 2, "{count} nodes, the first line and the last");
+        assert!(lines[0].starts_with("version ") && lines[lines.len() - 1].starts_with("datagrams: "));
+        for (n, line) in lines[1..=usize::from(count)].iter().enumerate() {
+            assert!(line.starts_with(&format!("{n:0>NAME_MAX$} ")), "{count}, {n}: {line}");
+        }
+        assert!(parts <= 1 + usize::from(count) / 400, "{count} nodes in {parts} parts");
+    }
+}
+
+#[test]
+fn a_view_that_changes_between_two_parts_leaves_out_none_that_stays() {
+    let mut view = View::default();
+    view.replace(entries(1024));
+    // The node at which the first part ends is gone before the second is asked for, and every third with it.
+    let (all, _) = asked(&mut view, |view| {
+        view.replace(
+            entries(1024).into_iter().enumerate().filter(|(n, _)| n % 3 == 0).map(|e| e.1).collect(),
+        );
+    });
+    for n in (0..1024).step_by(3) {
+        let line = format!("{n:0>NAME_MAX$} ");
+        assert_eq!(all.lines().filter(|l| l.starts_with(&line)).count(), 1, "{n}");
+    }
+}
+
+#[test]
+fn what_is_no_part_is_no_part() {
+    for bytes in [&b""[..], b"Q", b"P", b"P\x7f\0\0\x01", b"S1"] {
+        assert_eq!(read_part(bytes), None, "{bytes:?}");
+    }
+}
--- a/crates/membership/src/codec.rs
+++ b/crates/membership/src/codec.rs
@@ -19,10 +19,12 @@
 pub const KIND_SWIM: u8 = 0x53;
 /// A node leaves the fleet on purpose (SIGTERM, a drain): its identity follows.
 pub const KIND_LEAVE: u8 = 0x4c;
-/// Somebody asks for the view (`magpietally members`); nothing follows.
+/// Somebody asks for the view (`magpietally members`); the identity behind which the answer is to go on follows, or nothing.
 pub const KIND_QUERY: u8 = 0x51;
-/// The answer to [`KIND_QUERY`]: the view as text follows. Only `magpietally members` reads it.
+/// The answer to [`KIND_QUERY`]: the view's last or only part as text follows. Only `magpietally members` reads it.
 pub const KIND_VIEW: u8 = 0x56;
+/// The same where there is more: the identity at which this part ends, then the part.
+pub const KIND_PART: u8 = 0x50;
 
 /// What a datagram is.
 #[derive(Debug, PartialEq, Eq)]
@@ -31,8 +33,8 @@
     Swim(&'a [u8]),
     /// The sender leaves the fleet on purpose.
     Leave(NodeId),
-    /// The sender asks for the view; the carrier answers it.
-    Query,
+    /// The sender asks for the view, or for what stands behind this identity in it; the carrier answers it.
+    Query(Option<NodeId>),
 }
 
 /// Why a datagram was not taken. Each is counted by the room that dropped it.
@@ -87,20 +89,30 @@
     let (&kind, rest) = bytes.split_first().ok_or(DecodeError::Empty)?;
     match kind {
         KIND_SWIM => Ok(Datagram::Swim(rest)),
-        KIND_LEAVE => {
-            let mut buf = rest;
-            let id = get_id(&mut buf)?;
-            if buf.has_remaining() {
-                return Err(DecodeError::Trailing);
-            }
-            Ok(Datagram::Leave(id))
-        }
-        KIND_QUERY if rest.is_empty() => Ok(Datagram::Query),
-        KIND_QUERY => Err(DecodeError::Trailing),
+        KIND_LEAVE => Ok(Datagram::Leave(get_only_id(rest)?)),
+        KIND_QUERY if rest.is_empty() => Ok(Datagram::Query(None)),
+        KIND_QUERY => Ok(Datagram::Query(Some(get_only_id(rest)?))),
         _ => Err(DecodeError::Kind),
     }
 }
 
+fn get_only_id(mut buf: &[u8]) -> Result<NodeId, DecodeError> {
+    let id = get_id(&mut buf)?;
+    if buf.has_remaining() {
+        return Err(DecodeError::Trailing);
+    }
+    Ok(id)
+}
+
+/// The datagram that asks for the view, or for what stands behind `after` in it.
+pub fn encode_query(after: Option<&NodeId>) -> Vec<u8> {
+    let mut out = vec![KIND_QUERY];
+    if let Some(id) = after {
+        put_id(&mut out, id);
+    }
+    out
+}
+
 /// The datagram that says `id` leaves.
 pub fn encode_leave(id: &NodeId) -> Vec<u8> {
     let mut out = Vec::with_capacity(1 + id_len(id));
@@ -210,11 +222,11 @@
 
 impl std::error::Error for WireError {}
 
-fn id_len(id: &NodeId) -> usize {
+pub(crate) fn id_len(id: &NodeId) -> usize {
     4 + 2 + 4 + 1 + id.name.as_str().len()
 }
 
-fn put_id(buf: &mut impl BufMut, id: &NodeId) {
+pub(crate) fn put_id(buf: &mut impl BufMut, id: &NodeId) {
     buf.put_slice(&id.addr.ip().octets());
     buf.put_u16(id.addr.port());
     buf.put_u32(id.generation);
@@ -224,7 +236,7 @@
     buf.put_slice(name);
 }
 
-fn get_id(buf: &mut impl Buf) -> Result<NodeId, DecodeError> {
+pub(crate) fn get_id(buf: &mut impl Buf) -> Result<NodeId, DecodeError> {
     let mut ip = [0u8; 4];
     take(buf, &mut ip)?;
     let port = get_u16(buf)?;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -22,6 +22,7 @@
 //! assert_eq!(a.view().counts().alive, 2);
 //! ```
 
+mod answer;
 mod codec;
 mod id;
 mod room;
@@ -30,8 +31,10 @@
 mod view;
 mod watch;
 
+pub use answer::{read_part, view_part, ANSWER_MAX};
 pub use codec::{
-    decode, encode_leave, Datagram, DecodeError, Wire, WireError, DATAGRAM_MAX, KIND_QUERY, KIND_VIEW,
+    decode, encode_leave, encode_query, Datagram, DecodeError, Wire, WireError, DATAGRAM_MAX, KIND_PART,
+    KIND_QUERY, KIND_VIEW,
 };
 pub use id::NodeId;
 pub use magpietally_transport::{Name, NameError, NAME_MAX};
--- a/crates/membership/src/room.rs
+++ b/crates/membership/src/room.rs
@@ -174,7 +174,7 @@
         match codec::decode(bytes) {
             Err(_) => self.out.stats.malformed += 1,
             // The carrier answers it; a room has nothing to add.
-            Ok(Datagram::Query) => {}
+            Ok(Datagram::Query(_)) => {}
             Ok(Datagram::Leave(id)) => {
                 if self.left.len() < LEFT_MAX {
                     self.left.insert(id);
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -1,7 +1,6 @@
 //! Membership on UDP: the carrier that runs a node's [`Room`] on a socket of its own, and `magpietally members`, which
 //! asks a node for its view. Off unless `node --membership FILE` names a file like `deploy/membership.toml`.
 
-use std::fmt::Write as _;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -9,7 +8,10 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use magpietally_membership::{divisor, Name, NodeId, Room, Settings, View, KIND_QUERY, KIND_VIEW};
+use magpietally_membership::{
+    decode, encode_query, read_part, view_part, Datagram, Name, NodeId, Room, Settings, ANSWER_MAX,
+    DATAGRAM_MAX,
+};
 use serde::Deserialize;
 
 use crate::commands::{toml_file, wrong, Failure};
@@ -18,11 +20,12 @@
 const FILE_MOST: usize = 1 << 16;
 /// The most seeds a file may name.
 const SEEDS_MOST: usize = 1024;
-/// The largest datagram read or sent: a view's answer to `members` can be larger than the protocol's 1,400 bytes.
-const READ_MOST: usize = 65_507;
+/// The most parts of a view that `members` asks for: each holds hundreds of nodes, so this only ends a conversation with
+/// something that is no node.
+const PARTS_MOST: usize = 1024;
 /// How long the socket waits at most before the room is looked at again (a stop, a timer).
 const WAIT_MOST: Duration = Duration::from_millis(50);
-/// How long `members` waits for an answer.
+/// How long `members` waits for each part of the answer.
 const ANSWER_WITHIN: Duration = Duration::from_secs(2);
 
 #[derive(Deserialize)]
@@ -135,7 +138,8 @@
 
 fn carry(socket: &UdpSocket, room: &mut Room, seeds: &[SocketAddrV4], stop: &AtomicBool) {
     let start = Instant::now();
-    let mut buf = vec![0u8; READ_MOST];
+    // One byte more than may come, so that what is longer is seen to be.
+    let mut buf = [0; DATAGRAM_MAX + 1];
     room.join(start.elapsed(), seeds);
     let mut told_version = 0;
     loop {
@@ -153,13 +157,14 @@
         // A socket that refuses a timeout still works; it is then looked at when a datagram comes.
         let _ = socket.set_read_timeout(Some(wait));
         match socket.recv_from(&mut buf) {
-            Ok((n, from)) if n == 1 && buf[0] == KIND_QUERY => {
-                let mut answer = vec![KIND_VIEW];
-                answer.extend_from_slice(describe(room).as_bytes());
-                answer.truncate(READ_MOST);
-                let _ = socket.send_to(&answer, from);
-            }
-            Ok((n, _)) => room.on_datagram(start.elapsed(), &buf[..n]),
+            Ok((n, from)) => match decode(&buf[..n]) {
+                Ok(Datagram::Query(after)) => {
+                    let stats = room.stats().clone();
+                    // Lost, as a datagram may be; whoever asked asks again.
+                    let _ = socket.send_to(&view_part(room.view(), &stats, after.as_ref()), from);
+                }
+                _ => room.on_datagram(start.elapsed(), &buf[..n]),
+            },
             // An earlier datagram to a peer that is gone comes back as a refusal; SWIM sees the loss itself.
             Err(e)
                 if matches!(
@@ -195,60 +200,47 @@
     }
 }
 
-/// The view as `members` prints it.
-fn describe(room: &mut Room) -> String {
-    let stats = room.stats().clone();
-    let view: &View = room.view();
-    let c = view.counts();
-    let mut out = format!(
-        "version {}: {} alive, {} suspect, {} dead, {} left; fleet budgets divided by {}\n",
-        view.version(),
-        c.alive,
-        c.suspect,
-        c.dead,
-        c.left,
-        divisor(&c)
-    );
-    for e in view.entries() {
-        let _ = writeln!(
-            out,
-            "{} {} generation {} incarnation {} {}",
-            e.id.name, e.id.addr, e.id.generation, e.incarnation, e.liveness
-        );
-    }
-    let _ = writeln!(
-        out,
-        "datagrams: {} in ({} bytes), {} out ({} bytes), {} malformed, {} refused, {} rejoined",
-        stats.received,
-        stats.received_bytes,
-        stats.sent,
-        stats.sent_bytes,
-        stats.malformed,
-        stats.refused,
-        stats.rejoined
-    );
-    out
-}
-
 /// `magpietally members --at ADDR`: asks the node whose membership listens there for its view and prints it.
 ///
 /// # Errors
-/// No answer within 2 s.
+/// No answer within 2 s, or one that does not end.
 pub fn members(at: SocketAddr) -> Result<(), Failure> {
     let local: SocketAddr = if at.ip().is_loopback() { "127.0.0.1:0" } else { "0.0.0.0:0" }
         .parse()
         .map_err(|_| Failure::Failed("members: no local address".into()))?;
+    let failed = |e: std::io::Error| Failure::Failed(format!("members: {at}: {e}"));
     let socket = UdpSocket::bind(local).map_err(|e| Failure::Failed(format!("members: a socket: {e}")))?;
-    socket.set_read_timeout(Some(ANSWER_WITHIN)).map_err(|e| Failure::Failed(format!("members: {e}")))?;
-    socket.send_to(&[KIND_QUERY], at).map_err(|e| Failure::Failed(format!("members: {at}: {e}")))?;
-    let mut buf = vec![0u8; READ_MOST];
+    socket.set_read_timeout(Some(ANSWER_WITHIN)).map_err(failed)?;
+    let mut buf = vec![0; ANSWER_MAX];
+    let mut after: Option<NodeId> = None;
+    for _ in 0..PARTS_MOST {
+        socket.send_to(&encode_query(after.as_ref()), at).map_err(failed)?;
+        after = part(&socket, at, after, &mut buf)?;
+        if after.is_none() {
+            return Ok(());
+        }
+    }
+    Err(Failure::Failed(format!("members: {at} does not come to an end")))
+}
+
+/// Prints the part behind `after`; the identity behind which there is more.
+fn part(
+    socket: &UdpSocket,
+    at: SocketAddr,
+    after: Option<NodeId>,
+    buf: &mut [u8],
+) -> Result<Option<NodeId>, Failure> {
     let deadline = Instant::now() + ANSWER_WITHIN;
     while Instant::now() < deadline {
-        match socket.recv_from(&mut buf) {
-            Ok((n, from)) if from == at && n >= 1 && buf[0] == KIND_VIEW => {
-                print!("{}", String::from_utf8_lossy(&buf[1..n]));
-                return Ok(());
-            }
+        match socket.recv_from(buf) {
+            Ok((n, from)) if from == at => match read_part(&buf[..n]) {
+                // One that does not go on is an earlier part again.
+                Some((next, text)) if next.is_none() || next > after => {
+                    print!("{}", String::from_utf8_lossy(text));
+                    return Ok(next);
+                }
+                _ => {}
+            },
             Ok(_) => {}
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => break,
             Err(e) => return Err(Failure::Failed(format!("members: {at}: {e}"))),
@@ -256,3 +248,6 @@
     }
     Err(Failure::Failed(format!("members: {at} did not answer within 2 s")))
 }
+
+#[cfg(test)]
+mod tests;
