As many nodes can be named as gone at a time as a fleet has

The queue of nodes that operators name as gone held 64, and refused the next until one had been decided: too few where half of a large fleet is cut off. It now holds as many as there can be members (2,048), each only once it is named. One is still said at a time, as before.

With 64 again the new test is refused at the 65th of 1,024.

--- a/crates/policy_change/src/cases.rs
+++ b/crates/policy_change/src/cases.rs
@@ -173,6 +173,16 @@
     sound(play);
 }
 
+#[test]
+fn as_many_nodes_can_be_named_as_gone_as_a_large_fleet_has() {
+    let mut play = fleet(6, |_| {});
+    let (machine, now) = play.model.machine(2).expect("it runs");
+    for n in 0..1024 {
+        let name = Name::new(&format!("gone-{n}")).expect("a name");
+        assert!(machine.gone(now, Peer { name, session: Session(1) }), "{n}");
+    }
+}
+
 #[test]
 fn a_node_that_left_holds_no_change_up() {
     let mut play = fleet(7, |_| {});
--- a/crates/policy_change/src/room.rs
+++ b/crates/policy_change/src/room.rs
@@ -11,7 +11,7 @@
 use crate::entry::{Entry, Step, Version, DOCUMENT_MAX, EXPIRED_AT_ONCE, WHY_MAX};
 use crate::gate::Figures;
 use crate::settings::{Settings, SettingsError, WithoutLease};
-use crate::state::{Effect, End, State};
+use crate::state::{Effect, End, State, MEMBERS_MAX};
 
 /// How often a node looks whether something is due: fine enough for every setting, 20 looks a second.
 const BEAT: Duration = Duration::from_millis(50);
@@ -20,8 +20,6 @@
 const ASKS: usize = 64;
 /// Proposals that wait for the carrier at most; the oldest is dropped and said again by its own timer.
 const OUT: usize = 16;
-/// Nodes that operators have named as gone and whose end is not decided yet.
-const GONE: usize = 64;
 
 /// The check of a document: pure, the same verdict for the same bytes on the same build.
 pub type Check = Box<dyn Fn(&[u8]) -> Result<(), String> + Send>;
@@ -188,10 +186,11 @@
         }
     }
 
-    /// An operator's word that this start of a node does not run any more and never will; whether there was room for it.
+    /// An operator's word that this start of a node does not run any more and never will; whether there was room for it, as
+    /// there is for [`MEMBERS_MAX`] at a time.
     /// If it does run, it may go on serving under an older version: the word is the operator's.
     pub fn gone(&mut self, now: Now, peer: Peer) -> bool {
-        if self.gone.len() >= GONE {
+        if self.gone.len() >= MEMBERS_MAX {
             return false;
         }
         self.gone.push_back((peer, now.boot));
