Carriers and log know 4,096 peers, so that a fleet of 1,024 may be renewed

The carriers kept 1,024 names for as long as they run. In a fleet of 1,024 one was left: the second node that came back under a new name was dropped by all that ran until their own restart. The log passed entries on to 1,024 peers and left out the rest without a word, which has to go with the carriers' number. Forgetting old names was ruled out: one that comes back with an old session would be taken for new. A name takes memory once it is met, some 100 bytes.

--- a/crates/consensus/src/learn.rs
+++ b/crates/consensus/src/learn.rs
@@ -12,8 +12,8 @@
 use crate::voter::ROUND_MAX;
 use crate::wire::Wire;
 
-/// The most peers that are known: twice the largest fleet.
-pub const PEERS_MAX: usize = 1024;
+/// The most peers that are known: as many as the carriers take.
+pub const PEERS_MAX: usize = 4096;
 /// The largest piece of what is missing, in bytes: several fit a queue of a stream beside the rest.
 const PIECE: usize = 32 << 10;
 /// After it has learnt something new a node compares with so many peers, this far apart, before it falls back to the usual
@@ -338,3 +338,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/transport/src/sessions.rs
+++ b/crates/transport/src/sessions.rs
@@ -5,9 +5,10 @@
 use crate::name::Name;
 use crate::transport::{Peer, Session};
 
-/// Names that are kept at most: twice the largest fleet that is thought of (500), so that restarts under new names
-/// leave room. Past it an unknown sender is dropped, as a name that was forgotten could come back with an old session.
-pub const PEERS_MOST: usize = 1024;
+/// Names that are kept at most: a fleet of 1,024 in which each node comes back under three more names. Past it an unknown
+/// sender is dropped, as a name that was forgotten could come back with an old session. Each takes some 100 bytes once it is
+/// met, and nothing before.
+pub const PEERS_MOST: usize = 4096;
 
 /// What a sender's session is to us.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/transport/src/sessions/tests.rs
+++ b/crates/transport/src/sessions/tests.rs
@@ -14,3 +14,15 @@
     assert_eq!(seen.see(&peer("one-more", 1)), Seen::TooMany);
     assert_eq!(seen.see(&peer("a", 7)), Seen::New);
 }
+
+#[test]
+fn a_fleet_of_1024_may_come_back_under_other_names() {
+    let mut seen = Sessions::default();
+    for start in 0..3 {
+        for i in 0..1024 {
+            let peer =
+                Peer { name: Name::new(&format!("n{i}-{start}")).expect("a name"), session: Session(1) };
+            assert_eq!(seen.see(&peer), Seen::New, "{peer}");
+        }
+    }
+}
--- a/crates/transport/src/tcp/mod.rs
+++ b/crates/transport/src/tcp/mod.rs
@@ -155,7 +155,7 @@
     }
 
     /// Where messages to `name` go from now on (a connection to another address ends); false where so many peers are
-    /// known already (1,024).
+    /// known already (4,096).
     pub fn set_peer(&mut self, name: Name, address: SocketAddr) -> bool {
         let Some(new) = self.shared.set_peer(&name, address) else { return false };
         if let Some(wake) = new {
--- a/crates/transport/src/udp.rs
+++ b/crates/transport/src/udp.rs
@@ -87,7 +87,7 @@
         self.socket.local_addr()
     }
 
-    /// Where messages to `name` go from now on; false where so many peers are known already (1,024).
+    /// Where messages to `name` go from now on; false where so many peers are known already (4,096).
     pub fn set_peer(&mut self, name: Name, address: SocketAddr) -> bool {
         let room = self.peers.len() < PEERS_MOST;
         match self.peers.get_mut(&name) {
