A connection between nodes that carries nothing gives way to one that waits

A node dials 56 peers at a time and accepts 56. Each connection rested for up to 60 s, so that in a fleet of hundreds the next peer with a message too large for a datagram waited that long for a place, and whoever was turned away was so again and again. More places were ruled out: both together stay under half of the 256 descriptors that the platform gives at the least. While somebody waits for a place, a connection that has carried nothing for a heartbeat (0.5 s) now ends, on the dialling side; on the accepting side for 4 s after one was turned away. What was sent on it is acknowledged by then; a message that crosses its end is told as lost, as at any break.

With either side's rest as before the new test waits in vain for its 30 s.

--- a/crates/transport/src/tcp/accept.rs
+++ b/crates/transport/src/tcp/accept.rs
@@ -1,7 +1,7 @@
 //! The receiving side: whoever dials us says who it is, then brings its messages, and hears up to where they were taken.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -78,6 +78,7 @@
     reader: &mut Reader<R>,
     taken: &Notify,
 ) {
+    let mut busy = Instant::now();
     loop {
         // A node that does not poll is not read for: its peers' queues fill, and they are told.
         loop {
@@ -97,8 +98,12 @@
             return;
         }
         match head.what {
+            // It gives its place to one that was turned away: what was taken is acknowledged, and its peer dials again once
+            // it has something.
+            What::Ping if shared.quiet_most().is_some_and(|most| busy.elapsed() >= most) => return,
             What::Ping => {}
             What::Message => {
+                busy = Instant::now();
                 if !shared.deliver(peer, connection, head.number, body) {
                     return;
                 }
--- a/crates/transport/src/tcp/dial.rs
+++ b/crates/transport/src/tcp/dial.rs
@@ -28,15 +28,15 @@
     let mut backoff = shared.settings.backoff;
     loop {
         let Some(address) = shared.wanted(&name, &wake).await else { return };
-        // It is never closed; a peer without a permit waits for another's connection to end.
-        let Ok(permit) = shared.outbound.acquire().await else { return };
+        // A peer without a place waits for another's connection to end, which an idle one then does.
+        let Some(place) = shared.place_to_dial().await else { return };
         let dialled = timeout(shared.settings.connect_within, connect(&shared, &name, &wake, address)).await;
         if let Ok(Some(link)) = dialled {
             backoff = shared.settings.backoff;
             run(&shared, &name, &wake, address, link).await;
             shared.broke(&name, &wake);
         }
-        drop(permit);
+        drop(place);
         // Jitter, so that the peers of a node that comes back do not all dial it in one moment.
         sleep(backoff.mul_f64(random.random_range(0.75..1.25))).await;
         backoff = (backoff * 2).min(shared.settings.backoff_most);
@@ -97,7 +97,7 @@
             };
             if what == What::Message || !shared.idle(name) {
                 busy = Instant::now();
-            } else if busy.elapsed() > shared.settings.idle {
+            } else if busy.elapsed() > shared.idle_most() {
                 return;
             }
             if !write(shared, &mut writer, name, what, number, &body).await {
--- a/crates/transport/src/tcp/mod.rs
+++ b/crates/transport/src/tcp/mod.rs
@@ -55,10 +55,11 @@
     pub backoff_most: Duration,
     /// A connection that had nothing to carry for so long gives its descriptor back.
     pub idle: Duration,
-    /// Connections dialled at a time; a peer without one waits for another's to end.
+    /// Connections dialled at a time; a peer without one waits for another's to end, which one that has had nothing to
+    /// carry for a heartbeat then does. It bounds descriptors, not peers.
     pub outbound: usize,
-    /// Connections accepted at a time; the next is closed at once. Both together stay under half of the least number
-    /// of descriptors that the platform gives (256).
+    /// Connections accepted at a time; the next is closed at once, and one that has brought nothing for a heartbeat gives way
+    /// to its next attempt. Both together stay under half of the least number of descriptors that the platform gives (256).
     pub inbound: usize,
     /// For the jitter of the backoff.
     pub seed: u64,
--- a/crates/transport/src/tcp/shared.rs
+++ b/crates/transport/src/tcp/shared.rs
@@ -2,9 +2,11 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 use tokio_util::sync::CancellationToken;
 
 use super::Settings;
@@ -70,6 +72,8 @@
     meetings: usize,
     lost: BTreeMap<Name, u64>,
     counts: Counts,
+    /// When a connection was turned away last.
+    turned_away: Option<Instant>,
     ended: Option<String>,
 }
 
@@ -93,7 +97,9 @@
     /// Told when the inbox has room again.
     pub room: Notify,
     /// One permit a connection dialled.
-    pub outbound: Semaphore,
+    outbound: Semaphore,
+    /// Peers that wait for one of them.
+    waiting_to_dial: AtomicUsize,
     /// One permit a connection accepted.
     pub inbound: Arc<Semaphore>,
     state: Mutex<State>,
@@ -107,6 +113,7 @@
             ended: CancellationToken::new(),
             room: Notify::new(),
             outbound: Semaphore::new(settings.outbound),
+            waiting_to_dial: AtomicUsize::new(0),
             inbound: Arc::new(Semaphore::new(settings.inbound)),
             settings,
             state: Mutex::new(State::default()),
@@ -267,6 +274,25 @@
         self.state().out.get(name).is_none_or(|o| o.waiting.is_empty() && o.sent == o.settled)
     }
 
+    /// A place among the connections dialled, once there is one; `None` where the end is closed.
+    pub async fn place_to_dial(&self) -> Option<SemaphorePermit<'_>> {
+        if let Ok(permit) = self.outbound.try_acquire() {
+            return Some(permit);
+        }
+        self.waiting_to_dial.fetch_add(1, Ordering::Relaxed);
+        let permit = self.outbound.acquire().await.ok();
+        self.waiting_to_dial.fetch_sub(1, Ordering::Relaxed);
+        permit
+    }
+
+    /// For how long a connection dialled may have nothing to carry: while peers wait for its place, a sign of life's time.
+    pub fn idle_most(&self) -> Duration {
+        match self.waiting_to_dial.load(Ordering::Relaxed) {
+            0 => self.settings.idle,
+            _ => self.settings.heartbeat,
+        }
+    }
+
     pub fn count_dial(&self) {
         self.state().counts.dialled += 1;
     }
@@ -279,7 +305,17 @@
     }
 
     pub fn turned_away(&self) {
-        self.state().counts.turned_away += 1;
+        let mut s = self.state();
+        s.counts.turned_away += 1;
+        s.turned_away = Some(Instant::now());
+    }
+
+    /// For how long a connection accepted may bring nothing: who was turned away tries again within the longest backoff, and
+    /// until then a sign of life's time; `None` while there is room.
+    pub fn quiet_most(&self) -> Option<Duration> {
+        let s = &self.settings;
+        let lately = self.state().turned_away.is_some_and(|at| at.elapsed() < s.backoff_most * 2);
+        lately.then_some(s.heartbeat)
     }
 
     /// Whether another message may be read.
--- a/crates/transport/tests/carriers.rs
+++ b/crates/transport/tests/carriers.rs
@@ -154,6 +154,27 @@
     drop(idle);
 }
 
+/// Connections rest for a minute: a fleet of which each node reaches a few at a time must not wait that out.
+#[test]
+fn idle_connections_give_way_to_peers_that_have_something_to_say() {
+    let few = || Settings { outbound: 2, inbound: 2, ..quick() };
+    let mut end = tcp("end", few());
+    let mut others: Vec<Tcp> = (0..8).map(|n| tcp(&format!("n{n}"), few())).collect();
+    for (n, other) in others.iter_mut().enumerate() {
+        assert!(end.set_peer(name(&format!("n{n}")), other.address()));
+        assert!(other.set_peer(name("end"), end.address()));
+        end.send(&name(&format!("n{n}")), &[n as u8]).expect("taken");
+        other.send(&name("end"), &[n as u8]).expect("taken");
+    }
+    let mut came: Vec<u8> = others.iter().map(|_| message(&mut end)[0]).collect();
+    came.sort_unstable();
+    assert_eq!(came, (0..8).collect::<Vec<u8>>());
+    for (n, other) in others.iter_mut().enumerate() {
+        assert_eq!(message(other), [n as u8]);
+    }
+    assert_eq!(end.counts().lost, 0);
+}
+
 #[test]
 fn bytes_that_wait_are_bounded_over_all_peers() {
     let mut end = tcp("a", Settings { largest: 1000, waiting_bytes: 2500, ..quick() });
