Connections to servers stay within the node's memory, as those of clients do

Smaller buffers were ruled out: hyper takes none under 8 KiB. With 1,024 descriptors nothing changes from 64 MB of memory on, with 256 from 15 MB on.

--- a/crates/http/src/config.rs
+++ b/crates/http/src/config.rs
@@ -54,6 +54,9 @@
 const RESERVE: usize = 16;
 /// Connections of clients for each MB: the worst of them holds a head, a body and an answer, 0.2 MB in all.
 const CLIENTS_PER_MB: usize = 4;
+/// Connections to servers for each MB, three for each of a client's: one that rests holds 0.02 MB, most of it hyper's two
+/// buffers, so that all together hold a quarter of the memory.
+const SERVERS_PER_MB: usize = 12;
 /// Memory where the configuration names no limit.
 const MEMORY_MB: u64 = 192;
 /// The least that a node can do anything with.
@@ -97,9 +100,9 @@
         (self.free() / 2).min(self.memory_mb * CLIENTS_PER_MB).max(1)
     }
 
-    /// How many connections to servers there may be: the rest.
+    /// How many connections to servers there may be: the rest, within what memory can bear.
     pub fn servers_most(&self) -> usize {
-        self.free() - self.clients_most()
+        (self.free() - self.clients_most()).min(self.memory_mb * SERVERS_PER_MB)
     }
 
     /// The descriptors that are for clients and servers.
