--- a/crates/http/src/discovery/clock.rs
+++ b/crates/http/src/discovery/clock.rs
@@ -91,6 +91,8 @@
     wait: u64,
     /// When each connection was asked for.
     asked: RefCell<Vec<u64>>,
+    /// What was called for on those that came up.
+    paths: RefCell<Vec<String>>,
 }
 
 impl Service {
@@ -107,6 +109,7 @@
             }
         }
         let path = String::from_utf8_lossy(&head);
+        self.paths.borrow_mut().push(path.split(' ').nth(1).unwrap_or_default().to_string());
         let (says, ends) = match link.unwrap_or_else(|| news(&path, self.wait)) {
             Link::Up(says) => (says, false),
             Link::Ends(says) => (says, true),
@@ -253,6 +256,13 @@
 
     /// Plays it until the news is there, 40 s at the most; when that was, and when connections were asked for.
     fn play(&self, seed: u64) -> (Option<u64>, Vec<u64>) {
+        let (news, service) = self.play_before(seed);
+        let asked = service.asked.borrow().clone();
+        (news, asked)
+    }
+
+    /// The same, with the service that it was played before.
+    fn play_before(&self, seed: u64) -> (Option<u64>, Rc<Service>) {
         let settings = settings(self.discovery, self.ask_within);
         let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
         LocalSet::new().block_on(&runtime.expect("a runtime"), async {
@@ -262,6 +272,7 @@
                 back: self.back,
                 wait: self.wait,
                 asked: RefCell::default(),
+                paths: RefCell::default(),
             });
             let node = Rc::new(Node {
                 policy: RefCell::new(Balancer::new(settings, seed).expect("good settings")),
@@ -280,8 +291,7 @@
                     node.feed(Event::Timer);
                 }
             }
-            let asked = service.asked.borrow().clone();
-            (node.news.get(), asked)
+            (node.news.get(), service)
         })
     }
 
@@ -577,3 +587,14 @@
     let (news, asked) = Case::new(Some(1), vec![watch(LIST, 0), empty]).play(0);
     assert_eq!((news, asked.len()), (None, 2), "{asked:?}");
 }
+
+/// The whole list was answered, and the watch behind it rejected: the list is there, and only the watch is asked for again.
+#[test]
+fn a_watch_that_is_rejected_keeps_the_list_that_is_there() {
+    let list = Link::Ends(vec![(0, format!("{HEAD}{}0\r\n\r\n", chunk(LIST)))]);
+    let (news, service) = Case::new(None, vec![list, crowded(0), crowded(0)]).play_before(0);
+    let paths = service.paths.borrow();
+    assert!(news.is_some());
+    assert_eq!(paths[0], "/v1/endpoints");
+    assert_eq!(paths[1..], vec!["/v1/endpoints?watch=1&from=1"; 3], "{paths:?}");
+}
