What comes when a node fails its open requests is refused, and nothing is left at its end

Seen, each forced in a test on a real socket: a request that came after fail_open was sent to a server and failed within 5 ms (held until its own time where nothing failed it), though nobody could have its answer; what never went out was failed (502) where a refusal says that to ask again is harmless; and a node that had no processor time until its end was due left the loop without failing anything, so that its clients had a reset.

Ruled out: to let the last requests go on, as a server would have to answer within 5 ms; to fail them later, as SIGKILL may come 0.2 s after the end.

Change: a request is refused unsent once Life::fails_open, also one that waits while the fleet holds; Core::fail_open refuses what has no attempt that may have run; stop fails what is open once more when its loop is over and gives the answers up to 50 ms of the 200 until SIGKILL.

Both tests failed on the code as it was (504 after 20 s; no answer). Put back one by one, each fault fails them: no refusal, always 502, no fail_open behind the loop, no wait for the bytes.

--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -384,11 +384,17 @@
         self.state.borrow().table.unanswered()
     }
 
-    /// Fails all that is still open: the node ends, and an answer is better than a reset.
+    /// Answers all that is still open: the node ends, and an answer is better than a reset. What never went out is refused, as
+    /// to ask for it again is harmless.
     pub fn fail_open(self: &Rc<Self>) {
         let open = self.state.borrow().table.numbers();
         for id in open {
-            self.answer(id, Answer::Failed);
+            let unsent = {
+                let state = self.state.borrow();
+                let open = state.table.get(id).filter(|open| open.attempts.iter().all(Attempt::never_ran));
+                open.map(|open| state.epochs.newest().stay_away(open.class))
+            };
+            self.answer(id, unsent.map_or(Answer::Failed, Answer::Refused));
             self.client_gone(id);
         }
     }
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -84,8 +84,7 @@
     /// Until when a repeat is known as one: the time for its key begins with the first attempt that may have run.
     pub(crate) fn known_until(&self, right: Right) -> Option<Instant> {
         let Right::Keyed { span_us, .. } = right else { return None };
-        let ran = |a: &&Attempt| !a.ended.is_some_and(|(outcome, ..)| outcome.never_ran());
-        let first = self.attempts.iter().find(ran)?.sent;
+        let first = self.attempts.iter().find(|a| !a.never_ran())?.sent;
         // A span beyond what the clock can tell has no end.
         first.checked_add(Duration::from_micros(span_us))
     }
@@ -110,6 +109,13 @@
     pub(crate) ended: Option<(Outcome, Duration, Option<Duration>)>,
 }
 
+impl Attempt {
+    /// Has it ended, and is it known that nothing of it ran?
+    pub(crate) fn never_ran(&self) -> bool {
+        self.ended.is_some_and(|(outcome, ..)| outcome.never_ran())
+    }
+}
+
 /// How many answers, attempts and events there have been since the last line of the log told of them.
 #[derive(Default)]
 pub(crate) struct Counts {
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -217,6 +217,16 @@
         }
     }
 
+    /// Does any client still wait for an answer that is held whole, or for its bytes to be written?
+    pub fn owes(&self) -> bool {
+        let owes = |c: &Rc<Client>| match c.sock.phase().0 {
+            Phase::Busy => true,
+            Phase::Answering => !c.sock.passes_on(),
+            Phase::Idle | Phase::Reading => false,
+        };
+        self.open.borrow().values().any(owes)
+    }
+
     /// Does the node stop, and have clients few connections left that are not busy? New ones are dealt to other nodes by
     /// then, if there are any. Where there are none, a front that finds no free connection takes the node for gone, with
     /// all that are open, and what comes is lost until another is up: seen on days of two nodes restarted in turn. To
@@ -459,12 +469,14 @@
     let mut last = sock.arrived() + remaining;
     let uploading = asked.request.body.uploading().cloned();
     let (margin, guard) = kept_back(remaining);
-    if !node.has_room() {
-        return refusal(node.stay_away(asked.class));
-    }
-    while node.fleet_holds() && Instant::now() + HELD_LOOK < last - margin {
+    let fails_open = || node.process().life().fails_open(Instant::now());
+    while node.fleet_holds() && !fails_open() && Instant::now() + HELD_LOOK < last - margin {
         tokio::time::sleep(HELD_LOOK).await;
     }
+    // What came before is failed by now: this one would be sent, and failed in the same breath.
+    if !node.has_room() || fails_open() {
+        return refusal(node.stay_away(asked.class));
+    }
     let (id, answered) = match node.request(asked, last - margin) {
         Ok(taken) => taken,
         Err(Turned::Open) => return plain(StatusCode::CONFLICT),
@@ -709,6 +721,8 @@
 #[cfg(test)]
 mod crossing;
 #[cfg(test)]
+mod ends;
+#[cfg(test)]
 mod harness;
 
 #[cfg(test)]
--- a/crates/http/src/clients/crossing.rs
+++ b/crates/http/src/clients/crossing.rs
@@ -25,14 +25,6 @@
     assert_eq!(far.try_write(bytes).expect("room for it"), bytes.len());
 }
 
-async fn until(what: &str, mut holds: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !holds() {
-        assert!(start.elapsed() < PATIENCE, "waited in vain: {what}");
-        tokio::time::sleep(Duration::from_millis(1)).await;
-    }
-}
-
 fn only(clients: &Clients) -> Rc<Client> {
     clients.open.borrow().values().next().cloned().expect("one is open")
 }
--- a/crates/http/src/clients/harness.rs
+++ b/crates/http/src/clients/harness.rs
@@ -15,10 +15,11 @@
 /// How long anything is waited for: far longer than it takes.
 pub(super) const PATIENCE: Duration = Duration::from_secs(30);
 
-/// The clients of a node that may hold so many descriptors. Its class `look` has so many milliseconds.
+/// The clients of a node that may hold so many descriptors. Its classes `look` and `slip` have so many milliseconds.
 pub(super) fn clients(sockets: usize, time: f64) -> Rc<Clients> {
+    let class = |name: &str, effect: &str| json!({"Name": name, "Slo": time, "Deadline": time, "Idempotency": effect, "Value": 1.0, "LateValue": 0.0});
     let settings = json!({
-        "Classes": [{"Name": "look", "Slo": time, "Deadline": time, "Idempotency": "pure", "Value": 1.0, "LateValue": 0.0}],
+        "Classes": [class("look", "pure"), class("slip", "side_effect")],
         "Contract": {"AskWithin": 10000.0, "ColdShare": 0.2, "WarmWithin": 20000.0, "FallMultiple": 3.0, "Fall": 1000.0},
         "Goal": {"Whole": 1.0, "WorstWindow": 0.0, "WorstClass": 0.0, "WorstTenant": 0.0}, "OverShareWorth": 1.0,
         "Discovery": "subscribe", "Weights": "nominal", "Me": 0, "PeersTotal": 1, "Tick": 1.0,
@@ -39,7 +40,7 @@
         told: magpietally_settings::told(&settings).expect("good settings"),
         lasting: Default::default(),
     };
-    let process = Process::new(1, Life::new(time, false));
+    let process = Process::new(2, Life::new(time, false));
     Clients::new(start(config, process, String::new(), Extras::default()).expect("good settings"))
 }
 
@@ -60,3 +61,12 @@
 pub(super) async fn listener() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").await.expect("a port")
 }
+
+/// Waits until it holds, which it must.
+pub(super) async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "waited in vain: {what}");
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
--- a/crates/http/src/service.rs
+++ b/crates/http/src/service.rs
@@ -24,6 +24,8 @@
 
 /// How often the node looks whether it can end.
 const LOOK: Duration = Duration::from_millis(5);
+/// How long the last answers may take to be written: a quarter of what is left until SIGKILL.
+const LAST_WORDS: Duration = Duration::from_millis(50);
 /// Connections that the kernel may hold until they are accepted.
 const BACKLOG: i32 = 1024;
 /// How long a process that shares its listening socket waits for its list before it accepts: an answer that it is not ready
@@ -260,7 +262,7 @@
 }
 
 /// Finishes all that was taken, by the times that the node's state tells.
-async fn stop(node: &Rc<Node>, clients: &Rc<Clients>, listener: TcpListener) {
+pub(crate) async fn stop(node: &Rc<Node>, clients: &Rc<Clients>, listener: TcpListener) {
     let life = node.process().life();
     let leave = async {
         while life.accepts(Instant::now(), clients.count()) {
@@ -286,4 +288,10 @@
         clients.close_idle();
         tokio::time::sleep(LOOK).await;
     }
+    // A process that had no processor time comes here with all that is open unanswered.
+    node.fail_open();
+    let began = Instant::now();
+    while clients.owes() && began.elapsed() < LAST_WORDS {
+        tokio::time::sleep(LOOK).await;
+    }
 }
