--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -18,6 +18,7 @@
 use magpietally_policy::{Effect, Millis, RequestId};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, Notify};
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 use crate::body::{Held, Out, Passing, Upload, Uploading};
@@ -59,6 +60,9 @@
 const IDLE_ONCE: Duration = Duration::from_secs(2);
 /// From this age on a request that is still coming makes room for others where there is none.
 const STALE: Duration = Duration::from_millis(250);
+/// How many turns of the loop what has come of a late request may take to be read: the runtime hears of it in the first, and the
+/// connection is read in the second.
+const READS_ON: usize = 3;
 /// How long a connection is read after its last answer, so that a reset does not overtake it.
 const LINGER: Duration = Duration::from_millis(500);
 /// The largest head of a request.
@@ -101,14 +105,29 @@
         loop {
             self.close.notified().await;
             let evicted = self.evicted.take();
-            let may_cross = self.sock.phase().0 == Phase::Idle || evicted;
-            if !may_cross || self.sock.quiet() {
+            let stays = match self.sock.phase().0 {
+                Phase::Reading if !evicted => self.reads_on().await,
+                Phase::Busy | Phase::Answering if !evicted => false,
+                _ => !self.sock.quiet(),
+            };
+            if !stays {
                 return;
             }
             // Another has to make room.
             freed.notify_one();
         }
     }
+
+    /// Has the rest of a late request come since it was found late? What stands in the socket is read first.
+    async fn reads_on(&self) -> bool {
+        for _ in 0..READS_ON {
+            if !self.sock.overdue() || self.sock.quiet() {
+                break;
+            }
+            yield_now().await;
+        }
+        !self.sock.overdue()
+    }
 }
 
 /// The connections of clients.
--- a/crates/http/src/clients/ends.rs
+++ b/crates/http/src/clients/ends.rs
@@ -1,6 +1,6 @@
 //! What is still open, or still comes, when a node or a request ends.
 
-use std::io::Read;
+use std::io::{Read, Write};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
@@ -21,6 +21,11 @@
     )
 }
 
+/// The node's side of the connection that came last.
+fn last(clients: &Clients) -> Rc<Client> {
+    clients.open.borrow().get(&clients.last.get()).cloned().expect("it is open")
+}
+
 /// What comes until the connection's end, which must be in order.
 async fn all_of(mut stream: TcpStream) -> String {
     let mut heard = String::new();
@@ -74,3 +79,28 @@
     { stream }.read_to_string(&mut heard).expect("no reset");
     assert!(heard.starts_with("HTTP/1.1 503"), "{heard}");
 }
+
+/// The last bytes of a body stand in the socket when its connection is to be closed for its pauses: they count. Where none
+/// have come, it is closed.
+#[test]
+fn the_last_bytes_of_a_body_that_cross_the_look_at_its_pauses_count() {
+    for comes in [4, 0] {
+        play(async {
+            let (clients, listener) = (clients(512, TIME), listener().await);
+            let mut stream = connected(&clients, &listener).await;
+            stream.write_all(format!("{}half", asks("slip", 8)).as_bytes()).await.expect("it is open");
+            let client = last(&clients);
+            until("it pauses for too long", || client.sock.overdue()).await;
+            let mut stream = stream.into_std().expect("a socket");
+            stream.write_all(&b"rest"[..comes]).expect("it is open");
+            // The kernel has them, and nobody has read them yet.
+            clients.sweep();
+            if comes == 4 {
+                until("it is taken", || clients.node.open_requests() == 1 || clients.count() == 0).await;
+                assert_eq!((clients.count(), client.sock.phase().0), (1, Phase::Busy));
+            } else {
+                until("it is closed", || clients.count() == 0).await;
+            }
+        });
+    }
+}
