An upload that has come whole is not closed for a pause

Seen in a test: a body of more than 512 KiB, passed on while it comes, has come whole and there is no server yet. Nobody takes its last bytes, the request passes for one that is still coming, and after 1.5 s without a byte its connection was closed without an answer, though by the protocol the node had taken it.

Ruled out: to end the reading when the head's length has come, as the attempt counts the last byte that it hands on; to leave such connections to the request's time alone, as one that stops a byte short must be given up for its pause.

Change: Scan tells whether the last request has come to its last byte, by length and in chunks, and Sock::overdue asks it. Its time then ends it, as any other's.

The test failed on the code as it was (no answer after 1.6 s). One that stops a byte short is given up in the same test.

--- a/crates/http/src/scan.rs
+++ b/crates/http/src/scan.rs
@@ -79,6 +79,11 @@
         self.requests > self.asked
     }
 
+    /// Has the last request that was asked for come to its last byte?
+    pub fn whole(&self) -> bool {
+        self.ahead() || (self.at == At::Head && !self.begun)
+    }
+
     /// Takes one line, or the part of one that has come; gives what stands behind it.
     fn by_line<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
         let Some(end) = bytes.iter().position(|b| *b == b'\n') else {
--- a/crates/http/src/scan/tests.rs
+++ b/crates/http/src/scan/tests.rs
@@ -30,8 +30,9 @@
         // One that is not whole yet is not behind itself; nor is one whose head is not.
         in_pieces(&one[..one.len() - 1], |scan| {
             assert_eq!(scan.next(), one != GET);
-            assert!(!scan.ahead());
+            assert!(!scan.ahead() && !scan.whole());
         });
+        in_pieces(one, |scan| assert!(scan.next() && scan.whole()));
     }
     in_pieces(&format!("{CHUNKS}{LONG}{GET}"), |scan| {
         assert!((0..3).all(|_| scan.ahead() && scan.next()) && !scan.ahead());
--- a/crates/http/src/sock.rs
+++ b/crates/http/src/sock.rs
@@ -345,6 +345,10 @@
             return false;
         }
         let Some(head) = self.head_came.get() else { return now >= self.due.get() };
+        // One that is passed on may have come whole before anyone takes its last bytes: it waits for a server.
+        if self.scan.borrow().whole() {
+            return false;
+        }
         // A server that takes an upload slowly holds its client back: only the node's own waits count.
         let wait = self.waits.get().map_or(Duration::ZERO, |since| now - since);
         let bytes = u32::try_from(self.came.get().wrapping_sub(head)).unwrap_or(u32::MAX);
--- a/tests/large.rs
+++ b/tests/large.rs
@@ -355,6 +355,46 @@
     assert_eq!(client.hear().expect("an answer").body, b"late");
 }
 
+/// The same while there is no server yet: what has come whole is no client that pauses, and keeps its connection until it has
+/// its answer.
+#[test]
+fn an_upload_that_has_come_whole_waits_for_a_server_like_any_other() {
+    let registry = Registry::new(&[]);
+    let mut told = config(registry.address);
+    // A request is held for long where there is no server.
+    told["settings"]["Classes"][2]["Slo"] = json!(60_000.0);
+    let node = Node::ready(&told);
+    // The last bytes come with what is too much to hold, or behind it; by length and in chunks.
+    let (size, server) = (512 * 1024, Peer::good("a"));
+    let mut clients = Vec::new();
+    for more in [1, 8_000] {
+        for framing in [format!("Content-Length: {}", size + more), "Transfer-Encoding: chunked".to_string()]
+        {
+            let mut client = Client::to(&node);
+            client.send(&upload("slip", &format!("t{}", clients.len()), &framing).replace("15000", "60000"));
+            let body = bytes(size + more);
+            let body = if framing.ends_with("chunked") { plainly_chunked(&body, 30_000) } else { body };
+            client.send_bytes(&body);
+            clients.push((client, framing, size + more));
+        }
+    }
+    // A client that stops in the middle is given up for it meanwhile: the time for the others has passed as well.
+    let mut stalls = Client::to(&node);
+    stalls
+        .send(&upload("slip", "stalls", &format!("Content-Length: {}", size + 2)).replace("15000", "60000"));
+    stalls.send_bytes(&bytes(size + 1));
+    assert!(stalls.ended_or_reset(), "it is given up");
+    let hosts = [host("s0", server.address, "active", 1)];
+    registry.tell(2, &hosts, &hosts);
+    for (mut client, framing, size) in clients {
+        let heard = client.hear().expect("an answer");
+        assert_eq!(heard.status(), 200, "{framing}, {size}");
+    }
+    let mut sizes: Vec<usize> = server.seen().iter().map(|m| m.body.len()).filter(|n| *n > 0).collect();
+    sizes.sort_unstable();
+    assert_eq!(sizes, [size + 1, size + 1, size + 8_000, size + 8_000]);
+}
+
 /// What breaks at the server before its last byte never ran: its client may come again.
 #[test]
 fn an_upload_that_breaks_at_the_server_is_refused_and_not_repeated() {
