Tests: an answer in the turn of its deadline, and one before its request's last byte

Both are sound as they were.

An attempt's answer in the turn of the loop in which its time ends: the order can't be had from outside, so the function that decides plays both, on a paused clock. With the clock asked first it fails, for held bodies and for those that are passed on (there both looks have to be turned round, as each makes up for the other).

An answer before the last byte is written: the kernel takes what is held at once on loopback. A listener with small segments and a small window makes the write stall. With such answers taken as failures the test fails (503 for 200); with the pool keeping a connection that is half written, too (it has not ended after 12 s).

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -426,3 +426,6 @@
     }
     tokio::time::timeout(span, talk).await.ok()
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/server_ends.rs
+++ b/tests/server_ends.rs
@@ -2,7 +2,7 @@
 
 mod peers;
 
-use std::io::{BufReader, Read, Write};
+use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{mpsc, Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -470,3 +470,63 @@
         server.seen().iter().map(|m| (m.conn, m.header("x-txn").unwrap_or_default().to_string())).collect();
     assert_eq!(seen, [(1, "left".to_string()), (2, "next".to_string())]);
 }
+
+/// A listener whose connections take next to nothing until they are read: a small window, and small segments, by which the
+/// other side's kernel measures what it holds for it.
+fn narrow() -> TcpListener {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("a socket");
+    socket.set_tcp_mss(536).expect("a socket");
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("a port");
+    socket.listen(16).expect("it listens");
+    socket.into()
+}
+
+/// A server answers by the head alone, before the last byte of the request is written, and reads no more. Its answer is the
+/// request's, once; what is left of the request goes nowhere, and the connection carries no other.
+#[test]
+fn an_answer_before_the_last_byte_is_written_is_the_requests_and_ends_its_connection() {
+    // Held whole, and passed on while it comes.
+    for (size, status, told_so) in [(300_000, 200, 200), (300_000, 500, 502), (3_000_000, 200, 200)] {
+        let listener = narrow();
+        let at = listener.local_addr().expect("bound");
+        let (bring, come) = mpsc::channel();
+        std::thread::spawn(move || listener.incoming().flatten().all(|stream| bring.send(stream).is_ok()));
+        let next = || {
+            let stream = come.recv_timeout(PATIENCE).expect("the node connects");
+            stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+            stream
+        };
+        let registry = Registry::new(&[host("s0", at, "active", 1)]);
+        let node = Node::ready(&told(registry.address));
+        let mut client = Client::to(&node);
+        let length = format!("Content-Length: {size}\r\n\r\n");
+        client.send(&request("slip", "early", 15_000).replace("Content-Length: 4\r\n\r\nwork", &length));
+        let mut out = client.writer();
+        // The node reads no further than it can pass on.
+        std::thread::spawn(move || write(&mut out, &bytes(size)));
+        let mut server = next();
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0; 1];
+            server.read_exact(&mut byte).expect("a head");
+            head.extend(byte);
+        }
+        assert!(text(&head).contains("early"), "{}", text(&head));
+        write(&mut server, &answer(status, "", "early"));
+        assert_eq!(client.hear().expect("an answer").status(), told_so, "{size}, {status}");
+        let mut rest = Vec::new();
+        // Either way tells that the rest will not come, and long before a connection that rests is closed.
+        server.set_read_timeout(Some(Duration::from_secs(12))).expect("a socket");
+        let end = server.read_to_end(&mut rest).map_err(|e| e.kind());
+        assert!(matches!(end, Ok(_) | Err(ErrorKind::ConnectionReset)), "{size}: it ends: {end:?}");
+        assert!(rest.len() < size, "{size}: its last byte was written");
+        let mut client = Client::to(&node);
+        client.send(&request("slip", "next", 15_000));
+        let mut server = next();
+        let message = read_message(&mut BufReader::new(server.try_clone().expect("a descriptor")), 2);
+        assert_eq!(message.expect("a request").header("x-txn"), Some("next"), "and nothing in between");
+        write(&mut server, &answer(200, "", "next"));
+        assert_eq!(client.hear().expect("an answer").body, b"next");
+    }
+}
