A server that takes nothing of an upload for 10 s ends it

Seen in a test: a client sends more than all buffers take to a server that reads nothing, and leaves. Its end stands behind what nobody reads, so nothing told the node; the time of such an attempt begins with the body's last byte, which never comes. After 25 s the request was open still, with both connections and its room. A client that stays had no answer either.

Ruled out: to look for the end behind unread bytes, as it has not come to the node; to count the time from the attempt's begin, as large bodies take longer than their time and are whole.

Change: until a passed-on body has gone out the attempt ends when the kernel has taken nothing of it for 10 s, as long as a server may give nothing of an answer. It never ran, and counts as a connection that broke before the last byte. Where no attempt is out the request's time ended it before, too.

The process's test waits 10 s for that; with 90 s in its place it fails (30 s in vain), and so does the one on a paused clock.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -21,7 +21,8 @@
 use crate::pool::{Link, Pool};
 use crate::sock::Sock;
 
-/// How long a server that has begun an answer may then give nothing of it while its client would take more.
+/// How long a server that has begun an answer may then give nothing of it while its client would take more, and one may take
+/// nothing of a request that is passed on.
 const STALLED: Duration = Duration::from_secs(10);
 /// Nobody knows of an answer without a length whether it is a large one that comes slowly or a small one that never ends, and
 /// a client is owed an end that it can tell soon after its time. Past that time at least so much must come of it ...
@@ -414,8 +415,15 @@
     }
 }
 
-/// When an attempt of a request that is passed on is given up: its time begins with its last byte.
-pub async fn within<T>(end: Instant, upload: Option<&Uploading>, talk: impl Future<Output = T>) -> Option<T> {
+/// When an attempt of a request that is passed on is given up: its time begins with its last byte. Until then its server has
+/// to take some of it now and then: one that hangs would else keep its client without an answer for good, and one that the
+/// network cut off until the kernel gives up.
+pub async fn within<T>(
+    end: Instant,
+    upload: Option<&Uploading>,
+    to: &Sock,
+    talk: impl Future<Output = T>,
+) -> Option<T> {
     let Some(upload) = upload else { return tokio::time::timeout_at(end, talk).await.ok() };
     let span = end.saturating_duration_since(Instant::now());
     let mut talk = std::pin::pin!(talk);
@@ -423,6 +431,7 @@
         biased;
         done = &mut talk => return Some(done),
         () = upload.over() => {}
+        () = to.takes_nothing_for(STALLED) => return None,
     }
     tokio::time::timeout(span, talk).await.ok()
 }
--- a/crates/http/src/body/tests.rs
+++ b/crates/http/src/body/tests.rs
@@ -1,21 +1,31 @@
 use std::future::{poll_fn, ready};
 
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
+use tokio::time::{advance, timeout};
 
 use super::*;
 
+/// A connection to a server, and the listener that it is made to.
+async fn sock() -> (Rc<Sock>, TcpListener) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let stream = TcpStream::connect(listener.local_addr().expect("bound")).await.expect("it listens");
+    (Sock::new(stream).expect("a socket"), listener)
+}
+
 /// Both orders of an attempt's answer and the end of its time, in one turn of the loop: an answer that is there counts, one that
 /// comes next finds nobody.
 #[tokio::test(start_paused = true)]
 async fn an_answer_in_the_turn_in_which_its_attempt_ends_counts() {
+    let (sock, _listener) = sock().await;
     let over = Instant::now();
-    tokio::time::advance(Duration::from_millis(5)).await;
+    advance(Duration::from_millis(5)).await;
     let whole = Uploading::default();
     whole.end(false);
     for upload in [None, Some(&whole)] {
-        assert_eq!(within(over, upload, ready("answer")).await, Some("answer"));
+        assert_eq!(within(over, upload, &sock, ready("answer")).await, Some("answer"));
         let (server, answer) = oneshot::channel();
-        assert_eq!(within(over, upload, answer).await, None);
+        assert_eq!(within(over, upload, &sock, answer).await, None);
         assert!(server.send("late").is_err());
     }
     // The answer and the body's last byte come in one turn: it counts, whatever is left of its time.
@@ -24,5 +34,22 @@
         last.end(false);
         Poll::Ready("early")
     });
-    assert_eq!(within(over, Some(&last), both).await, Some("early"));
+    assert_eq!(within(over, Some(&last), &sock, both).await, Some("early"));
+}
+
+/// A request that is passed on: as long as its server takes some of it now and then it goes on, past its time; one that takes
+/// nothing for long ends it.
+#[tokio::test(start_paused = true)]
+async fn an_upload_that_its_server_does_not_take_is_given_up() {
+    let (sock, _listener) = sock().await;
+    let upload = Uploading::default();
+    let mut attempt = Box::pin(within(Instant::now(), Some(&upload), &sock, std::future::pending::<()>()));
+    for _ in 0..4 {
+        sock.begin(None);
+        assert!(timeout(STALLED * 9 / 10, &mut attempt).await.is_err(), "it goes on");
+    }
+    sock.begin(None);
+    let began = Instant::now();
+    assert_eq!(attempt.await, None);
+    assert!((STALLED..STALLED * 11 / 10).contains(&began.elapsed()), "{:?}", began.elapsed());
 }
--- a/crates/http/src/sock.rs
+++ b/crates/http/src/sock.rs
@@ -171,6 +171,8 @@
     out: RefCell<Progress>,
     /// Where it is counted when the message's last byte is written.
     counted: RefCell<Option<Figures>>,
+    /// When the kernel last took any of it, or it was begun.
+    took_at: Cell<tokio::time::Instant>,
     /// What came back since the message was begun.
     back: RefCell<Back>,
     phase: Cell<Phase>,
@@ -233,6 +235,7 @@
             drained: Cell::new(true),
             out: RefCell::default(),
             counted: RefCell::default(),
+            took_at: Cell::new(tokio::time::Instant::now()),
             back: RefCell::default(),
             phase: Cell::new(Phase::Idle),
             since: Cell::new(now),
@@ -255,6 +258,7 @@
         let (chunked, body) = (body.is_none(), body.unwrap_or_default());
         *self.out.borrow_mut() = Progress { body, chunked, ..Progress::default() };
         *self.back.borrow_mut() = Back::default();
+        self.took_at.set(tokio::time::Instant::now());
     }
 
     /// The same of an attempt, which counts once its last byte is written, whatever becomes of it then.
@@ -297,6 +301,17 @@
         self.out.borrow().any
     }
 
+    /// Waits until the kernel has taken nothing of the message for so long.
+    pub async fn takes_nothing_for(&self, span: Duration) {
+        loop {
+            let end = self.took_at.get() + span;
+            tokio::time::sleep_until(end).await;
+            if end == self.took_at.get() + span {
+                return;
+            }
+        }
+    }
+
     /// Has any byte come back?
     pub fn heard_any(&self) -> bool {
         self.back.borrow().head.any
@@ -463,6 +478,7 @@
 
     fn took(&self, bytes: &[u8]) {
         self.out.borrow_mut().took(bytes);
+        self.took_at.set(tokio::time::Instant::now());
         if self.whole() {
             if let Some(figures) = self.counted.take() {
                 figures.tried();
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -96,8 +96,9 @@
         let Some(body) = message.body.outgoing(&link.sock) else { return (Outcome::NotSent, None) };
         let request = request(message, body, end);
         let uploading = message.body.uploading();
+        let to = link.sock.clone();
         let talk = converse(&mut link, request, end);
-        let ended = within(end.into(), uploading.map(|u| &**u), talk).await;
+        let ended = within(end.into(), uploading.map(|u| &**u), &to, talk).await;
         let overtaken = ended.is_none() && pool.overtaken(server, sent);
         drop(expected);
         let (any, whole) = (link.sock.any(), link.sock.whole());
@@ -123,6 +124,8 @@
             // and lower its limit, for each. One that is slow with all it has is not overtaken.
             None if whole && !link.sock.heard_any() && overtaken => return (Outcome::Unheard, None),
             None if whole => return (Outcome::TimedOut, None),
+            // It took nothing for long.
+            None if uploading.is_some_and(|u| u.over_since().is_none()) => return (Outcome::Unwritten, None),
             None => return (Outcome::NotSent, None),
         }
     }
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -260,3 +260,28 @@
     assert_eq!(ended.map_err(|e| e.kind()), Err(std::io::ErrorKind::ConnectionReset));
     assert_eq!(node.exit_code(), Some(0));
 }
+
+/// More is on its way than the sockets' buffers take, and the client's end stands behind it: nobody can see that. All that the
+/// node holds for it is given back all the same, whether it waits for a server or writes to one that reads nothing.
+#[test]
+fn an_end_that_no_buffer_can_take_is_not_waited_for() {
+    for stalls in [false, true] {
+        let stalled = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let at = stalled.local_addr().expect("bound");
+        let hosts = if stalls { vec![host("s0", at, "active", 1)] } else { Vec::new() };
+        let registry = Registry::new(&hosts);
+        let mut told = patient(&registry);
+        told["settings"]["Classes"][2]["Slo"] = json!(4000.0);
+        let node = Node::ready(&told);
+        let before = node.descriptors();
+        let head = request("slip", "left", 4000).replace("Content-Length: 4\r\n\r\nwork", "");
+        let mut client = connect(&node);
+        client.write_all(format!("{head}Content-Length: 90000000\r\n\r\n").as_bytes()).expect("it is taken");
+        // Until nobody takes any more.
+        client.set_write_timeout(Some(Duration::from_millis(300))).expect("a socket");
+        while client.write_all(&[0; 65_536]).is_ok() {}
+        until("an attempt is out, if there may be one", || !stalls || node.logged("open 1 "));
+        drop(client);
+        until("all is given back", || node.descriptors() <= before);
+    }
+}
