--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -18,6 +18,7 @@
 use magpietally_policy::{Effect, Millis, RequestId};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, Notify};
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 use crate::body::{Held, Out, Passing, Upload, Uploading};
@@ -59,6 +60,9 @@
 const IDLE_ONCE: Duration = Duration::from_secs(2);
 /// From this age on a request that is still coming makes room for others where there is none.
 const STALE: Duration = Duration::from_millis(250);
+/// How many turns of the loop what has come of a late request may take to be read: the runtime hears of it in the first, and the
+/// connection is read in the second.
+const READS_ON: usize = 3;
 /// How long a connection is read after its last answer, so that a reset does not overtake it.
 const LINGER: Duration = Duration::from_millis(500);
 /// The largest head of a request.
@@ -101,14 +105,29 @@
         loop {
             self.close.notified().await;
             let evicted = self.evicted.take();
-            let may_cross = self.sock.phase().0 == Phase::Idle || evicted;
-            if !may_cross || self.sock.quiet() {
+            let stays = match self.sock.phase().0 {
+                Phase::Reading if !evicted => self.reads_on().await,
+                Phase::Busy | Phase::Answering if !evicted => false,
+                _ => !self.sock.quiet(),
+            };
+            if !stays {
                 return;
             }
             // Another has to make room.
             freed.notify_one();
         }
     }
+
+    /// Has the rest of a late request come since it was found late? What stands in the socket is read first.
+    async fn reads_on(&self) -> bool {
+        for _ in 0..READS_ON {
+            if !self.sock.overdue() || self.sock.quiet() {
+                break;
+            }
+            yield_now().await;
+        }
+        !self.sock.overdue()
+    }
 }
 
 /// The connections of clients.
@@ -217,6 +236,16 @@
         }
     }
 
+    /// Does any client still wait for an answer that is held whole, or for its bytes to be written?
+    pub fn owes(&self) -> bool {
+        let owes = |c: &Rc<Client>| match c.sock.phase().0 {
+            Phase::Busy => true,
+            Phase::Answering => !c.sock.passes_on(),
+            Phase::Idle | Phase::Reading => false,
+        };
+        self.open.borrow().values().any(owes)
+    }
+
     /// Does the node stop, and have clients few connections left that are not busy? New ones are dealt to other nodes by
     /// then, if there are any. Where there are none, a front that finds no free connection takes the node for gone, with
     /// all that are open, and what comes is lost until another is up: seen on days of two nodes restarted in turn. To
@@ -459,12 +488,14 @@
     let mut last = sock.arrived() + remaining;
     let uploading = asked.request.body.uploading().cloned();
     let (margin, guard) = kept_back(remaining);
-    if !node.has_room() {
-        return refusal(node.stay_away(asked.class));
-    }
-    while node.fleet_holds() && Instant::now() + HELD_LOOK < last - margin {
+    let fails_open = || node.process().life().fails_open(Instant::now());
+    while node.fleet_holds() && !fails_open() && Instant::now() + HELD_LOOK < last - margin {
         tokio::time::sleep(HELD_LOOK).await;
     }
+    // What came before is failed by now: this one would be sent, and failed in the same breath.
+    if !node.has_room() || fails_open() {
+        return refusal(node.stay_away(asked.class));
+    }
     let (id, answered) = match node.request(asked, last - margin) {
         Ok(taken) => taken,
         Err(Turned::Open) => return plain(StatusCode::CONFLICT),
@@ -709,6 +740,8 @@
 #[cfg(test)]
 mod crossing;
 #[cfg(test)]
+mod ends;
+#[cfg(test)]
 mod harness;
 
 #[cfg(test)]
