What a request is told that no server will answer is decided in one place

The end of a node (`Core::fail_open`) and an attempt that was not made (`Core::not_noted`) each worked out for themselves whether to ask again is harmless, the first by the policy's word on outcomes, the second by the ledger's. Both ask `State::unserved` now, which goes by the ledger's `may_ask_again`. The two words name the same four outcomes, and an attempt without a task has always ended (`Core::end`), so behaviour stays as it is.

--- a/crates/core/src/intents.rs
+++ b/crates/core/src/intents.rs
@@ -11,7 +11,7 @@
 
 use crate::carrier::{Carrier, Payload};
 use crate::node::{Core, State};
-use crate::table::{Answer, Asked, Intent};
+use crate::table::{Answer, Asked, Intent, Open};
 
 /// Why a request is not taken.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -56,6 +56,20 @@
     }
 }
 
+impl<C: Carrier> State<C> {
+    /// What a request is told that no server will answer any more: to come again, where none of its attempts may have run.
+    pub(crate) fn unserved(&self, open: &Open<C::Request, C::Reply>) -> Answer<C::Reply> {
+        // One that is still out may run yet.
+        let ended: Option<Vec<How>> =
+            open.attempts.iter().map(|a| a.ended.map(|(outcome, ..)| how(outcome))).collect();
+        if ended.is_some_and(may_ask_again) {
+            Answer::Refused(self.epochs.newest().stay_away(open.class))
+        } else {
+            Answer::Failed
+        }
+    }
+}
+
 impl<C: Carrier> Core<C> {
     /// May this request be taken, as far as the ledger goes?
     pub(crate) fn admit(&self, asked: &Asked<C::Request>, deadline: Instant) -> Result<(), Turned> {
@@ -145,12 +159,9 @@
             let state = &mut *self.state.borrow_mut();
             let Some((_, server, took)) = self.end(state, id, attempt, outcome, (None, None)) else { return };
             let Some(open) = state.table.get(id) else { return };
-            let others = || open.attempts.iter();
-            if others().all(|a| a.task.is_none()) {
-                let harmless =
-                    may_ask_again(others().filter_map(|a| a.ended.map(|(outcome, ..)| how(outcome))));
-                let stay_away = state.epochs.newest().stay_away(open.class);
-                self.give(state, id, if harmless { Answer::Refused(stay_away) } else { Answer::Failed });
+            if open.attempts.iter().all(|a| a.task.is_none()) {
+                let answer = state.unserved(open);
+                self.give(state, id, answer);
             }
             let finished = state.table.get(id).is_none_or(|open| open.answer.is_none());
             Event::Ended { id, attempt, server, outcome, took, finished }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -389,12 +389,11 @@
     pub fn fail_open(self: &Rc<Self>) {
         let open = self.state.borrow().table.numbers();
         for id in open {
-            let unsent = {
+            let answer = {
                 let state = self.state.borrow();
-                let open = state.table.get(id).filter(|open| open.attempts.iter().all(Attempt::never_ran));
-                open.map(|open| state.epochs.newest().stay_away(open.class))
+                state.table.get(id).map_or(Answer::Failed, |open| state.unserved(open))
             };
-            self.answer(id, unsent.map_or(Answer::Failed, Answer::Refused));
+            self.answer(id, answer);
             self.client_gone(id);
         }
     }
