Nothing is sent by a list that is out of date while discovery rejects the node's calls

All nodes start at 0.02 s, seven watches are cut at 1.05 s, sixteen more end at 7.6 to 8.3 s in place of telling that three servers drain (6.91 s). Discovery serves a call each 0.252 s without a pause from 1.3 to 14.97 s, 54 in all; 30 of them would have to come between 6.91 and 13.7 s, which is room for 27. So no way of asking can hold it, and six nodes went on sending by the list that they had.

Ruled out: the backoff (the service is never idle), a send decided before the news, a retry, a watch that is silent; servers show no sign, as one that drains serves what it gets.

It counts from the start, from what a broken watch may have missed, from the last call that shows that discovery was out of reach, and with 4 s from a reload. A node that can't reach discovery goes on; after 9 s the old list is used again. A watch or call that was given up as silent is told apart from one that failed (ListFailure::Silent). DrainGrace of the settings is read for it.

All rows of clock.rs stay.

--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -235,11 +235,13 @@
         let (held, open, fleet, budget) = (status.held, status.open, status.fleet, status.retry_budget);
         let (connections, label) = (self.carrier.connections(), &self.label);
         let ledger = self.ledger.as_ref().map_or(String::new(), |ledger| format!("; {}", ledger.line()));
+        let list =
+            if state.epochs.newest().list_out_of_date() { "; list out of date, nothing sent" } else { "" };
         tracing::info!(
             target: "status",
             "{label}served {served} refused {refused} failed {failed} gone {gone}; attempts {attempts:?}; held {held} \
              open {open} fleet {fleet:.2} budget {budget:.1}; connections {connections}; {dropped} lines \
-             dropped{ledger}{servers}"
+             dropped{ledger}{list}{servers}"
         );
     }
 
@@ -607,6 +609,11 @@
         self.feed(Event::DiscoveryMoved);
     }
 
+    /// How long the answer to a call for the list may take to begin.
+    pub fn list_patience(&self) -> Duration {
+        span(self.state.borrow().epochs.newest().list_patience())
+    }
+
     /// The version to follow from; `None` where the whole list is needed first.
     pub fn version(&self) -> Option<u64> {
         self.state.borrow().members.version
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -87,6 +87,7 @@
             warm_within: 1000.0,
             fall_multiple: 3.0,
             fall_window: 1000.0,
+            drain_grace: 750.0,
         },
         tick: 1.0,
         ..Settings::default()
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -33,14 +33,12 @@
 const TRY: Duration = Duration::from_millis(500);
 /// Who refuses a connection does it sooner. One that hung so long and is reset then was on a link that is back.
 const REFUSED: Duration = Duration::from_millis(100);
-/// How long a call may wait for its answer to begin. The service itself fails calls that had to wait in its queue for 3 s.
-const ANSWER: Duration = Duration::from_millis(3200);
-/// When the whole list must be there: half a second more than its answer may wait, and with the pause behind it within the
-/// 4 s of a reload.
-const WHOLE: Duration = Duration::from_millis(3700);
+/// When the whole list must be there: half a second more than its answer may wait (`Reader::patience`), and with the pause behind
+/// it within the 4 s of a reload.
+const WHOLE: Duration = Duration::from_millis(500);
 /// When the first line of a watch must be there: 2 s later than the latest answer, as it may be the first of those that come
 /// while nothing changes; with the pause behind it within 6 s.
-const FIRST_LINE: Duration = Duration::from_millis(5200);
+const FIRST_LINE: Duration = Duration::from_millis(2000);
 /// A watch brings a line every 2 s: a longer silence is a dead link, which TCP alone would not notice.
 const SILENCE: Duration = Duration::from_millis(3200);
 
@@ -53,12 +51,16 @@
     Rejected(String),
     /// It failed or broke.
     Broken(String),
+    /// It said nothing, or nothing more, and was given up.
+    Silent(String),
     /// It brought what can't be read; the whole list is needed.
     Unreadable(String),
 }
 
 /// Who the list is read for.
 trait Reader {
+    /// How long the answer to a call may take to begin.
+    fn patience(&self) -> Duration;
     /// The version to follow from; `None` where the whole list is needed first.
     fn version(&self) -> Option<u64>;
     /// What was read last can't be trusted to follow on what it has.
@@ -70,6 +72,10 @@
 }
 
 impl<C: Carrier> Reader for Rc<Core<C>> {
+    fn patience(&self) -> Duration {
+        Core::list_patience(self)
+    }
+
     fn version(&self) -> Option<u64> {
         Core::version(self)
     }
@@ -120,6 +126,7 @@
         Ok(()) => (ListFailure::Broken, "the watch ended".to_string()),
         Err(Ended::Rejected(words)) => (ListFailure::Rejected, words),
         Err(Ended::Broken(words)) => (ListFailure::Broken, words),
+        Err(Ended::Silent(words)) => (ListFailure::Silent, words),
         Err(Ended::Unreadable(words)) => {
             reader.forget_version();
             (ListFailure::Broken, format!("unreadable line dropped: {words}"))
@@ -133,10 +140,10 @@
         Some(version) => version,
         None => whole(reader, to).await?,
     };
-    let mut body = call(to, &format!("/v1/endpoints?watch=1&from={version}")).await?;
+    let mut body = call(reader, to, &format!("/v1/endpoints?watch=1&from={version}")).await?;
     let mut text = Objects::default();
     let ended = attend(reader, &mut body, &mut text).await;
-    if let (Ok(()) | Err(Ended::Broken(_)), Some(listing)) = (&ended, text.rest()) {
+    if let (Ok(()) | Err(Ended::Broken(_) | Ended::Silent(_)), Some(listing)) = (&ended, text.rest()) {
         // What has been written has been told, however it ended.
         follow_on(reader, listing)?;
     }
@@ -145,11 +152,11 @@
 
 /// Takes what a watch brings, until it ends.
 async fn attend(reader: &impl Reader, body: &mut Call, text: &mut Objects) -> Result<(), Ended> {
-    let mut due = (Instant::now() + SILENCE).min(body.began + FIRST_LINE);
+    let mut due = (Instant::now() + SILENCE).min(body.began + body.patience + FIRST_LINE);
     let mut heard = false;
     loop {
         let frame = timeout_at(due, body.answer.frame()).await;
-        let Some(frame) = frame.map_err(|_| Ended::Broken("silent watch".into()))? else { return Ok(()) };
+        let Some(frame) = frame.map_err(|_| Ended::Silent("silent watch".into()))? else { return Ok(()) };
         let Ok(data) = frame?.into_data() else { continue };
         text.lines.push(&data)?;
         while let Some(said) = text.next()? {
@@ -182,12 +189,12 @@
 
 /// Asks for the whole list once.
 async fn whole(reader: &impl Reader, to: &impl Dial) -> Result<u64, Ended> {
-    let mut body = call(to, "/v1/endpoints").await?;
+    let mut body = call(reader, to, "/v1/endpoints").await?;
     let mut text = Lines::default();
-    let due = body.began + WHOLE;
+    let due = body.began + body.patience + WHOLE;
     loop {
         let frame = timeout_at(due, body.answer.frame()).await;
-        let Some(frame) = frame.map_err(|_| Ended::Broken("silent list".into()))? else { break };
+        let Some(frame) = frame.map_err(|_| Ended::Silent("silent list".into()))? else { break };
         if let Ok(data) = frame?.into_data() {
             text.push(&data)?;
         }
@@ -216,10 +223,12 @@
     answer: Incoming,
     /// When its connection was there.
     began: Instant,
+    /// How long its answer might have taken to begin.
+    patience: Duration,
     _driver: Driver,
 }
 
-async fn call(to: &impl Dial, path: &str) -> Result<Call, Ended> {
+async fn call(reader: &impl Reader, to: &impl Dial, path: &str) -> Result<Call, Ended> {
     let broken = |words: &str| Ended::Broken(words.to_string());
     let io = connect(to).await?;
     let began = Instant::now();
@@ -230,13 +239,14 @@
     }));
     let request = Request::get(path).header("host", to.to_string()).body(Empty::<Bytes>::new());
     let request = request.map_err(|e| broken(&e.to_string()))?;
-    let answer = timeout_at(began + ANSWER, send.send_request(request)).await;
-    let answer: Response<Incoming> = answer.map_err(|_| broken("no answer"))??;
+    let patience = reader.patience();
+    let answer = timeout_at(began + patience, send.send_request(request)).await;
+    let answer: Response<Incoming> = answer.map_err(|_| Ended::Silent("no answer".into()))??;
     if answer.status() != StatusCode::OK {
         let words = format!("status {}", answer.status());
         return Err(if began.elapsed() < AT_ONCE { Ended::Rejected(words) } else { Ended::Broken(words) });
     }
-    Ok(Call { answer: answer.into_body(), began, _driver: driver })
+    Ok(Call { answer: answer.into_body(), began, patience, _driver: driver })
 }
 
 /// A connection. On a dead link none comes up and none is refused. As the service never hears of these, they need no pause:
--- a/crates/http/src/discovery/clock.rs
+++ b/crates/http/src/discovery/clock.rs
@@ -197,6 +197,10 @@
 }
 
 impl Reader for Rc<Node> {
+    fn patience(&self) -> Duration {
+        Duration::from_secs_f64(self.policy.borrow().list_patience() / 1000.0)
+    }
+
     fn version(&self) -> Option<u64> {
         self.version.get()
     }
@@ -235,8 +239,14 @@
 /// Settings of a node that asks so.
 pub(super) fn settings(discovery: Discovery, ask_within: Millis) -> Settings {
     let class = Class { aim: 100.0, worth: 1.0, late_worth: 0.0, effect: Effect::Safe };
-    let rules =
-        Rules { ask_within, cold_share: 0.2, warm_within: 1000.0, fall_multiple: 3.0, fall_window: 1000.0 };
+    let rules = Rules {
+        ask_within,
+        cold_share: 0.2,
+        warm_within: 1000.0,
+        fall_multiple: 3.0,
+        fall_window: 1000.0,
+        drain_grace: GRACE as f64,
+    };
     Settings {
         nodes: 1,
         classes: vec![class],
--- a/crates/http/src/discovery/fleet.rs
+++ b/crates/http/src/discovery/fleet.rs
@@ -7,8 +7,6 @@
 use magpietally_policy::{Action, Balancer, Discovery, Event, ListFailure, Settings};
 
 use super::clock::settings;
-use super::ANSWER;
-
 /// One service that handles calls in turn.
 #[derive(Clone, Copy)]
 struct Service {
@@ -190,7 +188,7 @@
         self.came.push((now, n, !served));
         if served {
             self.busy = start + per_call;
-            assert!(self.busy - now < ANSWER.as_secs_f64() * 1000.0, "the node gives up sooner");
+            assert!(self.busy - now < self.nodes[n].list_patience(), "the node gives up sooner");
             return (self.busy, Ok(()));
         }
         self.busy = start + failing * per_call;
--- a/crates/http/tests/common/mod.rs
+++ b/crates/http/tests/common/mod.rs
@@ -22,7 +22,8 @@
 pub fn config(discovery: SocketAddr, time: f64) -> Config {
     let settings = json!({
         "Classes": [{"Name": "look", "Slo": time, "Deadline": time, "Idempotency": "pure", "Value": 1.0, "LateValue": 0.0}],
-        "Contract": {"AskWithin": 10000.0, "ColdShare": 0.2, "WarmWithin": 20000.0, "FallMultiple": 3.0, "Fall": 1000.0},
+        "Contract": {"AskWithin": 10000.0, "ColdShare": 0.2, "WarmWithin": 20000.0, "FallMultiple": 3.0, "Fall": 1000.0,
+            "DrainGrace": 750.0},
         "Goal": {"Whole": 1.0, "WorstWindow": 0.0, "WorstClass": 0.0, "WorstTenant": 0.0}, "OverShareWorth": 1.0,
         "Discovery": "subscribe", "Weights": "nominal", "Me": 0, "PeersTotal": 1, "Tick": 1.0,
         "Limits": {"AttemptsCap": 1, "MayDuplicate": false, "Cancel": false, "Probes": false, "RetryAfter": false,
--- a/crates/policy/examples/common/mod.rs
+++ b/crates/policy/examples/common/mod.rs
@@ -28,6 +28,7 @@
             warm_within: 20_000.0,
             fall_multiple: 3.0,
             fall_window: 1000.0,
+            drain_grace: 750.0,
         },
         discovery: Discovery::Pushed,
         weights: Weights::Listed,
--- a/crates/policy/examples/embed.rs
+++ b/crates/policy/examples/embed.rs
@@ -24,6 +24,7 @@
             warm_within: 20_000.0,
             fall_multiple: 3.0,
             fall_window: 1_000.0,
+            drain_grace: 750.0,
         },
         discovery: Discovery::Pushed,
         weights: Weights::Listed,
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -101,6 +101,8 @@
     pub fall_multiple: f64,
     /// ... for this long.
     pub fall_window: Millis,
+    /// How long after a server has been told to drain, or to be gone, new work may still be sent to it.
+    pub drain_grace: Millis,
 }
 
 /// How freely the module repeats and ejects: what operators may change while a fleet runs. The platform sets none of it.
@@ -137,8 +139,10 @@
 /// How asking for the list failed, or a subscription ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListFailure {
-    /// Discovery could not be reached, failed after a while, or fell silent.
+    /// Discovery could not be reached, failed after a while, or broke off.
     Broken,
+    /// It was reached, and said nothing, or nothing more, for so long that it was given up.
+    Silent,
     /// Discovery is there and rejected the call at once: it has more callers than it can serve.
     Rejected,
 }
--- a/crates/policy/src/asking.rs
+++ b/crates/policy/src/asking.rs
@@ -2,7 +2,8 @@
 
 use magpietally_structures::SplitMix;
 
-use crate::api::{Discovery, ListFailure, Millis};
+use crate::api::{Discovery, ListFailure, Millis, Settings};
+use crate::balance::Balancer;
 
 // Whatever became of calls before, a change counts as told 6 s after discovery had it and could be reached, and a drain must
 // hold 750 ms later. A call may wait 3 s in the service's queue, fail, and the next wait as long: 0.75 s are left for the
@@ -31,7 +32,30 @@
 const BACKOFF_MOST: Millis = 30_000.0;
 /// How long a call may be out with no word of it, where the settings would have it given up sooner: it may stand in the
 /// service's queue, and who calls again stands at the end of it.
-const OUT: Millis = 6000.0;
+const OUT: Millis = 7500.0;
+/// How long the answer to a call may take to begin. The service itself fails calls that had to wait in its queue for 3 s.
+const PATIENCE: Millis = 3200.0;
+/// The same behind a rejection: the service is there, and crowded. Some let calls wait for 4 s; who gives up sooner costs it a call
+/// for nothing, and begins again at the end of its queue. One that fell silent meanwhile is asked anew within 6 s all the same.
+const PATIENCE_CROWDED: Millis = 4700.0;
+
+// A node that has lost its watch, and whose calls are rejected, is blind: servers may have been told to drain that it still
+// sends to, and what it was not told counts as told all the same. It can be for longer than that where a service needs longer for
+// a whole fleet than a change has until it counts as told. Such a node sends nothing until it has the list: what it gets is
+// refused at once, and served by those that have it. Only a rejection shows that discovery is there. While it is down nothing counts as
+// told, and a node goes on with the list that it has.
+
+/// When a change counts as told, from when discovery had it and could be reached.
+const TOLD: Millis = 6000.0;
+/// When what discovery has to tell does, from a reload.
+const TOLD_AFTER_RELOAD: Millis = 4000.0;
+/// For how long a node sends nothing for this. A service that only seems to be there, as what stands in front of it rejects all calls,
+/// must not end all service.
+const HELD_BACK: Millis = 9000.0;
+/// How long news takes to all watches of a fleet at the least, where no call is before it in the service's queue.
+const NEWS_LAG: Millis = 500.0;
+/// How long a watch has said nothing that is given up for that.
+const SILENCE: Millis = 3200.0;
 
 /// How the pauses between calls grow that are rejected at once.
 #[derive(Clone, Copy)]
@@ -66,6 +90,20 @@
     call: Call,
     /// How many calls in a row have been rejected at once.
     rejected: u32,
+    /// For how long a node may go on sending by a list of which it was not told that it has changed: until that counts as told and the
+    /// grace is over, less the time that an attempt may wait for its connection.
+    told: Millis,
+    told_after_reload: Millis,
+    /// When the last call was answered.
+    had: Millis,
+    /// The longest that an answered call had waited in the service's queue, as news does.
+    waited: Millis,
+    /// Until when the list may be used if discovery can be reached; no end while it is watched.
+    good_until: Millis,
+    /// The same for what discovery has at that time, from the last reload.
+    good_after_reload: Millis,
+    /// Discovery has rejected a call since the list was last watched, or discovery last out of reach: it is there.
+    reached: bool,
 }
 
 /// Where a call stands.
@@ -82,28 +120,84 @@
 
 impl Asking {
     /// At a node's start.
-    pub(crate) fn new(discovery: Discovery, within: Millis, nodes: usize) -> Self {
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let (discovery, rules) = (settings.discovery, &settings.rules);
         let call = match discovery {
             Discovery::Pushed => Call::Settled,
             Discovery::Asked | Discovery::Agent => Call::AskAt(f64::NEG_INFINITY),
         };
-        Self { discovery, within, fleet: nodes > 1, call, rejected: 0 }
+        let grace = (rules.drain_grace - settings.limits.connect_timeout).max(0.0);
+        Self {
+            discovery,
+            within: rules.ask_within,
+            fleet: settings.nodes > 1,
+            call,
+            told: TOLD + grace,
+            told_after_reload: TOLD_AFTER_RELOAD + grace,
+            good_until: f64::INFINITY,
+            good_after_reload: f64::NEG_INFINITY,
+            ..Self::default()
+        }
     }
 
-    /// A call has been answered.
-    pub(crate) fn answered(&mut self) {
+    /// A call has been answered, or a watch has brought news.
+    pub(crate) fn answered(&mut self, now: Millis) {
+        if let Call::Asked(at) = self.call {
+            self.waited = self.waited.max(now - at);
+            self.had = now;
+        }
         (self.call, self.rejected) = (Call::Settled, 0);
+        (self.good_until, self.reached) = (f64::INFINITY, false);
     }
 
     /// Discovery is elsewhere: the new address is asked at once, whatever became of calls to the old one.
     pub(crate) fn moved(&mut self, now: Millis) {
+        self.good_after_reload = now + self.told_after_reload;
+        self.good_until = self.good_until.min(self.good_after_reload);
         (self.call, self.rejected) = (Call::AskAt(now), 0);
     }
 
+    /// Notes until when the list is good, now that a call has failed, or the watch.
+    fn note_failure(&mut self, now: Millis, failure: ListFailure) {
+        match (&self.call, failure) {
+            (Call::Settled, _) => {
+                // What a watch had not brought yet when it broke is missed, too.
+                let lag = if failure == ListFailure::Silent { SILENCE } else { self.waited.max(NEWS_LAG) };
+                self.good_until = (now - lag).max(self.had) + self.told;
+                if now < self.good_after_reload {
+                    self.good_until = self.good_until.min(self.good_after_reload);
+                }
+            }
+            (Call::Asked(at), ListFailure::Broken) => {
+                self.good_until = self.good_until.max(at + self.told);
+                self.reached = false;
+            }
+            _ => {}
+        }
+        self.reached |= failure == ListFailure::Rejected;
+    }
+
+    /// May servers have been told to drain of which the node has not heard?
+    pub(crate) fn out_of_date(&self, now: Millis) -> bool {
+        self.reached && now >= self.good_until && now < self.good_until + HELD_BACK
+    }
+
+    /// How long the answer to the call that is out may take to begin.
+    fn patience(&self) -> Millis {
+        if self.rejected > 0 {
+            PATIENCE_CROWDED
+        } else {
+            PATIENCE
+        }
+    }
+
     /// A call has failed, or what it had opened has ended. The pause has jitter, so that nodes cut off together do not come
     /// back together.
     pub(crate) fn failed(&mut self, now: Millis, failure: ListFailure, random: &mut SplitMix) {
         self.rejected = if failure == ListFailure::Rejected { self.rejected.saturating_add(1) } else { 0 };
+        if self.discovery == Discovery::Asked {
+            self.note_failure(now, failure);
+        }
         let (apart, behind) = match self.discovery {
             Discovery::Pushed => return,
             Discovery::Asked => ((self.within / 20.0).clamp(BEHIND, APART), BEHIND),
@@ -134,15 +228,31 @@
     pub(crate) fn look(&mut self, now: Millis, random: &mut SplitMix) -> bool {
         match self.call {
             Call::AskAt(at) if now >= at => {
+                if at == f64::NEG_INFINITY {
+                    // At its start a node has a list that may be old.
+                    self.good_until = now + self.told;
+                }
                 self.call = Call::Asked(now);
                 return true;
             }
             // No answer at all: taken for a failure.
             Call::Asked(at) if now - at >= self.within.max(OUT) => {
-                self.failed(now, ListFailure::Broken, random);
+                self.failed(now, ListFailure::Silent, random);
             }
             _ => {}
         }
         false
     }
 }
+
+impl Balancer {
+    /// How long the answer to the call for the list that was asked for last may take to begin, in milliseconds.
+    pub fn list_patience(&self) -> Millis {
+        self.asking.patience()
+    }
+
+    /// Is the list so old that nothing is sent by it? Servers may have been told to drain of which the node has not heard.
+    pub fn list_out_of_date(&self) -> bool {
+        self.asking.out_of_date(self.now)
+    }
+}
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -33,7 +33,7 @@
 pub struct Balancer {
     set: Settings,
     random: SplitMix,
-    now: Millis,
+    pub(crate) now: Millis,
     servers: BTreeMap<ServerId, Server>,
     ring: Vec<(u64, ServerId)>, // All servers that are up, by a hash that is the same at all nodes.
     subset: Vec<ServerId>,      // Those that it rotates over, sorted.
@@ -67,7 +67,7 @@
     lost: f64,         // Part of the attempts that went unanswered, lately.
     timer_due: Millis, // When the timer comes that was asked for last.
     swept: Millis,     // When what time brings was last looked at.
-    asking: Asking,
+    pub(crate) asking: Asking,
 }
 
 /// A server of the list, and what this node has seen of it.
@@ -209,7 +209,7 @@
             retry_budget: settings.tuning.retry_most,
             timer_due: f64::INFINITY,
             swept: f64::NEG_INFINITY,
-            asking: Asking::new(settings.discovery, settings.rules.ask_within, settings.nodes),
+            asking: Asking::new(&settings),
             set: settings,
             ..Self::default()
         })
@@ -306,9 +306,7 @@
     fn sweep(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
         self.swept = now;
-        if self.asking.look(now, &mut self.random) {
-            actions.push(Action::Subscribe);
-        }
+        actions.extend(self.asking.look(now, &mut self.random).then_some(Action::Subscribe));
         let mut due: Vec<ServerId> = self.looks.within(now).collect();
         due.sort_unstable();
         for id in due {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 //!     },
 //!     rules: Rules {
 //!         ask_within: 10_000.0, cold_share: 0.2, warm_within: 20_000.0, fall_multiple: 3.0, fall_window: 1_000.0,
+//!         drain_grace: 750.0,
 //!     },
 //!     discovery: Discovery::Pushed,
 //!     weights: Weights::None,
--- a/crates/policy/tests/common/fleet.rs
+++ b/crates/policy/tests/common/fleet.rs
@@ -111,6 +111,7 @@
         warm_within: 20_000.0,
         fall_multiple: 3.0,
         fall_window: 1_000.0,
+        drain_grace: 750.0,
     }
 }
 
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -40,6 +40,7 @@
             warm_within: 20_000.0,
             fall_multiple: 3.0,
             fall_window: 1000.0,
+            drain_grace: DRAIN_GRACE,
         },
         discovery: Discovery::Pushed,
         weights: Weights::Listed,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -67,6 +67,7 @@
         warm_within: r.within("WarmWithin", Range::Amount)?,
         fall_multiple: r.within("FallMultiple", Range::Positive)?,
         fall_window: r.within("Fall", Range::Positive)?,
+        drain_grace: r.within("DrainGrace", Range::Amount)?,
     })
 }
 
--- a/crates/settings/tests/fields.rs
+++ b/crates/settings/tests/fields.rs
@@ -112,7 +112,7 @@
     }
 }
 
-const FIELDS: [(&str, Kind); 41] = [
+const FIELDS: [(&str, Kind); 42] = [
     ("/Classes/0/Name", Kind::Name),
     ("/Classes/0/Slo", Kind::Positive),
     ("/Classes/0/Deadline", Kind::Positive),
@@ -135,6 +135,7 @@
     ("/Contract/WarmWithin", Kind::Amount),
     ("/Contract/FallMultiple", Kind::Positive),
     ("/Contract/Fall", Kind::Positive),
+    ("/Contract/DrainGrace", Kind::Amount),
     ("/Discovery", Kind::Word),
     ("/Goal", Kind::Object),
     ("/Goal/Whole", Kind::Amount),
--- a/crates/site/examples/path.rs
+++ b/crates/site/examples/path.rs
@@ -465,7 +465,7 @@
             ],
             "Customers": [{"Name": "punjab-clubs", "QuotaPerS": 1e6}],
             "Contract": {"AskWithin": 10000.0, "ColdShare": 0.2, "WarmWithin": 20000.0, "FallMultiple": 3.0,
-                "Fall": 1000.0},
+                "Fall": 1000.0, "DrainGrace": 750.0},
             "Goal": {"Whole": 1.0, "WorstWindow": 0.0, "WorstClass": 0.0, "WorstTenant": 0.0},
             "Discovery": "subscribe", "Weights": "nominal", "OverShareWorth": 0.5, "Me": 0, "PeersTotal": 1,
             "Tick": 1.0,
--- a/crates/site/src/model/spec.rs
+++ b/crates/site/src/model/spec.rs
@@ -693,6 +693,7 @@
                 warm_within: self.warm_within_ms(),
                 fall_multiple: r.fall_multiple,
                 fall_window: r.fall_ms,
+                drain_grace: r.drain_grace_ms,
             },
             discovery: if self.list.watched { policy::Discovery::Asked } else { policy::Discovery::Pushed },
             weights: policy::Weights::Listed,
--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -23,6 +23,10 @@
     shed: SHED,
 };
 
+/// All thirty take the service 10 s, longer than until a change counts as told, and a rejection costs it little.
+const SLOW: Capacity =
+    Capacity { work: Duration::from_nanos(10_000_000_000 / NODES as u64), shed: 0.05, ..CAPACITY };
+
 /// A service that has as good as nothing to do.
 const IDLE: Capacity = Capacity { work: Duration::from_millis(1), ..CAPACITY };
 
@@ -133,10 +137,10 @@
     /// busy machine are nodes that are late themselves: with each of their calls at worst as much as any of this process's
     /// threads was, one of which wakes every 5 ms to see it. Bounds in time have that much more for each of a node's calls;
     /// and nodes come back together so much more often as the span in which they do is longer by it.
-    fn judge(mut self, began: Instant, from: Instant) {
-        let busy = CAPACITY.work * NODES as u32;
+    fn judge(mut self, capacity: Capacity, began: Instant, from: Instant) {
+        let busy = capacity.work * NODES as u32;
         let late = || self.discovery.late() * CALLS as u32;
-        while from.elapsed() < DRAINED + LONGER + late().min(LATE) {
+        while from.elapsed() < (DRAINED + LONGER).max(busy.mul_f64(1.5)) + late().min(LATE) {
             std::thread::sleep(Duration::from_millis(20));
         }
         let (late_once, late) = (self.discovery.late(), late());
@@ -192,11 +196,10 @@
     (pairs, together)
 }
 
-/// Nodes start together with a list that they saved, of which two servers have left since.
-#[test]
-fn nodes_that_start_together_have_their_watches_in_turn() {
+/// Starts nodes together with a list that they saved, of which two servers have left since, and judges what becomes of it.
+fn start_together(capacity: Capacity) {
     let began = Instant::now();
-    let mut fleet = Fleet::new(CAPACITY);
+    let mut fleet = Fleet::new(capacity);
     fleet.announce();
     fleet.start();
     // From the last one's first call on all could have it.
@@ -206,7 +209,12 @@
         first = (0..NODES).filter_map(|n| calls.iter().find(|c| c.node == n).map(|c| c.came)).collect();
         first.len() == NODES
     });
-    fleet.judge(began, first.into_iter().max().expect("some"));
+    fleet.judge(capacity, began, first.into_iter().max().expect("some"));
+}
+
+#[test]
+fn nodes_that_start_together_have_their_watches_in_turn() {
+    start_together(CAPACITY);
 }
 
 /// Discovery goes down under thirty watches, two servers leave, and it is back: all nodes ask again at once.
@@ -220,5 +228,12 @@
     fleet.announce();
     let back = Instant::now();
     fleet.discovery.is_back(CAPACITY);
-    fleet.judge(back, back);
+    fleet.judge(CAPACITY, back, back);
+}
+
+/// The service needs longer for all of them than until the two servers count as gone: who has no list by then sends nothing until
+/// it has.
+#[test]
+fn nodes_that_a_slow_service_leaves_without_a_list_send_nothing_by_an_old_one() {
+    start_together(SLOW);
 }
