--- a/crates/policy/src/asking.rs
+++ b/crates/policy/src/asking.rs
@@ -40,21 +40,21 @@
 const PATIENCE_CROWDED: Millis = 4700.0;
 
 // A node that has lost its watch, and whose calls are rejected, is blind: servers may have been told to drain that it still
-// sends to, and what it was not told counts as told all the same. It can be for longer than that where a service needs longer for
-// a whole fleet than a change has until it counts as told. Such a node sends nothing until it has the list: what it gets is
-// refused at once, and served by those that have it. Only a rejection shows that discovery is there. While it is down nothing counts as
-// told, and a node goes on with the list that it has.
+// sends to, and what it was not told counts as told all the same. It stays so for too long where a service needs longer for a
+// whole fleet than a change has until it counts as told. Such a node sends nothing until it has the list: what it gets is
+// refused soon, and served by those that have it. Only a rejection shows that discovery is there. While it is down nothing
+// counts as told, and a node goes on with the list that it has.
 
 /// When a change counts as told, from when discovery had it and could be reached.
 const TOLD: Millis = 6000.0;
 /// When what discovery has to tell does, from a reload.
 const TOLD_AFTER_RELOAD: Millis = 4000.0;
-/// For how long a node sends nothing for this. A service that only seems to be there, as what stands in front of it rejects all calls,
-/// must not end all service.
+/// For how long a node sends nothing for this. A service that only seems to be there, as what stands in front of it rejects
+/// all calls, must not end all service.
 const HELD_BACK: Millis = 9000.0;
 /// How long news takes to all watches of a fleet at the least, where no call is before it in the service's queue.
 const NEWS_LAG: Millis = 500.0;
-/// How long a watch has said nothing that is given up for that.
+/// How long a watch has said nothing that is given up for that: as long as whoever reads it waits.
 const SILENCE: Millis = 3200.0;
 
 /// How the pauses between calls grow that are rejected at once.
@@ -90,8 +90,8 @@
     call: Call,
     /// How many calls in a row have been rejected at once.
     rejected: u32,
-    /// For how long a node may go on sending by a list of which it was not told that it has changed: until that counts as told and the
-    /// grace is over, less the time that an attempt may wait for its connection.
+    /// For how long a node may go on sending by a list of which it was not told that it has changed: until that counts as
+    /// told and the grace is over, less the time that an attempt may wait for its connection.
     told: Millis,
     told_after_reload: Millis,
     /// When the last call was answered.
--- a/crates/policy/tests/out_of_date.rs
+++ b/crates/policy/tests/out_of_date.rs
@@ -114,8 +114,8 @@
     }
 }
 
-/// What was missed while discovery was out of reach counts from when it could be reached, and a call that failed shows that it could not
-/// when that call was made.
+/// What was missed while discovery was out of reach counts from when it could be reached, and a call that failed shows that it
+/// could not when that call was made.
 #[test]
 fn behind_an_outage_the_time_counts_from_the_last_call_that_failed() {
     let mut node = node();
