--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -136,6 +136,9 @@
     Agent,
 }
 
+/// How long a watch has said nothing that is given up as [`ListFailure::Silent`], in milliseconds. It brings a line every 2 s.
+pub const WATCH_SILENCE: Millis = 3200.0;
+
 /// How asking for the list failed, or a subscription ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListFailure {
--- a/crates/policy/src/asking.rs
+++ b/crates/policy/src/asking.rs
@@ -2,7 +2,7 @@
 
 use magpietally_structures::SplitMix;
 
-use crate::api::{Discovery, ListFailure, Millis, Settings};
+use crate::api::{Discovery, ListFailure, Millis, Settings, WATCH_SILENCE};
 use crate::balance::Balancer;
 
 // Whatever became of calls before, a change counts as told 6 s after discovery had it and could be reached, and a drain must
@@ -54,8 +54,6 @@
 const HELD_BACK: Millis = 9000.0;
 /// How long news takes to all watches of a fleet at the least, where no call is before it in the service's queue.
 const NEWS_LAG: Millis = 500.0;
-/// How long a watch has said nothing that is given up for that: as long as whoever reads it waits.
-const SILENCE: Millis = 3200.0;
 
 /// How the pauses between calls grow that are rejected at once.
 #[derive(Clone, Copy)]
@@ -162,7 +160,8 @@
         match (&self.call, failure) {
             (Call::Settled, _) => {
                 // What a watch had not brought yet when it broke is missed, too.
-                let lag = if failure == ListFailure::Silent { SILENCE } else { self.waited.max(NEWS_LAG) };
+                let silent = failure == ListFailure::Silent;
+                let lag = if silent { WATCH_SILENCE } else { self.waited.max(NEWS_LAG) };
                 self.good_until = (now - lag).max(self.had) + self.told;
                 if now < self.good_after_reload {
                     self.good_until = self.good_until.min(self.good_after_reload);
@@ -195,12 +194,12 @@
     /// back together.
     pub(crate) fn failed(&mut self, now: Millis, failure: ListFailure, random: &mut SplitMix) {
         self.rejected = if failure == ListFailure::Rejected { self.rejected.saturating_add(1) } else { 0 };
-        if self.discovery == Discovery::Asked {
-            self.note_failure(now, failure);
-        }
         let (apart, behind) = match self.discovery {
             Discovery::Pushed => return,
-            Discovery::Asked => ((self.within / 20.0).clamp(BEHIND, APART), BEHIND),
+            Discovery::Asked => {
+                self.note_failure(now, failure);
+                ((self.within / 20.0).clamp(BEHIND, APART), BEHIND)
+            }
             Discovery::Agent => AGENT,
         };
         let took = if let Call::Asked(at) = self.call { now - at } else { 0.0 };
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -306,7 +306,9 @@
     fn sweep(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
         self.swept = now;
-        actions.extend(self.asking.look(now, &mut self.random).then_some(Action::Subscribe));
+        if self.asking.look(now, &mut self.random) {
+            actions.push(Action::Subscribe);
+        }
         let mut due: Vec<ServerId> = self.looks.within(now).collect();
         due.sort_unstable();
         for id in due {
--- a/crates/policy/tests/out_of_date.rs
+++ b/crates/policy/tests/out_of_date.rs
@@ -57,6 +57,14 @@
     false
 }
 
+/// It sends by its list until then, though its calls are rejected, and nothing from then on.
+fn sends_until(node: &mut Node, then: f64) {
+    until(node, then - 10.0, ListFailure::Rejected);
+    assert!(sends_now(node), "10 ms before {then}");
+    until(node, then, ListFailure::Rejected);
+    assert!(!sends_now(node), "at {then}");
+}
+
 #[test]
 fn a_node_that_is_rejected_from_its_start_sends_until_what_it_missed_counts_as_told() {
     let mut node = node();
@@ -126,10 +134,7 @@
     let out = node.now;
     node.wait(2000.0);
     failed_by(&mut node, ListFailure::Broken);
-    until(&mut node, out + GOOD - 10.0, ListFailure::Rejected);
-    assert!(sends_now(&mut node));
-    until(&mut node, out + GOOD, ListFailure::Rejected);
-    assert!(!sends_now(&mut node));
+    sends_until(&mut node, out + GOOD);
 }
 
 /// A watch that ends may have had news to bring: so much of it as its node's own call had waited in the service's queue. One that
@@ -145,12 +150,10 @@
         node.wait(waited);
         node.event(Event::ListChange(Vec::new()));
         pass(&mut node, 20_000.0, ListFailure::Rejected);
+        println!("{failure:?}, {waited} ms in the queue");
         let broke = node.now;
         failed_by(&mut node, failure);
-        until(&mut node, broke - missed + GOOD - 10.0, ListFailure::Rejected);
-        assert!(sends_now(&mut node), "{failure:?}");
-        until(&mut node, broke - missed + GOOD, ListFailure::Rejected);
-        assert!(!sends_now(&mut node), "{failure:?}");
+        sends_until(&mut node, broke - missed + GOOD);
     }
 }
 
@@ -162,10 +165,7 @@
     node.event(Event::ListChange(Vec::new()));
     let had = node.now;
     failed_by(&mut node, ListFailure::Broken);
-    until(&mut node, had + GOOD - 10.0, ListFailure::Rejected);
-    assert!(sends_now(&mut node));
-    until(&mut node, had + GOOD, ListFailure::Rejected);
-    assert!(!sends_now(&mut node));
+    sends_until(&mut node, had + GOOD);
 }
 
 #[test]
@@ -176,10 +176,7 @@
     let moved = node.now;
     node.event(Event::DiscoveryMoved);
     failed_by(&mut node, ListFailure::Rejected);
-    until(&mut node, moved + GOOD_AFTER_RELOAD - 10.0, ListFailure::Rejected);
-    assert!(sends_now(&mut node));
-    until(&mut node, moved + GOOD_AFTER_RELOAD, ListFailure::Rejected);
-    assert!(!sends_now(&mut node));
+    sends_until(&mut node, moved + GOOD_AFTER_RELOAD);
 }
 
 /// What discovery has then counts as told, also to a node that had its watch again meanwhile, and lost it.
@@ -194,10 +191,7 @@
     node.event(Event::ListChange(Vec::new()));
     node.wait(1500.0);
     failed_by(&mut node, ListFailure::Broken);
-    until(&mut node, moved + GOOD_AFTER_RELOAD - 10.0, ListFailure::Rejected);
-    assert!(sends_now(&mut node));
-    until(&mut node, moved + GOOD_AFTER_RELOAD, ListFailure::Rejected);
-    assert!(!sends_now(&mut node));
+    sends_until(&mut node, moved + GOOD_AFTER_RELOAD);
 }
 
 /// What stands in front of a service that is down may reject all calls for it.
