--- /dev/null
+++ b/crates/os_error/src/retry.rs
@@ -0,0 +1,116 @@
+//! Loops that repeat a call for as long as its errors say that this may help. They block the thread.
+
+use std::io;
+use std::time::{Duration, Instant};
+
+use crate::{classify, Call, Class};
+
+/// How long a start waits for what it needs: a process that is started again and again in less would help nobody.
+pub const START_WITHIN: Duration = Duration::from_secs(8);
+/// How long something that runs on anyway waits for a file.
+pub const FILE_WITHIN: Duration = Duration::from_millis(500);
+
+/// The first pause before a call is repeated, and the longest: each is twice the one before.
+const PAUSE: Duration = Duration::from_millis(2);
+const PAUSE_MOST: Duration = Duration::from_millis(100);
+
+/// Pauses between repeated calls, each twice as long as the one before.
+#[derive(Debug)]
+pub struct Pauses {
+    next: Duration,
+}
+
+impl Default for Pauses {
+    fn default() -> Self {
+        Self { next: PAUSE }
+    }
+}
+
+impl Pauses {
+    /// The next pause.
+    pub fn next_pause(&mut self) -> Duration {
+        let pause = self.next;
+        self.next = (self.next * 2).min(PAUSE_MOST);
+        pause
+    }
+}
+
+/// Repeats a call that was interrupted.
+///
+/// # Errors
+/// Any other error of the call.
+pub fn interrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    loop {
+        match call() {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            ended => return ended,
+        }
+    }
+}
+
+/// Repeats a call that was interrupted or lacks something for the moment, with pauses, for so long at the most. `what` names
+/// it in the log.
+///
+/// # Errors
+/// The call's last error.
+pub fn within<T>(
+    span: Duration,
+    kind: Call,
+    what: &str,
+    mut call: impl FnMut() -> io::Result<T>,
+) -> io::Result<T> {
+    let began = Instant::now();
+    let mut pauses = Pauses::default();
+    loop {
+        let error = match call() {
+            Ok(value) => return Ok(value),
+            Err(error) => error,
+        };
+        match classify(kind, &error) {
+            Class::TryAgain => {}
+            Class::OutOfResources if began.elapsed() < span => {
+                let pause = pauses.next_pause();
+                tracing::warn!(target: "retry", "{what}: {error}; tried again in {} ms", pause.as_millis());
+                std::thread::sleep(pause);
+            }
+            _ => return Err(error),
+        }
+    }
+}
+
+/// The same for what a start needs.
+///
+/// # Errors
+/// The call's last error.
+pub fn at_start<T>(kind: Call, what: &str, call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    within(START_WITHIN, kind, what, call)
+}
+
+/// Starts a thread, which may lack the memory or the room for one at first.
+///
+/// # Errors
+/// The system's last error.
+pub fn spawn<T: Send + 'static>(
+    name: &str,
+    run: impl FnOnce() -> T + Send + 'static,
+) -> io::Result<std::thread::JoinHandle<T>> {
+    // A thread that could not be made has dropped what it was to run: what is run is handed over once there is one.
+    let (hand_over, take) = std::sync::mpsc::sync_channel(1);
+    let take = std::sync::Arc::new(std::sync::Mutex::new(take));
+    let handle = at_start(Call::Create, "a thread", || {
+        let take = take.clone();
+        std::thread::Builder::new().name(name.into()).spawn(move || {
+            let taken = take.lock().ok().and_then(|take| take.recv().ok());
+            let run: Box<dyn FnOnce() -> T + Send> =
+                taken.expect("whoever starts a thread hands over its work");
+            run()
+        })
+    })?;
+    let work: Box<dyn FnOnce() -> T + Send> = Box::new(run);
+    // The thread waits for it, so this neither fails nor waits.
+    let _ = hand_over.send(work);
+    Ok(handle)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/tests/peers/load.rs
@@ -0,0 +1,273 @@
+//! Clients in numbers, and a check that holds what they saw against what the servers did.
+
+use std::collections::BTreeMap;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+use super::{answer, host, read_message, request, Message, Peer, Say};
+
+/// A request's final answer may be so late.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// An attempt may begin so long after its client's end; the second half is the test's own delay in seeing it.
+const LATE_ATTEMPT: Duration = Duration::from_millis(100 + 100);
+/// What an attempt is told may exceed the client's own time by so much, in milliseconds; half of it is the test's own.
+const REMAINING_SLACK: f64 = 150.0 + 100.0;
+
+/// An attempt as a server saw it.
+struct Attempt {
+    transaction: String,
+    at: Instant,
+    remaining_ms: f64,
+}
+
+/// Servers that answer with the name of the transaction, and note each attempt.
+pub struct Servers {
+    peers: Vec<Peer>,
+    attempts: Arc<Mutex<Vec<Attempt>>>,
+}
+
+impl Servers {
+    /// So many servers, each of which takes `work` for an answer.
+    pub fn new(count: usize, work: Duration) -> Self {
+        let attempts = Arc::new(Mutex::new(Vec::new()));
+        let peers = (0..count).map(|_| {
+            let attempts = attempts.clone();
+            Peer::new(move |message| {
+                let Some(attempt) = Attempt::of(message) else { return Say::This(answer(200, "", "")) };
+                let body = format!("for {}", attempt.transaction);
+                attempts.lock().expect("no panic").push(attempt);
+                Say::Later(work, answer(200, "", &body))
+            })
+        });
+        Self { peers: peers.collect(), attempts: attempts.clone() }
+    }
+
+    /// Their entries in the list.
+    pub fn hosts(&self) -> Vec<Value> {
+        let entry = |(n, peer): (usize, &Peer)| host(&format!("s{n}"), peer.address, "active", 1);
+        self.peers.iter().enumerate().map(entry).collect()
+    }
+}
+
+impl Attempt {
+    fn of(message: &Message) -> Option<Self> {
+        let transaction = message.header("x-txn")?.to_string();
+        let remaining_ms = message.header("x-remaining-ms")?.parse().ok()?;
+        Some(Self { transaction, at: Instant::now(), remaining_ms })
+    }
+}
+
+/// How a request ended for its client.
+#[derive(Clone, Debug)]
+enum End {
+    Answered {
+        status: u16,
+        body: Vec<u8>,
+        closes: bool,
+    },
+    /// It closed its connection and waited for nothing.
+    Left,
+    /// The connection ended, or nothing came in time.
+    Unanswered(String),
+    /// It could not be written, as nothing took the connection or it had ended.
+    Unsent,
+}
+
+struct Asked {
+    class: &'static str,
+    sent: Instant,
+    ended: Instant,
+    end: End,
+}
+
+/// How clients behave.
+#[derive(Clone, Copy)]
+pub struct Load {
+    /// How many there are; each has one request out at a time.
+    pub clients: usize,
+    /// For how long they begin requests.
+    pub span: Duration,
+    /// How many requests each connection carries at the most.
+    pub reuse: usize,
+    /// The time that each request has.
+    pub deadline: Duration,
+    /// Every how-manieth client leaves before its answer; 0 for none.
+    pub leaves: usize,
+    /// What each rests between requests.
+    pub pause: Duration,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            clients: 16,
+            span: Duration::from_millis(2500),
+            reuse: usize::MAX,
+            deadline: Duration::from_millis(2000),
+            leaves: 0,
+            pause: Duration::from_millis(5),
+        }
+    }
+}
+
+/// What became of all requests.
+#[derive(Debug, Default)]
+pub struct Report {
+    pub sent: usize,
+    pub served: usize,
+    pub refused: usize,
+    pub failed: usize,
+    pub left: usize,
+    pub unsent: usize,
+    /// Each request that was broken, and how.
+    pub broken: Vec<String>,
+}
+
+impl Report {
+    /// Nothing was broken, and of those that stayed at least this part was served.
+    pub fn assert_kept(&self, served_least: f64) {
+        let shown = self.broken.iter().take(5).collect::<Vec<_>>();
+        assert!(self.broken.is_empty(), "{} broken, as {shown:?}; {}", self.broken.len(), self.sums());
+        let stayed = (self.sent - self.left).max(1) as f64;
+        assert!(self.sent > 50 && self.served as f64 / stayed >= served_least, "{}", self.sums());
+    }
+
+    pub fn sums(&self) -> String {
+        let Self { sent, served, refused, failed, left, unsent, .. } = self;
+        format!(
+            "{sent} sent, {served} served, {refused} refused, {failed} failed, {left} left, {unsent} unsent"
+        )
+    }
+}
+
+/// The name of every transaction is used once.
+static TRANSACTIONS: AtomicUsize = AtomicUsize::new(0);
+
+impl Load {
+    /// Runs the clients to their end.
+    pub fn run(self, node: SocketAddr, servers: &Servers) -> Report {
+        let asked: Arc<Mutex<BTreeMap<String, Asked>>> = Arc::default();
+        let clients: Vec<_> = (0..self.clients)
+            .map(|number| {
+                let asked = asked.clone();
+                std::thread::spawn(move || self.client(number, node, &asked))
+            })
+            .collect();
+        for client in clients {
+            client.join().expect("no panic");
+        }
+        // Attempts that come too late have come by then.
+        std::thread::sleep(LATE_ATTEMPT * 2);
+        let asked = asked.lock().expect("no panic");
+        self.judge(&asked, &servers.attempts.lock().expect("no panic"))
+    }
+
+    fn client(self, number: usize, node: SocketAddr, asked: &Mutex<BTreeMap<String, Asked>>) {
+        let began = Instant::now();
+        let mut open: Option<(TcpStream, usize)> = None;
+        for turn in 0.. {
+            if began.elapsed() >= self.span {
+                return;
+            }
+            let class = ["look", "pay", "slip"][(number + turn) % 3];
+            let transaction = format!("t{}", TRANSACTIONS.fetch_add(1, Ordering::SeqCst));
+            let leaves = self.leaves > 0 && (number + turn) % self.leaves == 0;
+            let taken = open.take().filter(|(_, used)| *used < self.reuse);
+            let (stream, used) = match taken {
+                Some(kept) => (Ok(kept.0), kept.1),
+                None => (TcpStream::connect_timeout(&node, self.deadline), 0),
+            };
+            let sent = Instant::now();
+            let end = match &stream {
+                Ok(stream) => self.ask(stream, class, &transaction, leaves),
+                Err(_) => End::Unsent,
+            };
+            let ended = Instant::now();
+            if let (End::Answered { closes: false, .. }, Ok(stream)) = (&end, stream) {
+                open = Some((stream, used + 1));
+            }
+            asked.lock().expect("no panic").insert(transaction, Asked { class, sent, ended, end });
+            std::thread::sleep(self.pause);
+        }
+    }
+
+    fn ask(self, mut stream: &TcpStream, class: &str, transaction: &str, leaves: bool) -> End {
+        let remaining = self.deadline.as_millis() as u64;
+        let limit = self.deadline + ANSWER_SLACK;
+        if stream.set_read_timeout(Some(limit)).is_err()
+            || stream.write_all(request(class, transaction, remaining).as_bytes()).is_err()
+        {
+            return End::Unsent;
+        }
+        if leaves {
+            std::thread::sleep(Duration::from_millis(3));
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+            return End::Left;
+        }
+        let Ok(reader) = stream.try_clone() else { return End::Unanswered("no descriptor".into()) };
+        match read_message(&mut BufReader::new(reader), 0) {
+            Some(message) => {
+                let (status, closes) = (message.status(), message.header("connection") == Some("close"));
+                End::Answered { status, body: message.body, closes }
+            }
+            None => End::Unanswered("its connection ended, or nothing came in time".into()),
+        }
+    }
+
+    fn judge(self, asked: &BTreeMap<String, Asked>, attempts: &[Attempt]) -> Report {
+        let mut report = Report { sent: asked.len(), ..Report::default() };
+        let mut tries: BTreeMap<&str, Vec<&Attempt>> = BTreeMap::new();
+        for attempt in attempts.iter().filter(|a| asked.contains_key(&a.transaction)) {
+            tries.entry(&attempt.transaction).or_default().push(attempt);
+        }
+        for (transaction, asked) in asked {
+            let tries = tries.get(transaction.as_str()).map_or(&[][..], Vec::as_slice);
+            report.count(transaction, asked, !tries.is_empty());
+            let found = tries.iter().filter_map(|attempt| self.wrong_with(asked, attempt));
+            report.broken.extend(found.map(|words| format!("{transaction} ({}): {words}", asked.class)));
+            if asked.class == "slip" && tries.len() > 1 {
+                report.broken.push(format!("{transaction}: an unsafe request ran {} times", tries.len()));
+            }
+        }
+        report
+    }
+
+    fn wrong_with(self, asked: &Asked, attempt: &Attempt) -> Option<String> {
+        let over = attempt.at.saturating_duration_since(asked.ended);
+        if over > LATE_ATTEMPT {
+            return Some(format!("sent on {over:?} after its client's end: {:?}", asked.end));
+        }
+        let left = self.deadline.saturating_sub(attempt.at.saturating_duration_since(asked.sent));
+        let beyond = attempt.remaining_ms - left.as_secs_f64() * 1000.0;
+        (beyond > REMAINING_SLACK).then(|| format!("told of {beyond:.0} ms more than its client had"))
+    }
+}
+
+impl Report {
+    fn count(&mut self, transaction: &str, asked: &Asked, forwarded: bool) {
+        match &asked.end {
+            End::Answered { status: 200, body, .. } if *body == format!("for {transaction}").as_bytes() => {
+                self.served += 1;
+            }
+            End::Answered { status: 200, body, .. } => {
+                let body = String::from_utf8_lossy(body);
+                self.broken.push(format!("{transaction}: the wrong answer, {body:?}"));
+            }
+            End::Answered { status: 503 | 429, .. } => self.refused += 1,
+            End::Answered { status: 500..=599, .. } => self.failed += 1,
+            End::Answered { status, .. } => self.broken.push(format!("{transaction}: status {status}")),
+            End::Left => self.left += 1,
+            End::Unanswered(why) => {
+                let took = asked.ended - asked.sent;
+                let words = if forwarded { "forwarded" } else { "not forwarded" };
+                self.broken.push(format!("{transaction} ({}), {words}, after {took:?}: {why}", asked.class));
+            }
+            End::Unsent => self.unsent += 1,
+        }
+    }
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -1,6 +1,8 @@
 //! The real program between scripted peers on loopback sockets.
 #![allow(dead_code)]
 
+pub mod faults;
+pub mod load;
 pub mod queue;
 
 use std::io::{BufRead, BufReader, Read, Write};
@@ -514,6 +516,15 @@
         value.split('|').next().and_then(|v| v.parse().ok()).expect("a number")
     }
 
+    /// Starts a node whose system calls fail by a plan, with these arguments, and waits until it is ready.
+    pub fn with_faults(config: &Value, faults: &faults::Faults, args: &[&str]) -> Self {
+        let (mut command, file) = command(config, None);
+        command.args(args).envs(faults.environment());
+        let node = Self::start((command, file));
+        node.wait_ready();
+        node
+    }
+
     /// Starts a node and waits until it listens.
     pub fn listening(config: &Value, descriptors: Option<usize>) -> Self {
         Self::start(command(config, descriptors))
