--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -3,6 +3,9 @@
 use std::fs::File;
 use std::io::{self, Read};
 use std::path::Path;
+use std::time::Duration;
+
+use magpietally_os_error::{retry, Call};
 
 /// Reads a file to its end, `most` bytes at the most.
 ///
@@ -28,6 +31,15 @@
     text(bounded(open_plain(path)?, most)?)
 }
 
+/// The same of a file that can't be done without: a disk or a table that fails for a moment is waited for, for so long.
+///
+/// # Errors
+/// Those of [`read_plain`].
+pub fn read_plain_within(span: Duration, path: &Path, most: usize) -> io::Result<String> {
+    let name = path.display().to_string();
+    retry::within(span, Call::File, &name, || read_plain(path, most))
+}
+
 /// Opens a file for a process that serves: a pipe without a writer in its place would hold it up for good.
 ///
 /// # Errors
--- a/crates/config/src/watch.rs
+++ b/crates/config/src/watch.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
+use magpietally_os_error::retry;
 use serde::Deserialize;
 use tokio::sync::watch;
 
@@ -105,7 +106,7 @@
                 std::thread::sleep(pause);
             }
         };
-        std::thread::Builder::new().name("list".into()).spawn(look)?;
+        retry::spawn("list", look)?;
         Ok(Self { news, seen: 0 })
     }
 
--- a/crates/http/src/body/tests.rs
+++ b/crates/http/src/body/tests.rs
@@ -1,5 +1,6 @@
 use std::future::{poll_fn, ready};
 
+use magpietally_net::Stream;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio::time::{advance, timeout};
@@ -10,7 +11,8 @@
 async fn sock() -> (Rc<Sock>, TcpListener) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let stream = TcpStream::connect(listener.local_addr().expect("bound")).await.expect("it listens");
-    (Sock::new(stream).expect("a socket"), listener)
+    let stream = Stream::new(stream.into_std().expect("a socket")).expect("a runtime");
+    (Sock::new(stream), listener)
 }
 
 /// Both orders of an attempt's answer and the end of its time, in one turn of the loop: an answer that is there counts, one that
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -16,7 +16,6 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, Version};
 use magpietally_core::{Answer, Core, End, Turned};
 use magpietally_policy::{Effect, Millis, RequestId};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, Notify};
 use tokio::task::yield_now;
 use tokio::time::timeout;
@@ -26,6 +25,11 @@
 use crate::carrier::Http;
 use crate::message::{keep_end_to_end, Content, Message, Reply, BODY_MOST, KEY, REMAINING, SERVICE};
 use crate::sock::{io, Phase, Sock};
+use accept::Reduction;
+use closing::CloseReason;
+
+mod accept;
+mod closing;
 
 type Node = Core<Http>;
 type Asked = magpietally_core::Asked<Message>;
@@ -58,8 +62,6 @@
 const IDLE: Duration = Duration::from_secs(20);
 /// The same for one that has brought a single request: many clients ask once and never let go.
 const IDLE_ONCE: Duration = Duration::from_secs(2);
-/// From this age on a request that is still coming makes room for others where there is none.
-const STALE: Duration = Duration::from_millis(250);
 /// How many turns of the loop what has come of a late request may take to be read: the runtime hears of it in the first, and the
 /// connection is read in the second.
 const READS_ON: usize = 3;
@@ -67,22 +69,15 @@
 const LINGER: Duration = Duration::from_millis(500);
 /// The largest head of a request.
 const HEAD_MOST: usize = 32 * 1024;
-/// A connection that has just come gets this long to bring its request, before it is closed as idle.
-const FRESH: Duration = Duration::from_millis(200);
-/// How long the log keeps quiet of the same trouble.
-const QUIET: Duration = Duration::from_secs(5);
 /// Which part of all connections may be idle before new ones are not kept.
 const IDLE_PART: usize = 8;
 /// How many connections a stopping node keeps free, within a quarter of them: those that come together find one each.
 const SPARE: usize = 8;
 /// For how long a stopping node may still count on new connections.
 const STILL_DEALT: Duration = Duration::from_millis(200);
-/// How long the backlog is emptied at the end.
-const BACKLOG_WITHIN: Duration = Duration::from_millis(100);
-/// How long accepting rests when descriptors have run out, or when all connections are busy and none more may be held.
-const EXHAUSTED: Duration = Duration::from_millis(20);
-/// So many descriptors are left to others when they have run out: the call to discovery, and attempts.
-const LEFT: usize = 8;
+
+/// How long descriptors must have sufficed before more connections are held again than when they ran out.
+const EASE_AFTER: Duration = Duration::from_secs(1);
 
 const TXN: HeaderName = HeaderName::from_static("x-txn");
 const ORG: HeaderName = HeaderName::from_static("x-org");
@@ -90,8 +85,11 @@
 const BECAUSE: HeaderName = HeaderName::from_static("x-failed-because");
 
 struct Client {
+    number: u64,
     sock: Rc<Sock>,
     close: Notify,
+    /// Why it is to be closed.
+    reason: Cell<Option<CloseReason>>,
     /// It is to make room, and has not closed yet.
     evicted: Cell<bool>,
     /// It has ended, and is read a little longer.
@@ -136,8 +134,10 @@
     open: RefCell<HashMap<u64, Rc<Client>>>,
     last: Cell<u64>,
     most: usize,
-    /// By how many less are held for now, as descriptors have run out.
-    less: Cell<usize>,
+    /// By how many fewer are held for now, as descriptors have run out.
+    fewer: Reduction,
+    /// How many were accepted that the poll has no room for yet.
+    registering: Cell<usize>,
     freed: Notify,
 }
 
@@ -145,82 +145,48 @@
     /// No connections yet.
     pub fn new(node: Rc<Node>) -> Rc<Self> {
         let most = node.carrier().config.clients_most();
-        let (open, last, less, freed) = (RefCell::default(), Cell::new(0), Cell::new(0), Notify::new());
-        Rc::new(Self { node, open, last, most, less, freed })
+        Rc::new(Self {
+            node,
+            open: RefCell::default(),
+            last: Cell::new(0),
+            most,
+            fewer: Reduction::default(),
+            registering: Cell::new(0),
+            freed: Notify::new(),
+        })
     }
 
     /// How many connections there are.
     pub fn count(&self) -> usize {
-        self.open.borrow().len()
-    }
-
-    /// Accepts connections; never ends.
-    pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
-        let mut logged: Option<Instant> = None;
-        loop {
-            self.room().await;
-            match listener.accept().await {
-                Ok((stream, _)) => self.serve(stream),
-                Err(error) => {
-                    // Out of descriptors, as a rule: what is idle makes room, and the backlog waits.
-                    if logged.is_none_or(|at| at.elapsed() >= QUIET) {
-                        logged = Some(Instant::now());
-                        tracing::warn!(target: "accept", "{error}");
-                    }
-                    // Whatever became free would else be taken by the next of the backlog.
-                    let held = self.count().saturating_sub(LEFT);
-                    self.less.set(self.most.saturating_sub(held.max(1)));
-                    self.node.carrier().pool.evict();
-                    tokio::time::sleep(EXHAUSTED).await;
-                }
-            }
-        }
+        self.open.borrow().len() + self.registering.get()
     }
 
-    /// Waits until one connection more may be held. The descriptor of one that makes room is free when its task has ended, and
-    /// no sooner: a crowd that waits in the backlog would else be let in all at once.
-    async fn room(&self) {
-        while self.count() >= self.most.saturating_sub(self.less.get()).max(1) {
-            if !self.open.borrow().values().any(|c| c.evicted.get()) {
-                self.evict();
+    /// Closes connections that say nothing, on which a request takes too long to come, or whose answer is not read.
+    pub fn sweep(&self) {
+        self.fewer.ease();
+        for client in self.open.borrow().values() {
+            if let Some(reason) = self.overdue(client) {
+                client.close_for(reason);
             }
-            // One that is busy may be idle by then.
-            let _ = timeout(EXHAUSTED, self.freed.notified()).await;
         }
     }
 
-    /// Accepts what the backlog still holds, but not without end what a crowd goes on adding to it.
-    pub async fn empty_backlog(self: &Rc<Self>, listener: &TcpListener) {
-        let began = Instant::now();
-        while began.elapsed() < BACKLOG_WITHIN {
-            if timeout(EXHAUSTED, self.room()).await.is_err() {
-                continue;
+    /// Why a connection has been open for too long, if it has.
+    fn overdue(&self, client: &Client) -> Option<CloseReason> {
+        let (phase, since) = client.sock.phase();
+        let age = since.elapsed();
+        match phase {
+            Phase::Idle if !client.sock.spoke() => (age >= SILENT).then_some(CloseReason::Silent),
+            Phase::Idle => {
+                let once = client.sock.answers() == 1 && self.node.process().life().stopping().is_none();
+                let most = if once { IDLE_ONCE } else { IDLE };
+                (age >= most && client.sock.quiet()).then_some(CloseReason::Idle)
             }
-            let Ok(Ok((stream, _))) = timeout(EXHAUSTED, listener.accept()).await else { return };
-            self.serve(stream);
-        }
-    }
-
-    /// Closes connections that say nothing, on which a request takes too long to come, or whose answer is not read.
-    pub fn sweep(&self) {
-        self.less.set(self.less.get().saturating_sub(1));
-        for client in self.open.borrow().values() {
-            let (phase, since) = client.sock.phase();
-            let over = match phase {
-                Phase::Idle if !client.sock.spoke() => since.elapsed() >= SILENT,
-                Phase::Idle => {
-                    let once = client.sock.answers() == 1 && self.node.process().life().stopping().is_none();
-                    let most = if once { IDLE_ONCE } else { IDLE };
-                    since.elapsed() >= most && client.sock.quiet()
-                }
-                Phase::Reading => client.sock.overdue(),
-                Phase::Busy => false,
-                Phase::Answering => {
-                    since.elapsed() >= if client.sock.passes_on() { PASSING_ON } else { ANSWERING }
-                }
-            };
-            if over {
-                client.close.notify_one();
+            Phase::Reading => client.sock.overdue().then_some(CloseReason::SlowRequest),
+            Phase::Busy => None,
+            Phase::Answering => {
+                let most = if client.sock.passes_on() { PASSING_ON } else { ANSWERING };
+                (age >= most).then_some(CloseReason::SlowReader)
             }
         }
     }
@@ -231,7 +197,7 @@
         for client in self.open.borrow().values() {
             let (phase, since) = client.sock.phase();
             if phase == Phase::Idle && since.elapsed() >= least && client.sock.quiet() {
-                client.close.notify_one();
+                client.close_for(CloseReason::Leaving);
             }
         }
     }
@@ -277,48 +243,6 @@
         self.node.process().life().stopping().is_none() && self.idle() >= self.most / IDLE_PART
     }
 
-    /// Has one connection closed, those first that never said a word, then the one that has been idle for longest, then
-    /// the one whose request has been coming for longest; none where all are busy.
-    fn evict(&self) {
-        let open = self.open.borrow();
-        let rank = |c: &Client| match c.sock.phase() {
-            _ if c.lingers.get() => None,
-            (Phase::Idle, since) => {
-                // A crowd that says nothing must not push out those that are used.
-                let crowd = !c.sock.spoke() && since.elapsed() >= FRESH;
-                Some((if crowd { 0 } else { 1 }, since))
-            }
-            (Phase::Reading, since) if since.elapsed() >= STALE => Some((2, since)),
-            _ => None,
-        };
-        let mut all: Vec<_> = open.iter().filter_map(|(n, c)| Some((rank(c)?, *n, c))).collect();
-        all.sort_unstable_by_key(|(rank, number, _)| (*rank, *number));
-        // The kernel is asked of no more than it takes.
-        if let Some((.., client)) = all.into_iter().find(|(.., client)| client.sock.quiet()) {
-            client.evicted.set(true);
-            client.close.notify_one();
-        }
-    }
-
-    fn serve(self: &Rc<Self>, stream: TcpStream) {
-        let Ok(sock) = Sock::of_client(stream) else { return };
-        let number = self.last.get() + 1;
-        self.last.set(number);
-        let client = Rc::new(Client {
-            sock,
-            close: Notify::new(),
-            evicted: Cell::default(),
-            lingers: Cell::default(),
-        });
-        self.open.borrow_mut().insert(number, client.clone());
-        let clients = self.clone();
-        tokio::task::spawn_local(async move {
-            clients.converse(client).await;
-            clients.open.borrow_mut().remove(&number);
-            clients.freed.notify_one();
-        });
-    }
-
     async fn converse(self: &Rc<Self>, client: Rc<Client>) {
         let service = service_fn(|request| {
             let (clients, sock) = (self.clone(), client.sock.clone());
@@ -339,9 +263,11 @@
         tokio::select! {
             // Before the connection is read: a request that it takes in this very turn would be dropped with it.
             biased;
-            () = client.told_to_close(&self.freed) => {}
-            // What breaks a client's connection is the client's to see.
-            _ = conn => {
+            () = client.told_to_close(&self.freed) => self.log_closed(&client),
+            ended = conn => {
+                if let Err(error) = &ended {
+                    self.log_broken(&client, error);
+                }
                 if !client.sock.broken() {
                     client.lingers.set(true);
                     let _ = timeout(LINGER, client.sock.linger()).await;
@@ -367,6 +293,7 @@
 async fn respond(clients: Rc<Clients>, sock: Rc<Sock>, request: Request<Incoming>) -> Response<Out> {
     let node = &clients.node;
     let framed_once = sock.head_is_whole();
+    sock.set_request(request.headers().get(TXN).cloned());
     let head = *request.method() == Method::HEAD;
     let old = request.version() < Version::HTTP_11;
     let asks_ready = request.uri().path() == "/ready";
@@ -393,6 +320,7 @@
                 };
                 let uploading = asked.request.body.uploading().cloned();
                 let mut answer = if clients.all_in_use() {
+                    log_refused(node, &sock, "the node stops, and few connections are free");
                     refusal(node.stay_away(asked.class))
                 } else {
                     if uploading.is_none() {
@@ -422,7 +350,7 @@
                 answer
             }
             Err(Bad { refused: Some(class), .. }) => {
-                // There is no room for what it brings.
+                log_refused(node, &sock, "no room for its body");
                 node.process().figures.request(class).end(End::Dropped);
                 let mut answer = refusal(node.stay_away(class));
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -494,18 +422,28 @@
     }
     // What came before is failed by now: this one would be sent, and failed in the same breath.
     if !node.has_room() || fails_open() {
+        let why = if fails_open() { "the node ends" } else { "too many are open" };
+        log_refused(node, sock, why);
         return refusal(node.stay_away(asked.class));
     }
     let (id, answered) = match node.request(asked, last - margin) {
         Ok(taken) => taken,
-        Err(Turned::Open) => return plain(StatusCode::CONFLICT),
-        Err(Turned::Refused(stay_away)) => return refusal(stay_away),
+        Err(Turned::Open) => {
+            log_refused(node, sock, "one with its id is open");
+            return plain(StatusCode::CONFLICT);
+        }
+        Err(Turned::Refused(stay_away)) => {
+            log_refused(node, sock, "turned away at its admission");
+            return refusal(stay_away);
+        }
         Err(Turned::OverQuota(retry_after)) => {
+            log_refused(node, sock, "over its quota");
             let mut answer = refusal(retry_after);
             *answer.status_mut() = StatusCode::TOO_MANY_REQUESTS;
             return answer;
         }
         Err(Turned::Failed(why)) => {
+            log_refused(node, sock, why.word());
             let mut answer = plain(StatusCode::BAD_GATEWAY);
             answer.headers_mut().insert(BECAUSE, HeaderValue::from_static(why.word()));
             return answer;
@@ -528,6 +466,7 @@
         }
     };
     let Some(answer) = answered else {
+        log_refused(node, sock, "no answer in its time");
         return plain(StatusCode::GATEWAY_TIMEOUT);
     };
     owed.answered = true;
@@ -565,6 +504,15 @@
     answer
 }
 
+/// Logs why a request is answered in the module's place, if this second has room for a line.
+fn log_refused(node: &Node, sock: &Sock, why: &str) {
+    node.carrier().pool.sample.line(|| {
+        let id = sock.request();
+        let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("none");
+        tracing::info!(target: "refused", "request {id}: {why}");
+    });
+}
+
 /// A refusal, with the module's word on when to come back in decimal seconds.
 fn refusal(stay_away: Millis) -> Response<Out> {
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/http/src/clients/closes.rs
+++ b/crates/http/src/clients/closes.rs
@@ -5,6 +5,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::yield_now;
 
+use magpietally_net::{Listener, Stream};
+use tokio::net::TcpStream;
+
 use super::harness::*;
 use super::*;
 
@@ -13,7 +16,7 @@
 const TIME: f64 = 20_000.0;
 
 /// A client that has asked once and rests, and the node's side of its connection.
-async fn resting(clients: &Rc<Clients>, listener: &TcpListener) -> (TcpStream, Rc<Client>) {
+async fn resting(clients: &Rc<Clients>, listener: &Listener) -> (TcpStream, Rc<Client>) {
     let mut stream = connected(clients, listener).await;
     let client = clients.open.borrow().get(&clients.last.get()).cloned().expect("it is open");
     stream.write_all(READY).await.expect("it is open");
@@ -54,11 +57,11 @@
     play(async {
         let listener = listener().await;
         for open in [Sock::of_client, Sock::new] {
-            let stream = TcpStream::connect(listener.local_addr().expect("bound")).await.expect("it listens");
-            let (accepted, _) = listener.accept().await.expect("it comes");
-            for side in [stream, accepted] {
+            let stream = TcpStream::connect(address(&listener)).await.expect("it listens");
+            let accepted = listener.accept().await.expect("it comes");
+            for side in [stream.into_std().expect("a socket"), accepted] {
                 let same = socket2::SockRef::from(&side).try_clone().expect("a descriptor");
-                let _open = open(side).expect("a socket");
+                let _open = open(Stream::new(side).expect("a runtime"));
                 assert!(same.tcp_nodelay().expect("it tells"));
             }
         }
--- a/crates/http/src/clients/crossing.rs
+++ b/crates/http/src/clients/crossing.rs
@@ -4,6 +4,8 @@
 use std::future::{poll_fn, Future};
 use std::pin::pin;
 
+use tokio::net::TcpStream;
+
 use super::harness::*;
 use super::*;
 
@@ -95,7 +97,7 @@
         let most = clients.most;
         let mut crowd = Vec::new();
         for _ in 0..4 * most {
-            crowd.push(TcpStream::connect(listener.local_addr().expect("bound")).await.expect("it listens"));
+            crowd.push(TcpStream::connect(address(&listener)).await.expect("it listens"));
         }
         // Looked at whenever those that accept have come to rest, so that no moment is missed. Those that have not closed yet
         // hold their descriptors.
@@ -120,7 +122,7 @@
 fn one_that_becomes_idle_makes_room_for_who_waits() {
     play(async {
         let (clients, listener) = (clients(64, 1000.0), listener().await);
-        let at = listener.local_addr().expect("bound");
+        let at = address(&listener);
         let mut held = Vec::new();
         for _ in 0..clients.most {
             held.push(connected(&clients, &listener).await);
--- a/crates/http/src/clients/ends.rs
+++ b/crates/http/src/clients/ends.rs
@@ -4,6 +4,8 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
+use tokio::net::TcpStream;
+
 use super::harness::*;
 use super::*;
 use crate::service::stop;
--- a/crates/http/src/clients/harness.rs
+++ b/crates/http/src/clients/harness.rs
@@ -3,7 +3,9 @@
 use std::future::Future;
 
 use magpietally_core::{Life, Process};
+use magpietally_net::{listen, Listener};
 use serde_json::json;
+use tokio::net::TcpStream;
 use tokio::task::LocalSet;
 
 use super::*;
@@ -52,15 +54,21 @@
 }
 
 /// A connection that the node holds, and its far end.
-pub(super) async fn connected(clients: &Rc<Clients>, listener: &TcpListener) -> TcpStream {
-    let far = TcpStream::connect(listener.local_addr().expect("bound")).await.expect("it listens");
-    clients.serve(listener.accept().await.expect("one has come").0);
+pub(super) async fn connected(clients: &Rc<Clients>, listener: &Listener) -> TcpStream {
+    let far = TcpStream::connect(address(listener)).await.expect("it listens");
+    clients.serve(listener.accept().await.expect("one has come"));
     far
 }
 
+/// Where a listener is.
+pub(super) fn address(listener: &Listener) -> std::net::SocketAddr {
+    listener.get_ref().local_addr().expect("bound")
+}
+
 /// Where connections come.
-pub(super) async fn listener() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").await.expect("a port")
+pub(super) async fn listener() -> Listener {
+    let nowhere_else = "127.0.0.1:0".parse().expect("an address");
+    Listener::new(listen(nowhere_else, false).expect("a port")).expect("a runtime")
 }
 
 /// Waits until it holds, which it must.
--- a/crates/http/src/config.rs
+++ b/crates/http/src/config.rs
@@ -1,10 +1,15 @@
 //! What the node is told at its start: environment and configuration file.
 
+use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use magpietally_config::file::read_plain;
+use magpietally_config::file::read_plain_within;
 use magpietally_core::Listing;
+use magpietally_os_error::retry::START_WITHIN;
+use magpietally_os_error::{classify, Call, Class};
 use magpietally_policy::Discovery;
 use magpietally_settings::{told, Told};
 use magpietally_structures::GOLDEN;
@@ -118,26 +123,60 @@
 /// # Errors
 /// One line that names the file and the field, or the variable.
 pub fn load() -> Result<Config, String> {
-    let (file, value) = file()?;
+    let (file, value) = file(START_WITHIN).map_err(|e| e.to_string())?;
     parse(&file, &value, |name| std::env::var(name).ok())
 }
 
+/// Why a configuration can't be had.
+#[derive(Debug)]
+pub enum ConfigError {
+    /// The file, by its name here, can't be read.
+    Unreadable(String, io::Error),
+    /// What it says makes no sense, in one line.
+    Wrong(String),
+}
+
+impl ConfigError {
+    /// May the file be read a moment later?
+    pub fn may_pass(&self) -> bool {
+        let Self::Unreadable(_, error) = self else { return false };
+        matches!(classify(Call::File, error), Class::TryAgain | Class::OutOfResources)
+    }
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreadable(name, error) => write!(f, "{name}: {error}"),
+            Self::Wrong(words) => f.write_str(words),
+        }
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
 /// Reads the file again. The environment is that of the start: what it says of discovery is what the file now
 /// replaces, so here the file goes first. The rest of the environment still holds.
 ///
 /// # Errors
 /// One line that names the file and the field, or the variable.
-pub fn reload() -> Result<Config, String> {
-    let (file, value) = file()?;
-    parse(&file, &value, |name| std::env::var(name).ok().filter(|_| name != "BALANCER_DISCOVERY"))
+pub fn reload() -> Result<Config, ConfigError> {
+    // A process that serves is not held up by its disk: the caller tries again.
+    let (file, value) = file(Duration::ZERO)?;
+    let env = |name: &str| std::env::var(name).ok().filter(|_| name != "BALANCER_DISCOVERY");
+    parse(&file, &value, env).map_err(ConfigError::Wrong)
 }
 
 /// What the file holds, and how it is named in what is wrong with it.
-fn file() -> Result<(String, Value), String> {
-    let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG: not set".to_string())?;
+fn file(within: Duration) -> Result<(String, Value), ConfigError> {
+    let wrong = ConfigError::Wrong;
+    let path = std::env::var("BALANCER_CONFIG").map_err(|_| wrong("BALANCER_CONFIG: not set".into()))?;
     let name = format!("BALANCER_CONFIG: {path}");
-    let text = read_plain(path.as_ref(), FILE_MOST).map_err(|e| format!("{name}: {e}"))?;
-    let value = serde_json::from_str(&text).map_err(|e| format!("{name}: not JSON: {e}"))?;
+    let text = match read_plain_within(within, path.as_ref(), FILE_MOST) {
+        Ok(text) => text,
+        Err(error) => return Err(ConfigError::Unreadable(name, error)),
+    };
+    let value = serde_json::from_str(&text).map_err(|e| wrong(format!("{name}: not JSON: {e}")))?;
     Ok((name, value))
 }
 
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -13,7 +13,6 @@
 use hyper::{rt, Request, Response, StatusCode};
 use magpietally_core::{Carrier, Core, Listing, Unfollowed};
 use magpietally_policy::{ListFailure, WATCH_SILENCE};
-use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout_at, Instant};
 
 use crate::list;
@@ -106,7 +105,7 @@
     type Io = Io;
 
     async fn dial(&self) -> std::io::Result<Io> {
-        Ok(io(Sock::new(TcpStream::connect(self).await?)?))
+        Ok(io(Sock::new(magpietally_net::connect(*self).await?)))
     }
 }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,7 +3,7 @@
 //! Sockets in, sockets out, no decisions. [`config`] reads what the platform tells a node, [`run`] runs it, [`run_workers`] on several
 //! cores. Below that, arrows run one way: `workers` → `service` → `clients`, `management` → `carrier` → `upstream`,
 //! `discovery` → `pool` → `sock`. `body` passes on what is too large to hold, within `budget`; `scan` tells where a client's
-//! requests end; `inherited` takes over the platform's socket.
+//! requests end; `inherited` takes over the platform's socket; `signals` waits for signals.
 
 mod body;
 mod budget;
@@ -18,6 +18,7 @@
 mod pool;
 mod scan;
 mod service;
+mod signals;
 mod sock;
 mod upstream;
 mod workers;
--- a/crates/http/src/management.rs
+++ b/crates/http/src/management.rs
@@ -7,7 +7,7 @@
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -19,12 +19,11 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use magpietally_core::{Core, Doing, Gate, NotProposed};
-use tokio::net::{TcpListener, TcpStream};
+use magpietally_net::{listen, Listener, Stream};
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{sleep, timeout};
 
 use crate::carrier::Http;
-use crate::service::listen;
 use crate::sock::{io, Sock};
 
 type Node = Core<Http>;
@@ -55,13 +54,16 @@
 }
 
 /// Answers calls; never ends.
-pub(crate) async fn serve(node: Rc<Node>, listener: TcpListener) {
+pub(crate) async fn serve(node: Rc<Node>, listener: Listener) {
     let calls: Rc<RefCell<VecDeque<(u64, AbortHandle)>>> = Rc::default();
     for number in 0.. {
         let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::warn!(target: "management", "{error}");
+            Ok(stream) => stream,
+            Err(shortage) => {
+                node.carrier()
+                    .pool
+                    .sample
+                    .line(|| tracing::warn!(target: "management", "{}", shortage.error));
                 sleep(REST).await;
                 continue;
             }
@@ -81,8 +83,15 @@
     }
 }
 
-async fn converse(node: &Rc<Node>, stream: TcpStream) {
-    let Ok(sock) = Sock::new(stream) else { return };
+async fn converse(node: &Rc<Node>, socket: TcpStream) {
+    let stream = match Stream::new(socket) {
+        Ok(stream) => stream,
+        Err(unregistered) => match unregistered.retry().await {
+            Ok(registered) => Stream::from(registered),
+            Err(error) => return tracing::warn!(target: "management", "a call is closed unread: {error}"),
+        },
+    };
+    let sock = Sock::new(stream);
     let service = service_fn(|request| async move {
         let proposes = request.uri().path() == POLICY && *request.method() == Method::PUT;
         Ok::<_, Infallible>(if proposes { propose(node, request).await } else { answer(node, &request) })
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -8,8 +8,8 @@
 
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use magpietally_core::{Figures, Place, Sample};
+use magpietally_net::DialError;
 use magpietally_policy::{Millis, Outcome, ServerId};
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::body::Outgoing;
@@ -25,8 +25,6 @@
 const REST: Duration = Duration::from_millis(8);
 /// So many of a server's rest at once at the most: one that is that busy would else have a connection for each request.
 const RESTING: usize = 4;
-/// What a connect fails with through no fault of the server: ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS, ENOMEM.
-const OWN_ERRORS: [i32; 5] = [23, 24, 99, 105, 12];
 
 /// A connection between requests. It is not polled meanwhile: what happened to it is looked up before use.
 pub(crate) struct Link {
@@ -222,20 +220,22 @@
         }
         self.held.set(self.held.get() + 1);
         let held = Held(self.held.clone());
-        let stream = match timeout(self.connect, TcpStream::connect(place.dial)).await {
+        let stream = match timeout(self.connect, magpietally_net::connect(place.dial)).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if OWN_ERRORS.contains(&error.raw_os_error().unwrap_or(0)) => {
+            Ok(Err(DialError::Lacking(error))) => {
+                self.sample
+                    .line(|| tracing::warn!(target: "connect", "{}: lacking here: {error}", place.dial));
                 self.evict();
                 return Err(Outcome::NotSent);
             }
-            Ok(Err(error)) => {
+            Ok(Err(DialError::Failed(error))) => {
                 self.sample.line(|| tracing::info!(target: "connect", "{}: {error}", place.dial));
                 return Err(unconnected(&error));
             }
             Err(_) => return Err(Outcome::ConnectFailed),
         };
         let failed = Outcome::ConnectFailed;
-        let sock = Sock::new(stream).map_err(|_| failed)?;
+        let sock = Sock::new(stream);
         let builder = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(io(sock.clone())).await;
         let (send, conn) = builder.map_err(|_| failed)?;
         Ok(Link { sock, send, conn, place, since: Instant::now(), _held: held })
--- a/crates/http/src/service.rs
+++ b/crates/http/src/service.rs
@@ -1,6 +1,5 @@
 //! One node as a process: its listener, its signals, and how it ends.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -8,16 +7,17 @@
 use magpietally_config::ListFile;
 use magpietally_core::{Core, Gate, Life, Process, Setup};
 use magpietally_ledger::Ledger;
+use magpietally_net::{listen, Listener};
+use magpietally_os_error::retry::{self, Pauses};
+use magpietally_os_error::Call;
 use magpietally_policy::SettingsError;
-use socket2::{Domain, Protocol, Socket, Type};
-use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::timeout;
 
 use crate::carrier::Http;
 use crate::clients::Clients;
-use crate::config::{self, Config};
+use crate::config::{self, Config, ConfigError};
+use crate::signals::Signals;
 use crate::{inherited, management, workers};
 
 type Node = Core<Http>;
@@ -26,8 +26,6 @@
 const LOOK: Duration = Duration::from_millis(5);
 /// How long the last answers may take to be written: a quarter of what is left until SIGKILL.
 const LAST_WORDS: Duration = Duration::from_millis(50);
-/// Connections that the kernel may hold until they are accepted.
-const BACKLOG: i32 = 1024;
 /// How long a process that shares its listening socket waits for its list before it accepts: an answer that it is not ready
 /// is better than none where no other process is left.
 const ACCEPT_AFTER: Duration = Duration::from_millis(5000);
@@ -125,22 +123,11 @@
     begun: impl FnOnce(),
     lost_lines: impl Fn() -> u64 + 'static,
 ) -> Result<(), String> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    let build = || tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = retry::at_start(Call::Create, "runtime", build).map_err(|e| format!("runtime: {e}"))?;
     LocalSet::new().block_on(&runtime, serve(config, part, begun, lost_lines))
 }
 
-/// A listener; `shared` lets others listen at the same address, between which the kernel spreads connections.
-pub(crate) fn listen(at: SocketAddr, shared: bool) -> std::io::Result<std::net::TcpListener> {
-    let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.set_reuse_port(shared)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&at.into())?;
-    socket.listen(BACKLOG)?;
-    Ok(socket.into())
-}
-
 /// A core with HTTP for its carrier.
 pub(crate) fn start(
     mut config: Config,
@@ -171,12 +158,11 @@
     begun: impl FnOnce(),
     lost_lines: impl Fn() -> u64 + 'static,
 ) -> Result<(), String> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signal: {e}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signal: {e}"))?;
+    let mut to_end = Signals::to_end().map_err(|e| format!("signal: {e}"))?;
     // Without a handler SIGHUP ends the process, and with it all that it has taken.
-    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signal: {e}"))?;
-    let listener = TcpListener::from_std(part.listener).map_err(|e| format!("listen: {e}"))?;
-    let management = part.management.map(TcpListener::from_std).transpose();
+    let to_reload = Signals::to_reload().map_err(|e| format!("signal: {e}"))?;
+    let listener = Listener::new(part.listener).map_err(|e| format!("listen: {e}"))?;
+    let management = part.management.map(Listener::new).transpose();
     let management = management.map_err(|e| format!("management: {e}"))?;
     let process = part.process;
     let node =
@@ -189,7 +175,7 @@
     spawn_local(node.clone().run_timer());
     spawn_local(sweep(node.clone(), clients.clone()));
     spawn_local(log_status(node.clone(), lost_lines));
-    spawn_local(reload(node.clone(), hangup));
+    spawn_local(reload(node.clone(), to_reload));
     let begin = spawn_local({
         let node = node.clone();
         async move { node.begin().await }
@@ -205,11 +191,11 @@
         };
         tokio::select! {
             () = accept => {}
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+            () = to_end.next() => {}
             () = process.stopped() => {}
         }
         process.stop();
+        log_stage("told to end", &node, &clients);
         stop(&node, &clients, listener).await;
     };
     tokio::select! {
@@ -219,11 +205,12 @@
 }
 
 /// Takes over what a new configuration says of discovery, also while the node stops. All else in it holds from the next start
-/// on: half of a node's state goes by it. A file that can't be read changes nothing. Signals that come in quick succession
-/// are one: the file is read after the last.
-async fn reload(node: Rc<Node>, mut hangup: Signal) {
-    while hangup.recv().await.is_some() {
-        match config::reload() {
+/// on: half of a node's state goes by it. A file that makes no sense changes nothing; one that can't be read for the moment is
+/// read again. Signals that come in quick succession are one: the file is read after the last.
+async fn reload(node: Rc<Node>, mut to_reload: Signals) {
+    loop {
+        to_reload.next().await;
+        match reloaded().await {
             Ok(config) => {
                 tracing::info!(target: "reload", "discovery is {}", config.discovery);
                 node.carrier().discovery.set(config.discovery);
@@ -237,6 +224,23 @@
     }
 }
 
+/// The new configuration, as soon as its file can be read.
+async fn reloaded() -> Result<Config, ConfigError> {
+    let mut pauses = Pauses::default();
+    let mut logged = false;
+    loop {
+        match config::reload() {
+            Err(error) if error.may_pass() => {
+                if !std::mem::replace(&mut logged, true) {
+                    tracing::warn!(target: "reload", "{error}; read again");
+                }
+                tokio::time::sleep(pauses.next_pause()).await;
+            }
+            ended => return ended,
+        }
+    }
+}
+
 async fn log_status(node: Rc<Node>, lost_lines: impl Fn() -> u64) {
     let mut told = 0;
     loop {
@@ -262,7 +266,7 @@
 }
 
 /// Finishes all that was taken, by the times that the node's state tells.
-pub(crate) async fn stop(node: &Rc<Node>, clients: &Rc<Clients>, listener: TcpListener) {
+pub(crate) async fn stop(node: &Rc<Node>, clients: &Rc<Clients>, listener: Listener) {
     let life = node.process().life();
     let leave = async {
         while life.accepts(Instant::now(), clients.count()) {
@@ -278,8 +282,13 @@
         clients.empty_backlog(&listener).await;
     }
     drop(listener);
+    log_stage("accepts no more", node, clients);
+    let mut failed = false;
     while !life.over(Instant::now()) && (clients.count() > 0 || node.open_requests() > 0) {
         if life.fails_open(Instant::now()) {
+            if !std::mem::replace(&mut failed, true) {
+                log_stage("answers what is open", node, clients);
+            }
             node.fail_open();
         }
         if life.shared() {
@@ -294,4 +303,11 @@
     while clients.owes() && began.elapsed() < LAST_WORDS {
         tokio::time::sleep(LOOK).await;
     }
+    log_stage("ends", node, clients);
+}
+
+/// Logs how far the node's end has come.
+fn log_stage(what: &str, node: &Node, clients: &Clients) {
+    let (connections, requests) = (clients.count(), node.open_requests());
+    tracing::info!(target: "node", "{what}: {connections} connections, {requests} requests open");
 }
--- a/crates/http/src/sock.rs
+++ b/crates/http/src/sock.rs
@@ -3,18 +3,16 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll, Waker};
+use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
+use hyper::header::HeaderValue;
 use hyper_util::rt::TokioIo;
 use magpietally_core::Figures;
-use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::TcpStream;
+use magpietally_net::Stream;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::message::BODY_MOST;
 use crate::scan::Scan;
@@ -161,13 +159,7 @@
 
 /// A watched socket.
 pub struct Sock {
-    /// Both ways: this half's reads clear the runtime's word that there is something to read when they come short, so that
-    /// no second read is made only to find nothing.
-    half: RefCell<OwnedReadHalf>,
-    /// The same stream of a client, to wait for its end while the other half is lent to whoever reads.
-    end: Option<OwnedWriteHalf>,
-    /// The last read took all that there was.
-    drained: Cell<bool>,
+    stream: Stream,
     out: RefCell<Progress>,
     /// Where it is counted when the message's last byte is written.
     counted: RefCell<Option<Figures>>,
@@ -200,39 +192,25 @@
     came: Cell<usize>,
     /// Where a client's requests begin and end.
     scan: RefCell<Scan>,
+    /// The id of a client's latest request, as it sent it.
+    request: RefCell<Option<HeaderValue>>,
 }
 
 impl Sock {
-    /// Takes over a connected stream and turns off Nagle's delay.
-    ///
-    /// # Errors
-    /// Where the socket is already broken.
-    pub fn new(stream: TcpStream) -> io::Result<Rc<Self>> {
+    /// Takes over a connection.
+    pub fn new(stream: Stream) -> Rc<Self> {
         Self::open(stream, false)
     }
 
     /// Takes over the connection of a client, whose requests are watched.
-    ///
-    /// # Errors
-    /// Where the socket is already broken.
-    pub fn of_client(stream: TcpStream) -> io::Result<Rc<Self>> {
+    pub fn of_client(stream: Stream) -> Rc<Self> {
         Self::open(stream, true)
     }
 
-    fn open(stream: TcpStream, serves: bool) -> io::Result<Rc<Self>> {
-        stream.set_nodelay(true)?;
+    fn open(stream: Stream, serves: bool) -> Rc<Self> {
         let now = Instant::now();
-        let (half, other) = stream.into_split();
-        let end = if serves {
-            Some(other)
-        } else {
-            other.forget();
-            None
-        };
-        Ok(Rc::new(Self {
-            half: RefCell::new(half),
-            end,
-            drained: Cell::new(true),
+        Rc::new(Self {
+            stream,
             out: RefCell::default(),
             counted: RefCell::default(),
             took_at: Cell::new(tokio::time::Instant::now()),
@@ -250,7 +228,8 @@
             answers: Cell::new(0),
             came: Cell::new(0),
             scan: RefCell::default(),
-        }))
+            request: RefCell::default(),
+        })
     }
 
     /// A message with so long a body is about to be written; `None`: in chunks, until [`Sock::end_of_message`].
@@ -292,8 +271,7 @@
     /// Is it to end by a reset? Then that is seen to.
     pub fn broken(&self) -> bool {
         // Where the socket is broken already, it is broken.
-        self.breaks.get()
-            && SockRef::from(self.half.borrow().as_ref()).set_linger(Some(Duration::ZERO)).is_ok()
+        self.breaks.get() && self.stream.reset_on_close()
     }
 
     /// Has the kernel taken any byte of the message?
@@ -346,6 +324,16 @@
         self.scan.borrow_mut().next()
     }
 
+    /// Notes the id of the request whose head is whole.
+    pub fn set_request(&self, id: Option<HeaderValue>) {
+        *self.request.borrow_mut() = id;
+    }
+
+    /// The id of the latest request.
+    pub fn request(&self) -> Option<HeaderValue> {
+        self.request.borrow().clone()
+    }
+
     /// The last byte of a request that is passed on while it comes has come.
     pub fn request_is_whole(&self) {
         if self.phase.get() == Phase::Reading {
@@ -394,34 +382,29 @@
     /// Nothing to read, and not closed by the other side. Asks the kernel, as what the runtime knows may be
     /// a turn of its loop old.
     pub fn quiet(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit(); 1];
-        let peeked = SockRef::from(self.half.borrow().as_ref()).peek(&mut byte);
-        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        self.stream.is_quiet()
     }
 
     /// The same by what the runtime knows, which costs no call to the kernel and may be a turn of its loop old.
     pub fn seems_quiet(&self) -> bool {
-        let mut nobody = Context::from_waker(Waker::noop());
-        let known = self.half.borrow().as_ref().poll_read_ready(&mut nobody);
-        known.is_pending() || self.quiet()
+        self.stream.seems_quiet()
     }
 
-    /// Nothing behind what was read last: that took all there was, or the kernel is asked.
+    /// Nothing behind what was read last: the last read found nothing, or the kernel is asked.
     pub fn nothing_behind(&self) -> bool {
-        self.drained.get() || self.quiet()
+        self.stream.is_drained() || self.quiet()
     }
 
     /// Says that nothing more will be written, and reads what still comes until the other side closes.
     /// Closing a socket with unread bytes resets it, and the reset can overtake the answer.
     pub async fn linger(&self) {
-        if SockRef::from(self.half.borrow().as_ref()).shutdown(std::net::Shutdown::Write).is_err() {
-            return;
-        }
+        // Where that can't be said, what comes is read all the same.
+        let _ = self.stream.shutdown_write();
         // Not part of the task, which would be as much larger all its life.
         let mut sink = vec![0; SINK];
         let mut read = |cx: &mut Context<'_>| {
             let mut buf = ReadBuf::new(&mut sink);
-            let came = ready!(Pin::new(&mut *self.half.borrow_mut()).poll_read(cx, &mut buf));
+            let came = ready!(self.stream.poll_recv(cx, &mut buf));
             Poll::Ready(came.map(|()| buf.filled().len()))
         };
         while std::future::poll_fn(&mut read).await.is_ok_and(|came| came > 0) {}
@@ -431,11 +414,7 @@
     /// may have stopped, and would not see the end behind more bytes. Reads nothing, and looks at nothing until the
     /// runtime has word of it.
     pub async fn gone(&self) {
-        match &self.end {
-            // Nobody asks the kernel for urgent bytes, so all that this waits for is the end that is told with them.
-            Some(end) => _ = end.ready(Interest::PRIORITY).await,
-            None => std::future::pending().await,
-        }
+        self.stream.closed_by_peer().await;
     }
 
     /// Was what came back one head and a body of this length as it stands, or else chunks up to the last? More
@@ -500,13 +479,9 @@
     }
 }
 
-/// Dropped plainly, the half that waits for the end would end the stream's way out, ahead of a reset too.
 impl Drop for Sock {
     fn drop(&mut self) {
         self.broken();
-        if let Some(end) = self.end.take() {
-            end.forget();
-        }
     }
 }
 
@@ -524,15 +499,13 @@
 impl AsyncRead for Watched {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let sock = &self.0;
-        let (before, room) = (buf.filled().len(), buf.remaining());
-        let polled = Pin::new(&mut *sock.half.borrow_mut()).poll_read(cx, buf);
+        let before = buf.filled().len();
+        let polled = sock.stream.poll_recv(cx, buf);
         if polled.is_pending() && sock.serves && sock.waits.get().is_none() {
             sock.waits.set(Some(Instant::now()));
         }
         ready!(polled)?;
-        let came = &buf.filled()[before..];
-        sock.drained.set(!came.is_empty() && came.len() < room);
-        sock.read(came);
+        sock.read(&buf.filled()[before..]);
         Poll::Ready(Ok(()))
     }
 }
@@ -540,19 +513,9 @@
 impl AsyncWrite for Watched {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let sock = &self.0;
-        let half = sock.half.borrow();
-        let stream: &TcpStream = half.as_ref();
-        loop {
-            ready!(stream.poll_write_ready(cx))?;
-            match stream.try_write(buf) {
-                Ok(n) => {
-                    sock.took(&buf[..n]);
-                    return Poll::Ready(Ok(n));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
+        let taken = ready!(sock.stream.poll_send(cx, buf))?;
+        sock.took(&buf[..taken]);
+        Poll::Ready(Ok(taken))
     }
 
     // hyper then queues what it is given in place of copying it into a buffer that each connection would keep.
@@ -566,26 +529,16 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let sock = &self.0;
-        let half = sock.half.borrow();
-        let stream: &TcpStream = half.as_ref();
-        loop {
-            ready!(stream.poll_write_ready(cx))?;
-            match stream.try_write_vectored(bufs) {
-                Ok(n) => {
-                    let mut left = n;
-                    for buf in bufs {
-                        let here = left.min(buf.len());
-                        if here > 0 {
-                            sock.took(&buf[..here]);
-                        }
-                        left -= here;
-                    }
-                    return Poll::Ready(Ok(n));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
+        let taken = ready!(sock.stream.poll_send_pieces(cx, bufs))?;
+        let mut left = taken;
+        for buf in bufs {
+            let here = left.min(buf.len());
+            if here > 0 {
+                sock.took(&buf[..here]);
             }
+            left -= here;
         }
+        Poll::Ready(Ok(taken))
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -593,7 +546,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let half = self.0.half.borrow();
-        Poll::Ready(SockRef::from(half.as_ref()).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(self.0.stream.shutdown_write())
     }
 }
--- a/crates/http/src/workers.rs
+++ b/crates/http/src/workers.rs
@@ -11,10 +11,12 @@
 use std::time::{Duration, Instant};
 
 use magpietally_core::Process;
+use magpietally_net::listen;
+use magpietally_os_error::retry;
 use tokio::sync::Notify;
 
 use crate::config::Config;
-use crate::service::{listen, work, Extras, Opened, Part};
+use crate::service::{work, Extras, Opened, Part};
 
 /// How long a worker that died stays down: its clients have turned to others by then.
 const DOWN: Duration = Duration::from_millis(100);
@@ -89,7 +91,7 @@
             // Where nobody listens any more the process ends.
             let _ = ended.send((worker, end.unwrap_or_else(|_| Err("panicked".to_string()))));
         };
-        let thread = std::thread::Builder::new().name(format!("worker-{worker}")).spawn(run);
+        let thread = retry::spawn(&format!("worker-{worker}"), run);
         thread.map(drop).map_err(|e| format!("worker {worker}: {e}"))
     }
 }
--- a/crates/ledger/src/disk.rs
+++ b/crates/ledger/src/disk.rs
@@ -4,6 +4,8 @@
 use std::io::{self, ErrorKind, Write};
 use std::path::Path;
 
+use magpietally_os_error::retry::{self, FILE_WITHIN};
+use magpietally_os_error::Call;
 pub use magpietally_store::disk::{Disk, Folder, Lock};
 
 use crate::segment::{Identity, Owner};
@@ -58,22 +60,30 @@
         Ok(own) => Ok(own.owner),
         Err(Refused::Io(_, error)) if error.kind() == ErrorKind::NotFound => {
             let own = Identity { node: node.to_string(), owner: Owner::draw() };
-            let next = folder.join("identity.next");
-            let mut file = File::create(&next).map_err(io)?;
-            file.write_all(own.text().as_bytes()).and_then(|()| file.sync_all()).map_err(io)?;
-            std::fs::rename(&next, folder.join(IDENTITY)).map_err(io)?;
-            File::open(folder).and_then(|f| f.sync_all()).map_err(io)?;
+            retry::at_start(Call::File, IDENTITY, || write_identity(folder, &own)).map_err(io)?;
             Ok(own.owner)
         }
         Err(why) => Err(why),
     }
 }
 
+/// Writes a directory's identity. Until it has its name there is none, so this can be done again.
+fn write_identity(folder: &Path, own: &Identity) -> std::io::Result<()> {
+    let next = folder.join("identity.next");
+    let mut file = File::create(&next)?;
+    file.write_all(own.text().as_bytes())?;
+    file.sync_all()?;
+    std::fs::rename(&next, folder.join(IDENTITY))?;
+    File::open(folder)?.sync_all()
+}
+
 /// Whose directory it is, for readers.
 ///
 /// # Errors
 /// Where it is no ledger's.
 pub fn whose(folder: &Path) -> Result<Identity, Refused> {
-    let text = std::fs::read_to_string(folder.join(IDENTITY)).map_err(|e| Refused::Io(IDENTITY, e))?;
+    let read = || std::fs::read_to_string(folder.join(IDENTITY));
+    let text =
+        retry::within(FILE_WITHIN, Call::File, IDENTITY, read).map_err(|e| Refused::Io(IDENTITY, e))?;
     Identity::read(&text).map_err(Refused::Identity)
 }
--- a/crates/ledger/src/guard.rs
+++ b/crates/ledger/src/guard.rs
@@ -5,7 +5,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use crate::record::{Fate, How, KeyDigest};
+use crate::record::{Fate, How, KeyDigest, Now};
 use crate::truth::Open;
 
 /// What a class may do without the ledger.
@@ -145,11 +145,21 @@
 /// What is known of a key that was out when the node died.
 #[derive(Clone, Copy, Debug)]
 struct Sent {
-    /// The earliest send that is known, Unix time in microseconds.
-    wall_us: u64,
+    /// The earliest send that is known.
+    at: Now,
     trusted: bool,
 }
 
+impl Sent {
+    /// For how long at least it has been sent, in microseconds; `None` where the clocks do not say. The wall clock may have been
+    /// set back since, and the machine's own begins anew when that starts: the longer of both is believed.
+    fn age_us(&self, now: Now) -> Option<u64> {
+        let by_wall = now.wall_us.checked_sub(self.at.wall_us)?;
+        let by_boot = now.mono_us.saturating_sub(self.at.mono_us);
+        Some(by_wall.max(by_boot))
+    }
+}
+
 /// What was out when the node died, by id and by key.
 #[derive(Debug, Default)]
 pub struct Unknowns {
@@ -164,12 +174,13 @@
         let mut all = Self::default();
         for Open { intent, trusted } in open {
             all.count += 1;
-            let sent = Sent { wall_us: intent.at.wall_us, trusted: *trusted };
+            let sent = Sent { at: intent.at, trusted: *trusted };
             match intent.key {
                 // Of several attempts the first one's time counts: the span of a key begins with it.
                 Some(key) => {
                     let first = all.keys.entry(key).or_insert(sent);
-                    first.wall_us = first.wall_us.min(sent.wall_us);
+                    first.at.wall_us = first.at.wall_us.min(sent.at.wall_us);
+                    first.at.mono_us = first.at.mono_us.min(sent.at.mono_us);
                     first.trusted &= sent.trusted;
                 }
                 None => {
@@ -185,8 +196,8 @@
         self.count
     }
 
-    /// May this request go out? `now_us` is Unix time, `left_us` the time that the request has: an attempt may begin as
-    /// late as that, and the servers must still know the key by then.
+    /// May this request go out? `left_us` is the time that the request has: an attempt may begin as late as that, and the
+    /// servers must still know the key by then.
     ///
     /// # Errors
     /// Why it is answered as failed.
@@ -195,7 +206,7 @@
         right: Right,
         id: &str,
         key: Option<KeyDigest>,
-        now_us: u64,
+        now: Now,
         left_us: u64,
     ) -> Result<(), Why> {
         if self.count == 0 {
@@ -208,7 +219,7 @@
             Right::Keyed { everywhere, span_us } => {
                 let Some(sent) = key.and_then(|key| self.keys.get(&key)) else { return Ok(()) };
                 // A clock that has stepped back behind the send says nothing of how long ago it was.
-                let age = now_us.checked_sub(sent.wall_us);
+                let age = sent.age_us(now);
                 let in_span = age.is_some_and(|age| age.saturating_add(left_us) < span_us);
                 match sent.trusted {
                     false => Err(Why::KeyNotTrusted),
--- a/crates/ledger/src/guard/tests.rs
+++ b/crates/ledger/src/guard/tests.rs
@@ -67,6 +67,10 @@
         // The clock has stepped back.
         (span(true), "b", key("k"), 99, Err(Why::KeyOutOfSpan)),
     ] {
-        assert_eq!(all.judge(right, id, k, s(now), s(1)), verdict, "{right:?} {id} at {now}");
+        let now_us = Now { wall_us: s(now), mono_us: 0 };
+        assert_eq!(all.judge(right, id, k, now_us, s(1)), verdict, "{right:?} {id} at {now}");
     }
+    // The clock was set back by less than has gone by, which the boot's clock tells.
+    let set_back = Now { wall_us: s(102), mono_us: s(30) };
+    assert_eq!(all.judge(span(true), "b", key("k"), set_back, s(1)), Err(Why::KeyOutOfSpan));
 }
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -55,7 +55,7 @@
 pub struct Now {
     /// Unix time.
     pub wall_us: u64,
-    /// Since the ledger was opened by this process.
+    /// Since the machine was started, times of sleep included; in ledgers of earlier versions since the process opened it.
     pub mono_us: u64,
 }
 
--- a/crates/ledger/src/writer.rs
+++ b/crates/ledger/src/writer.rs
@@ -8,6 +8,8 @@
 use std::sync::{mpsc, Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use magpietally_os_error::{retry, Call};
+use nix::time::{clock_gettime, ClockId};
 use tokio::sync::oneshot;
 
 use crate::disk::{identity, Disk, Folder, Lock, Refused};
@@ -103,7 +105,30 @@
     unknowns: Unknowns,
     options: Options,
     boot: u64,
-    began: Instant,
+    began: Began,
+}
+
+/// Both clocks at a life's beginning. Times within it are counted from there, so that a wall clock that steps moves none.
+struct Began {
+    instant: Instant,
+    wall: Duration,
+    since_boot: Duration,
+}
+
+impl Began {
+    fn now() -> Self {
+        // It is there on every Linux since 2.6.39. Without it no time of another life can be told from any other, which is
+        // what zero says.
+        let since_boot = clock_gettime(ClockId::CLOCK_BOOTTIME).map(Duration::from).unwrap_or_default();
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { instant: Instant::now(), wall, since_boot }
+    }
+
+    fn elapsed(&self) -> Now {
+        let age = self.instant.elapsed();
+        let micros = |since: Duration| (since + age).as_micros() as u64;
+        Now { wall_us: micros(self.wall), mono_us: micros(self.since_boot) }
+    }
 }
 
 impl Shared {
@@ -113,8 +138,7 @@
     }
 
     fn now(&self) -> Now {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Now { wall_us: wall.as_micros() as u64, mono_us: self.began.elapsed().as_micros() as u64 }
+        self.began.elapsed()
     }
 }
 
@@ -167,7 +191,8 @@
     /// Where the directory is another's, or can't be read.
     pub fn start(node: &str, options: Options) -> Result<(Self, Running, Recovered), StartError> {
         let folder = &options.directory;
-        std::fs::create_dir_all(folder).map_err(|e| StartError::Io("directory", e))?;
+        retry::at_start(Call::File, "directory", || std::fs::create_dir_all(folder))
+            .map_err(|e| StartError::Io("directory", e))?;
         let lock = Lock::take(folder).map_err(|why| StartError::Refused(why.into()))?;
         let owner = identity(folder, node).map_err(StartError::Refused)?;
         let opened = Journal::open(Folder::new(folder), owner, options.keeping);
@@ -211,7 +236,7 @@
             unknowns: Unknowns::of(&recovered.open),
             options,
             boot: journal.boot(),
-            began: Instant::now(),
+            began: Began::now(),
         });
         // The first segment, before the first request: whoever starts a node on a full disk sees it in the log.
         if let Err(fault) = journal.heal(shared.now()) {
@@ -226,10 +251,7 @@
             drop(lock);
             drop(end);
         };
-        std::thread::Builder::new()
-            .name("ledger".into())
-            .spawn(work)
-            .map_err(|e| StartError::Io("thread", e))?;
+        retry::spawn("ledger", work).map_err(|e| StartError::Io("thread", e))?;
         let ledger = Self { shared };
         Ok((ledger.clone(), Running { ledger, ended }))
     }
@@ -260,7 +282,7 @@
     /// # Errors
     /// Why it is answered as failed.
     pub fn judge(&self, right: Right, id: &str, key: Option<KeyDigest>, left: Duration) -> Result<(), Why> {
-        self.shared.unknowns.judge(right, id, key, self.shared.now().wall_us, left.as_micros() as u64)
+        self.shared.unknowns.judge(right, id, key, self.shared.now(), left.as_micros() as u64)
     }
 
     /// An attempt is about to be made. Nothing of it may go out before the promise.
--- /dev/null
+++ b/crates/net/src/listener.rs
@@ -0,0 +1,128 @@
+//! Listening and accepting.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+
+use magpietally_os_error::{classify, retry, Call, Class};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use tokio::io::unix::AsyncFd;
+use tokio::task::yield_now;
+
+use crate::register::register;
+
+/// Connections that the kernel may hold until they are accepted.
+const BACKLOG: i32 = 1024;
+/// After so many connections in a row that were over before they were accepted, others have their turn.
+const FAILED_IN_A_ROW: usize = 64;
+
+/// What accepting lacks.
+#[derive(Debug)]
+pub struct Shortage {
+    /// The system's word.
+    pub error: io::Error,
+}
+
+impl Shortage {
+    /// Has the process as many descriptors as it may have? Anything else is short for the whole machine.
+    pub fn is_of_own_descriptors(&self) -> bool {
+        self.error.raw_os_error() == Some(libc::EMFILE)
+    }
+}
+
+/// A socket that listens at an address; `shared` lets others listen there, too, between which the kernel spreads connections.
+/// What it needs may be missing for a moment.
+///
+/// # Errors
+/// The system's, as where the address is another's.
+pub fn listen(at: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    retry::at_start(Call::Create, "listen", || listen_once(at, shared))
+}
+
+fn listen_once(at: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(shared)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
+/// A listening socket on the runtime's poll.
+#[derive(Debug)]
+pub struct Listener {
+    registered: AsyncFd<TcpListener>,
+}
+
+impl Listener {
+    /// Registers a socket that listens and does not block. Blocks the thread while the poll has no room for it.
+    ///
+    /// # Errors
+    /// The system's last word.
+    pub fn new(listener: TcpListener) -> io::Result<Self> {
+        let mut socket = Some(listener);
+        let registered = retry::at_start(Call::Create, "registration of a listener", || {
+            let listener = socket.take().ok_or_else(|| io::Error::other("no listener"))?;
+            register(listener).map_err(|failed| {
+                socket = Some(failed.inner);
+                failed.error
+            })
+        })?;
+        Ok(Self { registered })
+    }
+
+    /// The socket.
+    pub fn get_ref(&self) -> &TcpListener {
+        self.registered.get_ref()
+    }
+
+    /// Can this process have one descriptor more right now?
+    pub fn has_spare_descriptor(&self) -> bool {
+        self.get_ref().try_clone().is_ok()
+    }
+
+    /// The next connection, which does not block. A connection that was over before it was accepted is passed over.
+    ///
+    /// # Errors
+    /// What accepting lacks. The connection stays in the backlog; the caller makes room or pauses, and calls again.
+    pub async fn accept(&self) -> Result<TcpStream, Shortage> {
+        loop {
+            for _ in 0..FAILED_IN_A_ROW {
+                let mut ready = self.registered.readable().await.map_err(|error| Shortage { error })?;
+                let error = match accept_once(self.registered.get_ref()) {
+                    Ok(stream) => return Ok(stream),
+                    Err(error) => error,
+                };
+                match classify(Call::Accept, &error) {
+                    Class::TryAgain | Class::ConnectionOver => {}
+                    Class::WaitForReadiness => ready.clear_ready(),
+                    Class::OutOfResources | Class::Permanent => return Err(Shortage { error }),
+                }
+            }
+            yield_now().await;
+        }
+    }
+
+    /// The next connection, if one waits now.
+    ///
+    /// # Errors
+    /// What accepting lacks.
+    pub fn try_accept(&self) -> Result<Option<TcpStream>, Shortage> {
+        loop {
+            let error = match accept_once(self.registered.get_ref()) {
+                Ok(stream) => return Ok(Some(stream)),
+                Err(error) => error,
+            };
+            match classify(Call::Accept, &error) {
+                Class::TryAgain | Class::ConnectionOver => {}
+                Class::WaitForReadiness => return Ok(None),
+                Class::OutOfResources | Class::Permanent => return Err(Shortage { error }),
+            }
+        }
+    }
+}
+
+fn accept_once(listener: &TcpListener) -> io::Result<TcpStream> {
+    let flags = libc::SOCK_NONBLOCK | libc::SOCK_CLOEXEC;
+    SockRef::from(listener).accept4(flags).map(|(socket, _)| socket.into())
+}
--- /dev/null
+++ b/crates/net/src/register.rs
@@ -0,0 +1,66 @@
+//! Registration of descriptors with the runtime's poll.
+
+use std::fmt;
+use std::io;
+use std::os::fd::AsRawFd;
+use std::time::{Duration, Instant};
+
+use magpietally_os_error::retry::Pauses;
+use magpietally_os_error::{classify, Call, Class};
+use tokio::io::unix::AsyncFd;
+
+/// For how long a registration is tried: whoever waits for the socket's bytes has gone by then.
+const REGISTER_WITHIN: Duration = Duration::from_secs(3);
+
+/// A descriptor that could not be registered, and is still open.
+pub struct Unregistered<T> {
+    /// The descriptor.
+    pub inner: T,
+    /// Why.
+    pub error: io::Error,
+}
+
+impl<T> fmt::Debug for Unregistered<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Unregistered").field("error", &self.error).finish_non_exhaustive()
+    }
+}
+
+impl<T: AsRawFd> Unregistered<T> {
+    /// Tries again, with pauses, for as long as the lack of memory or watches may pass.
+    ///
+    /// # Errors
+    /// The last error, where it does not; the descriptor is closed then.
+    pub async fn retry(self) -> io::Result<AsyncFd<T>> {
+        let began = Instant::now();
+        let mut pauses = Pauses::default();
+        let mut failed = self;
+        loop {
+            match classify(Call::Create, &failed.error) {
+                Class::TryAgain => {}
+                Class::OutOfResources if began.elapsed() < REGISTER_WITHIN => {
+                    tokio::time::sleep(pauses.next_pause()).await;
+                }
+                _ => return Err(failed.error),
+            }
+            match register(failed.inner) {
+                Ok(registered) => return Ok(registered),
+                Err(again) => failed = again,
+            }
+        }
+    }
+}
+
+/// Registers a descriptor for reading and writing.
+///
+/// # Errors
+/// The descriptor with the system's error: it stays open.
+// The deprecation asks for an `unsafe` call, as a type could close its descriptor while it is registered. The types that are
+// registered here, sockets of the standard library, keep theirs open until they are dropped.
+#[allow(deprecated)]
+pub fn register<T: AsRawFd>(inner: T) -> Result<AsyncFd<T>, Unregistered<T>> {
+    AsyncFd::try_new(inner).map_err(|failed| {
+        let (inner, error) = failed.into_parts();
+        Unregistered { inner, error }
+    })
+}
--- a/crates/site/examples/path.rs
+++ b/crates/site/examples/path.rs
@@ -5,9 +5,10 @@
 //! straight to the boxes, and, where `--strace` is given, the system calls of a request. It does no more than a client
 //! and a box must, so that the node is what is measured. `docs/measurements/path.sh` runs it.
 
+use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
+use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc;
@@ -19,7 +20,6 @@
 use serde_json::{json, Value};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::process::{Child, Command};
 use tokio::task::{spawn_local, LocalSet};
 
 type Failure = Box<dyn std::error::Error>;
@@ -284,7 +284,7 @@
         args = vec!["--operators".to_string(), operators.to_string_lossy().into_owned()];
     }
     let (mut node, to) = start(program, workers, &args, &file).await?;
-    let pid = node.id().ok_or("the node ended at once")?;
+    let pid = node.id();
     let to: Rc<[SocketAddr]> = Rc::from([to]);
     let before = Box::pin(async {
         tokio::time::sleep(SETTLE).await;
@@ -304,7 +304,7 @@
     }
     row(&name, at.len(), &full, &half, Some((cpu_us, ended.1)), calls.as_ref().map(|c| c.0));
     if ledger != "off" {
-        let read = Command::new(program).args(["ledger", "verify", "--json"]).arg(&lies).output().await?;
+        let read = Command::new(program).args(["ledger", "verify", "--json"]).arg(&lies).output()?;
         let read: Value = serde_json::from_slice(&read.stdout)?;
         let records = read["records"].as_f64().unwrap_or(f64::NAN);
         let mut bytes = 0;
@@ -321,10 +321,18 @@
         println!("  {names}");
     }
     kill(Pid::from_raw(pid as i32), Signal::SIGTERM)?;
-    node.wait().await?;
+    wait_for_end(&mut node).await?;
     Ok(std::fs::remove_dir_all(&folder)?)
 }
 
+/// Waits for a process's end, while everything else goes on.
+async fn wait_for_end(process: &mut Child) -> Result<(), Failure> {
+    while process.try_wait()?.is_none() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    Ok(())
+}
+
 /// System calls a request at a part of the load, as tracing slows the node down; the most frequent by name.
 async fn count_calls(
     pid: u32,
@@ -348,10 +356,8 @@
         let (latency, failed) = task.await??;
         asked += latency.len() + failed;
     }
-    if let Some(tracer) = tracer.id() {
-        kill(Pid::from_raw(tracer as i32), Signal::SIGINT)?;
-    }
-    tracer.wait().await?;
+    kill(Pid::from_raw(tracer.id() as i32), Signal::SIGINT)?;
+    wait_for_end(&mut tracer).await?;
     let text = std::fs::read_to_string(&counts)?;
     let mut calls: Vec<(f64, &str)> = text
         .lines()
@@ -395,14 +401,13 @@
         .env("BALANCER_CONFIG", config)
         .stdout(Stdio::null())
         .stderr(Stdio::piped())
-        .kill_on_drop(true)
         .spawn()?;
     let errors = node.stderr.take().ok_or("no log")?;
-    let mut lines = tokio::io::AsyncBufReadExt::lines(tokio::io::BufReader::new(errors));
-    while let Some(line) = lines.next_line().await? {
+    let mut lines = BufReader::new(errors).lines();
+    while let Some(line) = lines.next().transpose()? {
         if let Some((_, at)) = line.split_once(" listens at ") {
             let at = at.trim().parse()?;
-            spawn_local(async move { while let Ok(Some(_)) = lines.next_line().await {} });
+            std::thread::spawn(move || lines.map_while(Result::ok).for_each(drop));
             // It has the list within moments; what comes before that would be measured as failed.
             tokio::time::sleep(Duration::from_millis(500)).await;
             return Ok((node, at));
--- a/crates/site/src/sockets/nodes.rs
+++ b/crates/site/src/sockets/nodes.rs
@@ -1,7 +1,8 @@
 //! Real nodes as processes: started, killed, told to end and told to reload.
 
+use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
-use std::process::Stdio;
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,9 +11,8 @@
 use hyper_util::rt::TokioIo;
 use nix::sys::signal::{kill as send_signal, Signal};
 use nix::unistd::Pid;
-use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::net::TcpStream;
-use tokio::process::{Child, Command};
+use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -36,7 +36,7 @@
     write_config(stage, n)?;
     let mut command = Command::new(&stage.program);
     command.arg("node").arg("--workers").arg(stage.workers.to_string());
-    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
+    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
     if stage.ledger.is_some() || stage.list_file {
         command.arg("--operators").arg(write_operators(stage, n)?);
     }
@@ -47,33 +47,54 @@
     let mut child = command.spawn().map_err(|e| SocketError::Io("node", e))?;
     let life = {
         let node = &mut stage.state.borrow_mut().nodes[n];
-        (node.pid, node.up, node.ends, node.at) = (child.id(), true, false, None);
+        (node.pid, node.up, node.ends, node.at) = (Some(child.id()), true, false, None);
         node.cost.starts += 1;
         node.cpu_ms = 0.0;
         node.life
     };
     if let Some(errors) = child.stderr.take() {
-        let stage = stage.clone();
-        spawn_local(async move {
-            let mut lines = BufReader::new(errors).lines();
-            // A log that can't be read ends like one that is closed.
-            while let Ok(Some(line)) = lines.next_line().await {
-                let node = &mut stage.state.borrow_mut().nodes[n];
-                if let Some((_, at)) = line.split_once(" listens at ") {
-                    node.at = at.trim().parse().ok();
-                }
-                if node.last_words.len() >= LAST_WORDS {
-                    node.last_words.remove(0);
-                }
-                node.last_words.push(line);
-            }
-        });
+        spawn_local(follow_log(stage.clone(), n, lines(errors)));
     }
-    spawn_local(reap(stage.clone(), n, life, child));
+    spawn_local(reap(stage.clone(), n, life, Process(child)));
     spawn_local(deal_when_ready(stage.clone(), n, life));
     Ok(())
 }
 
+/// A process that is killed where nobody waits for it any more.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // One that has ended needs neither.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// The lines of a log, read by a thread of their own. A log that can't be read ends like one that is closed.
+fn lines(errors: ChildStderr) -> mpsc::UnboundedReceiver<String> {
+    let (tell, told) = mpsc::unbounded_channel();
+    std::thread::spawn(move || {
+        let lines = BufReader::new(errors).lines().map_while(Result::ok);
+        lines.map(|line| tell.send(line)).all(|sent| sent.is_ok())
+    });
+    told
+}
+
+/// Notes where a node listens, and its last words.
+async fn follow_log(stage: Rc<Stage>, n: usize, mut lines: mpsc::UnboundedReceiver<String>) {
+    while let Some(line) = lines.recv().await {
+        let node = &mut stage.state.borrow_mut().nodes[n];
+        if let Some((_, at)) = line.split_once(" listens at ") {
+            node.at = at.trim().parse().ok();
+        }
+        if node.last_words.len() >= LAST_WORDS {
+            node.last_words.remove(0);
+        }
+        node.last_words.push(line);
+    }
+}
+
 fn write_config(stage: &Rc<Stage>, n: usize) -> Result<(), SocketError> {
     let list_at = stage.state.borrow().nodes[n].list_at;
     let Some(list_at) = list_at else { return Err(SocketError::Node(format!("node-{n} has no list"))) };
@@ -105,9 +126,11 @@
 }
 
 /// Waits for a process's end. One that the schedule did not want is a crash.
-async fn reap(stage: Rc<Stage>, n: usize, life: u32, mut child: Child) {
+async fn reap(stage: Rc<Stage>, n: usize, life: u32, mut process: Process) {
     // A process that can't be waited for is as good as gone.
-    let _ = child.wait().await;
+    while matches!(process.0.try_wait(), Ok(None)) {
+        tokio::time::sleep(ASK).await;
+    }
     let crashed = {
         let node = &mut stage.state.borrow_mut().nodes[n];
         if node.life != life {
--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -4,6 +4,9 @@
 use std::io::{self, ErrorKind, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
+use magpietally_os_error::retry::{self, FILE_WITHIN};
+use magpietally_os_error::Call;
+
 /// A directory of files that only grow.
 pub trait Disk {
     /// A file that is open for writing.
@@ -84,49 +87,53 @@
     }
 
     fn create(&mut self, name: &str) -> io::Result<File> {
-        OpenOptions::new().append(true).create_new(true).open(self.path.join(name))
+        retry::interrupted(|| OpenOptions::new().append(true).create_new(true).open(self.path.join(name)))
     }
 
     fn append(&mut self, file: &mut File, bytes: &[u8]) -> io::Result<usize> {
-        loop {
-            match file.write(bytes) {
-                Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                other => return other,
-            }
+        match retry::interrupted(|| file.write(bytes)) {
+            Ok(0) => Err(ErrorKind::WriteZero.into()),
+            written => written,
         }
     }
 
     fn sync(&mut self, file: &mut File) -> io::Result<()> {
-        file.sync_data()
+        retry::interrupted(|| file.sync_data())
     }
 
     fn sync_names(&mut self) -> io::Result<()> {
-        File::open(&self.path)?.sync_all()
+        let folder = retry::within(FILE_WITHIN, Call::File, "a folder", || File::open(&self.path))?;
+        retry::interrupted(|| folder.sync_all())
     }
 
     fn names(&mut self) -> io::Result<Vec<String>> {
-        let mut names = Vec::new();
-        for entry in std::fs::read_dir(&self.path)? {
-            // A name that is no text is none of ours.
-            names.extend(entry?.file_name().into_string());
-        }
-        Ok(names)
+        // Nothing is changed by looking, so it may be looked at again.
+        retry::within(FILE_WITHIN, Call::File, "a folder", || {
+            let mut names = Vec::new();
+            for entry in std::fs::read_dir(&self.path)? {
+                // A name that is no text is none of ours.
+                names.extend(entry?.file_name().into_string());
+            }
+            Ok(names)
+        })
     }
 
     fn read(&mut self, name: &str, from: u64, to: &mut [u8]) -> io::Result<usize> {
-        let mut file = match self.reads.take() {
-            Some((open, file)) if open == name => file,
-            _ => File::open(self.path.join(name))?,
-        };
-        file.seek(SeekFrom::Start(from))?;
-        let count = file.read(to)?;
-        self.reads = Some((name.to_string(), file));
-        Ok(count)
+        // A place that can't be read for a moment must not pass for one that is damaged: what it holds would be forgotten.
+        retry::within(FILE_WITHIN, Call::File, name, || {
+            let mut file = match self.reads.take() {
+                Some((open, file)) if open == name => file,
+                _ => File::open(self.path.join(name))?,
+            };
+            file.seek(SeekFrom::Start(from))?;
+            let count = file.read(to)?;
+            self.reads = Some((name.to_string(), file));
+            Ok(count)
+        })
     }
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
-        std::fs::remove_file(self.path.join(name))
+        retry::interrupted(|| std::fs::remove_file(self.path.join(name)))
     }
 }
 
@@ -166,9 +173,13 @@
     /// [`Refused::Held`] with what the holder wrote of itself; the system's word else.
     pub fn take(folder: &Path) -> Result<Self, Refused> {
         let path = folder.join(LOCK);
-        let open = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&path);
-        // On a disk that can only be read the lock of earlier is as good.
-        let mut file = open.or_else(|_| File::open(&path)).map_err(|e| Refused::Io(LOCK, e))?;
+        let open = || {
+            let open = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&path);
+            // On a disk that can only be read the lock of earlier is as good.
+            open.or_else(|error| File::open(&path).map_err(|_| error))
+        };
+        let mut file =
+            retry::within(FILE_WITHIN, Call::File, LOCK, open).map_err(|e| Refused::Io(LOCK, e))?;
         match file.try_lock() {
             Ok(()) => {}
             Err(TryLockError::WouldBlock) => {
--- a/crates/transport/src/tcp/accept.rs
+++ b/crates/transport/src/tcp/accept.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use tokio::net::{TcpListener, TcpStream};
+use magpietally_net::{Listener, Stream};
+use tokio::io::split;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
@@ -17,13 +18,13 @@
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 
 /// Accepts until the end is closed.
-pub(super) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+pub(super) async fn accept(shared: Arc<Shared>, listener: Listener) {
     loop {
         let accepted = tokio::select! {
             () = shared.ended.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok(socket) = accepted else {
             sleep(ACCEPT_AGAIN).await;
             continue;
         };
@@ -33,17 +34,20 @@
         };
         let shared = shared.clone();
         tokio::spawn(async move {
-            serve(&shared, stream).await;
+            let stream = match Stream::new(socket) {
+                Ok(stream) => Ok(stream),
+                Err(unregistered) => unregistered.retry().await.map(Stream::from),
+            };
+            if let Ok(stream) = stream {
+                serve(&shared, stream).await;
+            }
             drop(permit);
         });
     }
 }
 
-async fn serve(shared: &Shared, stream: TcpStream) {
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
-    let (r, w) = stream.into_split();
+async fn serve(shared: &Shared, stream: Stream) {
+    let (r, w) = split(stream);
     let (mut reader, mut writer) = halves(shared, r, w);
     let within = shared.settings.connect_within;
     let Ok(Some(peer)) = timeout(within, hello(shared, &mut reader)).await else { return };
--- a/crates/transport/src/tcp/dial.rs
+++ b/crates/transport/src/tcp/dial.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use magpietally_net::Stream;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
-use tokio::net::TcpStream;
+use tokio::io::{split, ReadHalf, WriteHalf};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -17,8 +18,8 @@
 
 /// A connection after its handshake.
 struct Link {
-    reader: Reader<tokio::net::tcp::OwnedReadHalf>,
-    writer: Writer<tokio::net::tcp::OwnedWriteHalf>,
+    reader: Reader<ReadHalf<Stream>>,
+    writer: Writer<WriteHalf<Stream>>,
 }
 
 /// Carries what is sent to `name` until it is forgotten.
@@ -44,11 +45,9 @@
 }
 
 async fn connect(shared: &Shared, name: &Name, wake: &Arc<Notify>, address: SocketAddr) -> Option<Link> {
-    let stream = TcpStream::connect(address).await.ok()?;
+    let stream = magpietally_net::connect(address).await.ok()?;
     shared.count_dial();
-    // Messages are small and somebody waits for each; without it an acknowledgement may wait 40 ms.
-    stream.set_nodelay(true).ok()?;
-    let (r, w) = stream.into_split();
+    let (r, w) = split(stream);
     let (mut reader, mut writer) = halves(shared, r, w);
     if !write(shared, &mut writer, name, What::Hello, 0, &[]).await {
         return None;
--- a/crates/transport/src/tcp/mod.rs
+++ b/crates/transport/src/tcp/mod.rs
@@ -14,11 +14,14 @@
 mod shared;
 
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use magpietally_net::{listen, Listener};
+use magpietally_os_error::{retry, Call};
+
 use crate::envelope::Fleet;
 use crate::name::Name;
 use crate::transport::{Event, Kind, Peer, Promise, SendError, Transport};
@@ -130,16 +133,16 @@
     /// The settings can't work ([`Settings::check`]), the address can't be bound, or no thread or runtime can be had.
     pub fn bind(me: Peer, fleet: Fleet, at: SocketAddr, settings: Settings) -> io::Result<Self> {
         settings.check().map_err(|why| io::Error::new(io::ErrorKind::InvalidInput, why))?;
-        let listener = TcpListener::bind(at)?;
-        listener.set_nonblocking(true)?;
+        let listener = listen(at, false)?;
         let address = listener.local_addr()?;
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let build = || tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = retry::at_start(Call::Create, "runtime", build)?;
         let handle = runtime.handle().clone();
         let shared = Arc::new(Shared::new(me, fleet, settings));
         let carried = shared.clone();
-        let thread = std::thread::Builder::new().name("fleet-tcp".into()).spawn(move || {
+        let thread = retry::spawn("fleet-tcp", move || {
             runtime.block_on(async {
-                match tokio::net::TcpListener::from_std(listener) {
+                match Listener::new(listener) {
                     Ok(listener) => accept::accept(carried.clone(), listener).await,
                     Err(e) => carried.end(format!("its listener broke: {e}")),
                 }
--- a/crates/transport/src/udp.rs
+++ b/crates/transport/src/udp.rs
@@ -1,10 +1,12 @@
 //! Datagrams over UDP: a socket that is never waited for, sent by [`Transport::send`] and read by [`Transport::poll`].
 
 use std::collections::{BTreeMap, VecDeque};
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
 
+use magpietally_os_error::{classify, retry, Call, Class};
+
 use crate::envelope::{self, Addressee, Fleet, Head, What, ENVELOPE_MAX};
 use crate::name::Name;
 use crate::sessions::{
@@ -20,6 +22,8 @@
 
 /// Datagrams that wait for one peer while the socket takes none: 90 KB, what a socket's own buffer holds again.
 const WAITING: usize = 64;
+/// Errors of earlier sends that are passed over in one poll.
+const ERRORS_IN_A_ROW: usize = 16;
 
 /// And for all peers together: 1.4 MB.
 const WAITING_ALL: usize = 1024;
@@ -63,7 +67,7 @@
     /// # Errors
     /// The address can't be bound.
     pub fn bind(me: Peer, fleet: Fleet, at: SocketAddr) -> io::Result<Self> {
-        let socket = UdpSocket::bind(at)?;
+        let socket = retry::at_start(Call::Create, "datagrams", || UdpSocket::bind(at))?;
         socket.set_nonblocking(true)?;
         Ok(Self {
             me,
@@ -167,12 +171,21 @@
 
 /// True where the datagram is off our hands, sent or lost.
 fn hand_over(socket: &UdpSocket, counts: &mut Counts, wire: &[u8], to: SocketAddr) -> bool {
-    match socket.send_to(wire, to) {
-        Ok(_) => counts.sent += 1,
-        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return false,
-        Err(_) => counts.refused += 1,
+    let error = match retry::interrupted(|| socket.send_to(wire, to)) {
+        Ok(_) => {
+            counts.sent += 1;
+            return true;
+        }
+        Err(error) => error,
+    };
+    match classify(Call::Datagram, &error) {
+        // It waits for the next flush.
+        Class::WaitForReadiness | Class::OutOfResources | Class::TryAgain => false,
+        Class::ConnectionOver | Class::Permanent => {
+            counts.refused += 1;
+            true
+        }
     }
-    true
 }
 
 impl Transport for Udp {
@@ -212,10 +225,16 @@
         if let Some(event) = self.next.take() {
             return Some(event);
         }
-        match self.socket.recv_from(&mut self.buffer) {
-            Ok((length, _)) => Some(self.take(length)),
-            // Nothing there, or an error of an earlier send that the kernel tells here: the next poll reads on.
-            Err(_) => None,
+        // An error of an earlier send is told once, and says nothing of what came.
+        for _ in 0..ERRORS_IN_A_ROW {
+            let error = match retry::interrupted(|| self.socket.recv_from(&mut self.buffer)) {
+                Ok((length, _)) => return Some(self.take(length)),
+                Err(error) => error,
+            };
+            if classify(Call::Datagram, &error) != Class::ConnectionOver {
+                break;
+            }
         }
+        None
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,16 +8,20 @@
 mod thread;
 
 use std::fs::OpenOptions;
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::Instant;
 
 use magpietally_config::fleet_policy::{self, Ground};
 use magpietally_consensus as consensus;
+use magpietally_os_error::retry::{self, Pauses, START_WITHIN};
+use magpietally_os_error::{classify, Call, Class};
 use magpietally_policy_change::PolicyChange;
 use magpietally_quota::Quota;
 use magpietally_store::disk::Folder;
-use magpietally_store::Log;
+use magpietally_store::{Log, Recovered, StoreError};
 use magpietally_transport::envelope::Fleet;
 use magpietally_transport::tcp::{self, Tcp};
 use magpietally_transport::udp::Udp;
@@ -33,7 +37,7 @@
     /// What the node asks.
     pub gate: Arc<Shared>,
     stop: Arc<AtomicBool>,
-    thread: JoinHandle<()>,
+    thread: JoinHandle<Result<(), String>>,
 }
 
 /// Opens the store and the sockets and starts the thread for the node named `name`.
@@ -47,11 +51,12 @@
     // A file that reaches the process's limit is to be refused at its write, as a full disk is, and not to end the node.
     signal_hook::flag::register(SIGXFSZ, Arc::default()).map_err(|e| failed("SIGXFSZ", e.to_string()))?;
     let (store, recovered) =
-        Log::<Folder>::open_dir(&options.store, name.as_str()).map_err(|e| failed(&place, e.to_string()))?;
+        open_store(&options.store, name.as_str()).map_err(|e| failed(&place, e.to_string()))?;
     if let Some(cut) = &recovered.cut {
         tracing::warn!(target: "fleet", "{place}: {}: a torn end of {} bytes was cut", cut.file, cut.bytes);
     }
-    let session = session::next(&options.store).map_err(|e| failed(&place, e.to_string()))?;
+    let session = retry::at_start(Call::File, "session", || session::next(&options.store))
+        .map_err(|e| failed(&place, e.to_string()))?;
     let me = Peer { name, session };
     let now = clock::now();
     let settings = consensus::Settings::new(options.voters.clone(), session.0);
@@ -70,8 +75,9 @@
         quota.plant_named(planted);
     }
     let records = options.records.as_ref().map(|path| {
-        let file = OpenOptions::new().append(true).create(true).open(path);
-        file.map_err(|e| failed("records", format!("{}: {e}", path.display())))
+        let open = || OpenOptions::new().append(true).create(true).open(path);
+        retry::at_start(Call::File, "records", open)
+            .map_err(|e| failed("records", format!("{}: {e}", path.display())))
     });
     let gate = Shared::new(me.clone(), ground, policy, quota, records.transpose()?);
     let fleet = Fleet::named(&options.fleet);
@@ -91,19 +97,46 @@
     let stop = Arc::new(AtomicBool::new(false));
     let carrier =
         thread::Carrier::new(gate.clone(), log, store, udp, tcp, options.policy_file.clone(), stop.clone());
-    let thread = std::thread::Builder::new()
-        .name("fleet".into())
-        .spawn(move || carrier.run())
-        .map_err(|e| failed("a thread", e.to_string()))?;
+    let thread =
+        retry::spawn("fleet", move || carrier.run()).map_err(|e| failed("a thread", e.to_string()))?;
     Ok(Running { gate, stop, thread })
 }
 
+/// Opens the store; a disk that fails or is full for a moment is waited for.
+fn open_store(place: &Path, owner: &str) -> Result<(Log<Folder>, Recovered), StoreError> {
+    let began = Instant::now();
+    let mut pauses = Pauses::default();
+    loop {
+        match Log::<Folder>::open_dir(place, owner) {
+            Err(error) if may_pass(&error) && began.elapsed() < START_WITHIN => {
+                tracing::warn!(target: "fleet", "{}: {error}; opened again", place.display());
+                std::thread::sleep(pauses.next_pause());
+            }
+            ended => return ended,
+        }
+    }
+}
+
+fn may_pass(error: &StoreError) -> bool {
+    match error {
+        StoreError::Full => true,
+        StoreError::Io(_, error) => {
+            matches!(classify(Call::File, error), Class::TryAgain | Class::OutOfResources)
+        }
+        _ => false,
+    }
+}
+
 impl Running {
     /// Gives the leases back and ends the thread.
-    pub fn leave(self) {
+    ///
+    /// # Errors
+    /// Why the thread had ended the node by itself, if it had.
+    pub fn leave(self) -> Result<(), String> {
         self.stop.store(true, Ordering::SeqCst);
-        if self.thread.join().is_err() {
+        self.thread.join().unwrap_or_else(|_| {
             tracing::warn!(target: "fleet", "its thread ended in a panic");
-        }
+            Ok(())
+        })
     }
 }
--- a/src/fleet/thread.rs
+++ b/src/fleet/thread.rs
@@ -17,6 +17,7 @@
 
 use super::clock;
 use super::gate::{Line, Shared};
+use crate::membership::end_in_order;
 
 /// How long the thread rests when nothing came: a message waits that long at most, an entry takes some of these, and five
 /// hundred looks a second cost half a hundredth of a core.
@@ -40,6 +41,8 @@
     document: Option<Document>,
     stop: Arc<AtomicBool>,
     told: (Version, bool),
+    /// Why it can't go on.
+    doubt: Option<String>,
 }
 
 /// The watched document.
@@ -63,13 +66,22 @@
         stop: Arc<AtomicBool>,
     ) -> Self {
         let document = file.map(|path| Document { path, look_at: Duration::ZERO, last: None, ticket: None });
-        Self { shared, log, store, udp, tcp, document, stop, told: (Version::default(), false) }
+        Self { shared, log, store, udp, tcp, document, stop, told: (Version::default(), false), doubt: None }
     }
 
     /// Runs until it is told to stop and the leases are given back.
-    pub fn run(mut self) {
+    ///
+    /// # Errors
+    /// Why it could not go on, and has told the node to end.
+    pub fn run(mut self) -> Result<(), String> {
         let mut leaving_since = None;
         loop {
+            if let Some(words) = self.doubt.take() {
+                // Nothing is known of what is on the disk: only a new start can read it. What the node has taken it still
+                // answers; the fleet hears no more of it.
+                end_in_order("fleet", &words);
+                return Err(format!("fleet: {words}"));
+            }
             let came = self.hear();
             let now = clock::now();
             if self.log.next_due().is_some_and(|due| due <= now.boot) {
@@ -89,7 +101,7 @@
                     now.boot
                 });
                 if self.shared.rooms().policy.left() || now.boot.saturating_sub(since) > LEAVE_WITHIN {
-                    return;
+                    return Ok(());
                 }
             }
             if !came && !learnt {
@@ -134,9 +146,8 @@
                 Err(error) => {
                     tracing::error!(target: "fleet", "the store refuses: {error}");
                     if matches!(error, StoreError::Doubted(_)) {
-                        // Nothing is known of what is on the disk: only a new start can read it.
-                        std::thread::sleep(Duration::from_millis(50));
-                        std::process::exit(1);
+                        self.doubt = Some(error.to_string());
+                        return;
                     }
                     self.log.refused(now, ready.number, error.to_string());
                     return;
--- a/src/logging/tests.rs
+++ b/src/logging/tests.rs
@@ -21,8 +21,8 @@
 fn a_full_pipe_holds_up_nothing_and_what_is_dropped_is_counted() {
     const LINES: usize = 1000;
     let ((go, gone), (took, taken)) = (mpsc::channel(), mpsc::channel());
-    let (mut writer, guard) = writer(Pipe(gone, took));
-    let log = Log { dropped: writer.error_counter(), guard };
+    let log = start(Pipe(gone, took)).expect("a thread");
+    let mut writer = log.queue.clone();
     for n in 0..LINES {
         writer.write_all(format!("line {n}\n").as_bytes()).expect("it takes or drops");
     }
@@ -36,3 +36,29 @@
     assert_eq!(written[0], b"line 0\n", "the first ones are kept");
     drop(go);
 }
+
+/// A writer that fails as this says, call by call, and says what it took.
+struct Failing(Vec<io::Result<usize>>, Vec<u8>);
+
+impl Write for Failing {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let count = if self.0.is_empty() { bytes.len() } else { self.0.remove(0)? };
+        self.1.extend_from_slice(&bytes[..count]);
+        Ok(count)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn an_interrupted_or_short_write_is_continued_and_a_failed_one_ends_its_line() {
+    let error = |kind: io::ErrorKind| Err(kind.into());
+    let mut to = Failing(vec![error(io::ErrorKind::Interrupted), Ok(3)], Vec::new());
+    write_line(&mut to, b"a line\n").expect("it is written");
+    to.0 = vec![Ok(2), error(io::ErrorKind::StorageFull)];
+    assert!(write_line(&mut to, b"lost\n").is_err());
+    write_line(&mut to, b"next\n").expect("it is written");
+    assert_eq!(to.1, b"a line\nlo\nnext\n");
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -142,12 +142,9 @@
         1 => magpietally_http::run(config, extras, log.lost_lines()),
         workers => magpietally_http::run_workers(config, workers, extras, log.lost_lines()),
     };
-    if let Some(members) = members {
-        members.leave();
-    }
-    if let Some(fleet) = fleet {
-        fleet.leave();
-    }
+    // A part that could not go on has ended the node in order; that is what is told of its end.
+    let ended = ended.and(members.map_or(Ok(()), membership::Running::leave));
+    let ended = ended.and(fleet.map_or(Ok(()), fleet::Running::leave));
     if running.is_some_and(|running| !running.close(LAST_RECORDS)) {
         tracing::warn!(target: "ledger", "its last records were not written in time");
     }
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -1,7 +1,6 @@
 //! Membership on UDP: the carrier that runs a node's [`Room`] on a socket of its own, and `magpietally members`, which
 //! asks a node for its view. Off unless `node --membership FILE` names a file like `deploy/membership.toml`.
 
-use std::io::ErrorKind;
 use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -12,6 +11,8 @@
     decode, encode_query, read_part, view_part, Datagram, Name, NodeId, Room, Settings, ANSWER_MAX,
     DATAGRAM_MAX,
 };
+use magpietally_os_error::{classify, retry, Call, Class};
+use nix::sys::signal::{raise, Signal};
 use serde::Deserialize;
 
 use crate::commands::{toml_file, wrong, Failure};
@@ -25,6 +26,8 @@
 const PARTS_MOST: usize = 1024;
 /// How long the socket waits at most before the room is looked at again (a stop, a timer).
 const WAIT_MOST: Duration = Duration::from_millis(50);
+/// How long the socket is left alone after a read that failed.
+const READ_REST: Duration = Duration::from_millis(10);
 /// How long `members` waits for each part of the answer.
 const ANSWER_WITHIN: Duration = Duration::from_secs(2);
 
@@ -89,7 +92,7 @@
 /// The carrier at work.
 pub struct Running {
     stop: Arc<AtomicBool>,
-    thread: JoinHandle<()>,
+    thread: JoinHandle<Result<(), String>>,
 }
 
 /// Binds the socket and starts the carrier's thread for the node named `name`.
@@ -98,7 +101,7 @@
 /// The name is no node's name, or the socket can't be had.
 pub fn start(name: &str, options: Options) -> Result<Running, Failure> {
     let name = Name::new(name).map_err(|e| Failure::Wrong(format!("membership: name {name:?}: {e}")))?;
-    let socket = UdpSocket::bind(options.listen)
+    let socket = retry::at_start(Call::Create, "membership", || UdpSocket::bind(options.listen))
         .map_err(|e| Failure::Failed(format!("membership: listen {}: {e}", options.listen)))?;
     let bound = match socket.local_addr() {
         Ok(SocketAddr::V4(a)) => a,
@@ -112,20 +115,22 @@
     let stop = Arc::new(AtomicBool::new(false));
     let stopping = stop.clone();
     let seeds = options.seeds;
-    let thread = std::thread::Builder::new()
-        .name("membership".into())
-        .spawn(move || carry(&socket, &mut room, &seeds, &stopping))
+    let thread = retry::spawn("membership", move || carry(&socket, &mut room, &seeds, &stopping))
         .map_err(|e| Failure::Failed(format!("membership: a thread: {e}")))?;
     Ok(Running { stop, thread })
 }
 
 impl Running {
     /// Leaves the fleet on purpose and ends the carrier.
-    pub fn leave(self) {
+    ///
+    /// # Errors
+    /// Why the carrier had ended the node by itself, if it had.
+    pub fn leave(self) -> Result<(), String> {
         self.stop.store(true, Ordering::SeqCst);
-        if self.thread.join().is_err() {
+        self.thread.join().unwrap_or_else(|_| {
             tracing::warn!(target: "membership", "its thread ended in a panic");
-        }
+            Ok(())
+        })
     }
 }
 
@@ -136,7 +141,13 @@
     u32::try_from(now.as_millis().saturating_sub(u128::from(BASE) * 1000) / 100).unwrap_or(u32::MAX)
 }
 
-fn carry(socket: &UdpSocket, room: &mut Room, seeds: &[SocketAddrV4], stop: &AtomicBool) {
+/// Carries the room's datagrams until it is told to stop, or the node may not go on.
+fn carry(
+    socket: &UdpSocket,
+    room: &mut Room,
+    seeds: &[SocketAddrV4],
+    stop: &AtomicBool,
+) -> Result<(), String> {
     let start = Instant::now();
     // One byte more than may come, so that what is longer is seen to be.
     let mut buf = [0; DATAGRAM_MAX + 1];
@@ -148,7 +159,7 @@
             room.leave(now);
             send(socket, room);
             tracing::info!(target: "membership", "left the fleet");
-            return;
+            return Ok(());
         }
         let wait = room
             .next_due()
@@ -156,22 +167,17 @@
             .clamp(Duration::from_millis(1), WAIT_MOST);
         // A socket that refuses a timeout still works; it is then looked at when a datagram comes.
         let _ = socket.set_read_timeout(Some(wait));
-        match socket.recv_from(&mut buf) {
+        match retry::interrupted(|| socket.recv_from(&mut buf)) {
             Ok((n, from)) => match decode(&buf[..n]) {
                 Ok(Datagram::Query(after)) => {
                     let stats = room.stats().clone();
                     // Lost, as a datagram may be; whoever asked asks again.
-                    let _ = socket.send_to(&view_part(room.view(), &stats, after.as_ref()), from);
+                    let part = view_part(room.view(), &stats, after.as_ref());
+                    let _ = retry::interrupted(|| socket.send_to(&part, from));
                 }
                 _ => room.on_datagram(start.elapsed(), &buf[..n]),
             },
-            // An earlier datagram to a peer that is gone comes back as a refusal; SWIM sees the loss itself.
-            Err(e)
-                if matches!(
-                    e.kind(),
-                    ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::ConnectionRefused
-                ) => {}
-            Err(e) => tracing::warn!(target: "membership", "a read failed: {e}"),
+            Err(error) => rest_after(&error),
         }
         room.tick(start.elapsed());
         send(socket, room);
@@ -183,20 +189,40 @@
             tracing::info!(target: "membership", "view {}: {} alive, {} suspect, {} dead, {} left", view.version(), c.alive, c.suspect, c.dead, c.left);
         }
         if let Some(first) = view.name_taken_from(&me) {
-            // Two nodes may not share a name; the one that started first keeps it.
-            eprintln!(
-                "magpietally: membership: the name {} is taken by the node at {}, which started first",
-                me.name, first.addr
-            );
-            std::process::exit(1);
+            // Two nodes may not share a name; the one that started first keeps it. What this one has taken it still answers.
+            let (name, at) = (&me.name, first.addr);
+            let words =
+                format!("membership: the name {name} is taken by the node at {at}, which started first");
+            end_in_order("membership", &words);
+            return Err(words);
+        }
+    }
+}
+
+/// What a failed read asks for: nothing where a time-out was over, a rest where it may fail again at once.
+fn rest_after(error: &std::io::Error) {
+    match classify(Call::Datagram, error) {
+        // An earlier datagram to a peer that is gone comes back as a refusal; SWIM sees the loss itself.
+        Class::WaitForReadiness | Class::TryAgain | Class::ConnectionOver => {}
+        Class::OutOfResources | Class::Permanent => {
+            tracing::warn!(target: "membership", "a read failed: {error}");
+            std::thread::sleep(READ_REST);
         }
     }
 }
 
+/// Ends the node as SIGTERM does, so that all that it has taken is answered.
+pub(crate) fn end_in_order(who: &'static str, words: &str) {
+    tracing::error!(target: "node", "{who} can't go on, the node ends: {words}");
+    if let Err(error) = raise(Signal::SIGTERM) {
+        tracing::error!(target: "node", "{who}: it can't be told to: {error}");
+    }
+}
+
 fn send(socket: &UdpSocket, room: &mut Room) {
     while let Some((to, bytes)) = room.take_outgoing() {
         // A datagram that can't go is a loss, which the protocol is built for.
-        let _ = socket.send_to(&bytes, to);
+        let _ = retry::interrupted(|| socket.send_to(&bytes, to));
     }
 }
 
@@ -209,12 +235,15 @@
         .parse()
         .map_err(|_| Failure::Failed("members: no local address".into()))?;
     let failed = |e: std::io::Error| Failure::Failed(format!("members: {at}: {e}"));
-    let socket = UdpSocket::bind(local).map_err(|e| Failure::Failed(format!("members: a socket: {e}")))?;
+    let socket = retry::at_start(Call::Create, "members", || UdpSocket::bind(local))
+        .map_err(|e| Failure::Failed(format!("members: a socket: {e}")))?;
     socket.set_read_timeout(Some(ANSWER_WITHIN)).map_err(failed)?;
     let mut buf = vec![0; ANSWER_MAX];
     let mut after: Option<NodeId> = None;
     for _ in 0..PARTS_MOST {
-        socket.send_to(&encode_query(after.as_ref()), at).map_err(failed)?;
+        let query = encode_query(after.as_ref());
+        retry::within(ANSWER_WITHIN, Call::Datagram, "members", || socket.send_to(&query, at))
+            .map_err(failed)?;
         after = part(&socket, at, after, &mut buf)?;
         if after.is_none() {
             return Ok(());
@@ -232,7 +261,7 @@
 ) -> Result<Option<NodeId>, Failure> {
     let deadline = Instant::now() + ANSWER_WITHIN;
     while Instant::now() < deadline {
-        match socket.recv_from(buf) {
+        match retry::interrupted(|| socket.recv_from(buf)) {
             Ok((n, from)) if from == at => match read_part(&buf[..n]) {
                 // One that does not go on is an earlier part again.
                 Some((next, text)) if next.is_none() || next > after => {
@@ -242,7 +271,7 @@
                 _ => {}
             },
             Ok(_) => {}
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => break,
+            Err(e) if classify(Call::Datagram, &e) == Class::WaitForReadiness => break,
             Err(e) => return Err(Failure::Failed(format!("members: {at}: {e}"))),
         }
     }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -10,11 +10,15 @@
 
 /// Runs clients against a node with these faults; at least `served_least` of the requests are served, and none is broken.
 fn kept_under(plan: &str, load: Load, served_least: f64) {
-    let servers = Servers::new(3, Duration::from_millis(10));
+    kept_before(&Servers::new(3, Duration::from_millis(10)), plan, load, served_least);
+}
+
+/// The same before these servers.
+fn kept_before(servers: &Servers, plan: &str, load: Load, served_least: f64) {
     let registry = Registry::new(&servers.hosts());
     let faults = Faults::new(plan, 7);
     let mut node = Node::with_faults(&config(registry.address), &faults, &[]);
-    let report = load.run(node.address, &servers);
+    let report = load.run(node.address, servers);
     assert!(node.running(), "the node ended: {}", report.sums());
     report.assert_kept(served_least);
     faults.assert_injected();
@@ -36,7 +40,75 @@
     kept_under("recv:short=40:0.2", Load::default(), 0.99);
 }
 
+#[test]
+fn writes_that_come_short_are_continued() {
+    kept_under("send:short=20:0.2;writev:short=20:0.2", Load::default(), 0.99);
+}
+
 #[test]
 fn a_connection_that_was_aborted_costs_no_other() {
     kept_under("accept4:ECONNABORTED:0.3;accept4:EPROTO:0.2;accept4:EINTR:0.1", new_connections(), 0.99);
 }
+
+#[test]
+fn accepting_goes_on_after_a_moment_without_files_or_memory() {
+    kept_under("accept4:ENFILE:0.2;accept4:ENOBUFS:0.1;accept4:EMFILE:0.05", new_connections(), 0.99);
+}
+
+#[test]
+fn a_socket_that_can_not_be_registered_is_tried_again() {
+    kept_under("epoll_add:ENOMEM:0.1;epoll_add:ENOSPC:0.1", new_connections(), 0.95);
+}
+
+#[test]
+fn a_moment_without_ports_routes_or_buffers_fails_no_request() {
+    let plan =
+        "connect:EADDRNOTAVAIL:0.2;connect:ENETUNREACH:0.2;connect:EINTR:0.1;socket:ENOBUFS:0.2:from_ms=500";
+    kept_before(&Servers::closing(3, Duration::from_millis(10)), plan, Load::default(), 0.97);
+}
+
+#[test]
+fn a_moment_without_memory_for_bytes_ends_no_connection() {
+    let plan = "recv:ENOMEM:0.05;send:ENOBUFS:0.05;writev:ENOBUFS:0.05";
+    kept_under(plan, Load::default(), 0.99);
+}
+
+/// Unsafe requests may not be repeated, and a third of all are: they fail, and are answered.
+#[test]
+fn a_broken_connection_to_a_server_leaves_no_request_unanswered() {
+    let plan = "recv:ETIMEDOUT:0.03:on=dialled;writev:EHOSTUNREACH:0.03:on=dialled";
+    kept_under(plan, Load::default(), 0.8);
+}
+
+#[test]
+fn options_that_can_not_be_set_or_read_cost_no_connection() {
+    let plan = "setsockopt:ENOBUFS:0.3:from_ms=500;shutdown:ENOTCONN:0.2;close:EINTR:0.2;close:EIO:0.2";
+    kept_under(plan, new_connections(), 0.99);
+}
+
+/// What a start needs may be missing for a moment: each call fails at first.
+#[test]
+fn a_start_outlasts_calls_that_fail_at_first() {
+    let servers = Servers::new(2, Duration::from_millis(5));
+    let registry = Registry::new(&servers.hosts());
+    for call in [
+        "socket:ENOBUFS",
+        "socket:EMFILE",
+        "bind:ENOMEM",
+        "listen:ENOBUFS",
+        "epoll_create1:ENFILE",
+        "epoll_add:ENOMEM",
+        "eventfd:EMFILE",
+        "socketpair:ENFILE",
+        "pthread_create:EAGAIN",
+        "setsockopt:ENOBUFS",
+        "open:EMFILE",
+        "open:EIO",
+    ] {
+        let faults = Faults::new(&format!("{call}:1:first=4"), 7);
+        let node = Node::with_faults(&config(registry.address), &faults, &[]);
+        faults.assert_injected();
+        let load = Load { span: Duration::from_millis(200), ..Load::default() };
+        load.run(node.address, &servers).assert_kept(0.99);
+    }
+}
--- /dev/null
+++ b/tests/faults_disk.rs
@@ -0,0 +1,198 @@
+//! Nodes whose disk or wall clock fails: the configuration's file, the ledger, the fleet's store, membership.
+
+mod peers;
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use peers::faults::Faults;
+use peers::load::{Load, Servers};
+use peers::{
+    answer, config, folder, host, magpietally, request, text, until, Client, Node, Peer, Registry, Say,
+};
+use serde_json::{json, Value};
+
+/// An hour, in milliseconds.
+const HOUR_MS: i64 = 3_600_000;
+
+fn quoted(path: &Path) -> String {
+    format!("{:?}", path.display().to_string())
+}
+
+/// An operators' file that keeps a ledger in this folder.
+fn ledger_file(place: &Path) -> String {
+    std::fs::create_dir_all(place).expect("a directory");
+    let file = place.join("operators.toml");
+    let ledger = quoted(&place.join("ledger"));
+    std::fs::write(&file, format!("[ledger]\ndirectory = {ledger}\npromise = \"power-loss\"\n"))
+        .expect("a file");
+    file.display().to_string()
+}
+
+/// A new configuration is followed within 4 s of its signal, also where its file could not be read at first.
+#[test]
+fn a_configuration_that_can_not_be_read_for_a_moment_is_read_again() {
+    let server = Peer::good("a");
+    let hosts = [host("s0", server.address, "active", 1)];
+    let (old, new) = (Registry::new(&hosts), Registry::new(&hosts));
+    let mut told = config(old.address);
+    let faults = Faults::switched_off("open:EIO:1;open:EMFILE:1", 3);
+    let node = Node::with_faults(&told, &faults, &[]);
+    told["discovery"] = json!(new.address.to_string());
+    faults.switch(true);
+    let signalled = Instant::now();
+    node.reload(&told.to_string());
+    until("the file could not be read", || faults.counts().first().is_some_and(|count| *count >= 3));
+    faults.switch(false);
+    until("the new service is called", || !new.calls().is_empty());
+    assert!(signalled.elapsed() < Duration::from_secs(4), "{:?}", signalled.elapsed());
+    assert_eq!(Client::to(&node).ask(&request("look", "t1", 5000)).status(), 200);
+}
+
+/// While the disk fails what needs an intent is refused, and everything else served; after it all is served, and what the ledger
+/// holds is whole, also after a SIGKILL.
+#[test]
+fn a_ledgers_disk_that_fails_for_a_while_costs_refusals_and_no_record() {
+    let place = folder("faults-ledger");
+    let operators = ledger_file(&place);
+    let servers = Servers::new(2, Duration::from_millis(5));
+    let registry = Registry::new(&servers.hosts());
+    let plan = "write:ENOSPC:0.2:on=file;write:short=7:0.3:on=file;sync:EIO:0.2";
+    let faults = Faults::switched_off(plan, 5);
+    let mut node = Node::with_faults(&config(registry.address), &faults, &["--operators", &operators]);
+    let load = Load { clients: 8, span: Duration::from_millis(1500), ..Load::default() };
+    faults.switch(true);
+    let during = load.run(node.address, &servers);
+    faults.assert_injected();
+    faults.switch(false);
+    during.assert_kept(0.3);
+    until("the disk is back", || Client::to(&node).ask(&request("slip", "back", 5000)).status() == 200);
+    load.run(node.address, &servers).assert_kept(0.99);
+    node.kill();
+    let ledger = place.join("ledger").display().to_string();
+    let verified = magpietally(&["ledger", "verify", &ledger]);
+    assert_eq!(verified.status.code(), Some(0), "{}", text(&verified.stdout));
+    let node = Node::with_args(&config(registry.address), &["--operators", &operators]);
+    load.run(node.address, &servers).assert_kept(0.99);
+}
+
+/// A ledger's directory may fail for a moment at the start.
+#[test]
+fn a_ledger_begins_once_its_disk_works() {
+    let place = folder("faults-ledger-start");
+    let operators = ledger_file(&place);
+    let servers = Servers::new(1, Duration::ZERO);
+    let registry = Registry::new(&servers.hosts());
+    for plan in
+        ["open:EIO:1:first=5", "write:ENOSPC:1:first=3:on=file", "sync:EIO:1:first=3", "rename:EIO:1:first=2"]
+    {
+        let _ = std::fs::remove_dir_all(place.join("ledger"));
+        let faults = Faults::new(plan, 5);
+        let node = Node::with_faults(&config(registry.address), &faults, &["--operators", &operators]);
+        faults.assert_injected();
+        until(plan, || Client::to(&node).ask(&request("slip", "first", 5000)).status() == 200);
+    }
+}
+
+/// What was out when a node died is not sent again, whatever its next life's wall clock says.
+#[test]
+fn a_stepped_wall_clock_opens_no_key_and_no_id() {
+    let place = folder("faults-clock");
+    let operators = ledger_file(&place);
+    let args = ["--operators", operators.as_str()];
+    let silent = Peer::new(|_| Say::Nothing);
+    let registry = Registry::new(&[host("one", silent.address, "active", 0)]);
+    let mut told = config(registry.address);
+    let class = &mut told["settings"]["Classes"][1];
+    (class["DedupScope"], class["MemorySpan"]) = ("all".into(), 3000.0.into());
+    let mut node = Node::with_args(&told, &args);
+    let mut clients = [Client::to(&node), Client::to(&node)];
+    clients[0].send(&request("slip", "txn-1", 15_000));
+    clients[1].send(&request("pay", "txn-2", 15_000));
+    until("both are at the server", || silent.seen().len() >= 2);
+    node.kill();
+    let good = Peer::good("two");
+    let registry = Registry::new(&[host("two", good.address, "active", 0)]);
+    told["discovery"] = registry.address.to_string().into();
+    // Past the span for which servers remember the key.
+    std::thread::sleep(Duration::from_secs(4));
+    for step in [HOUR_MS, -HOUR_MS, -3_000] {
+        let faults = Faults::new(&format!("clock:step={step}:1"), 1);
+        let node = Node::with_faults(&told, &faults, &args);
+        let mut client = Client::to(&node);
+        until("it has the list", || client.ask(&request("look", "t0", 5000)).status() == 200);
+        let outcome = |class: &str, id: &str| Client::to(&node).ask(&request(class, id, 1000));
+        assert_eq!(outcome("slip", "txn-1").status(), 502, "{step}");
+        assert_eq!(outcome("pay", "txn-3").status(), 502, "{step}: the key may be forgotten by now");
+        assert_eq!(outcome("slip", &format!("new{step}")).status(), 200, "{step}");
+    }
+}
+
+/// A fleet of three, whose files lie in this folder. Each process that runs tests has a loopback address of its own, so that the
+/// ports are free.
+fn fleet_file(place: &Path, node: usize) -> String {
+    let store = place.join(format!("store-{node}"));
+    std::fs::create_dir_all(&store).expect("a directory");
+    let process = std::process::id();
+    let ip = format!("127.77.{}.{}", process >> 8 & 255, process & 255);
+    let at =
+        |node: usize| format!("datagrams = \"{ip}:{}\"\nstreams = \"{ip}:{}\"\n", 7950 + node, 7960 + node);
+    let mut text = format!(
+        "fleet = \"test\"\nvoters = [\"f0\", \"f1\", \"f2\"]\nlease_ms = 3000\nstore = {}\n{}",
+        quoted(&store),
+        at(node)
+    );
+    for peer in (0..3).filter(|peer| *peer != node) {
+        text += &format!("[peers.f{peer}]\n{}", at(peer));
+    }
+    let file = place.join(format!("fleet-{node}.toml"));
+    std::fs::write(&file, text).expect("a file");
+    file.display().to_string()
+}
+
+/// A fleet's store that doubts its disk can't go on; its node answers what it has taken, and ends.
+#[test]
+fn a_doubted_fleet_store_ends_its_node_in_order() {
+    let place = folder("faults-fleet");
+    let server = Peer::new(|m| {
+        let slow = m.header("x-txn") == Some("out");
+        std::thread::sleep(Duration::from_millis(if slow { 900 } else { 5 }));
+        Say::This(answer(200, "", "served"))
+    });
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let named = |node: usize| {
+        let mut told: Value = config(registry.address);
+        (told["name"], told["management"]) = (json!(format!("f{node}")), json!("127.0.0.1:0"));
+        told
+    };
+    let faults = Faults::switched_off("sync:EIO:1", 3);
+    let start = |node: usize| {
+        let args = ["--fleet", &fleet_file(&place, node)];
+        match node {
+            0 => Node::listening_with_faults(&named(node), &faults, &args),
+            _ => Node::listening_with_args(&named(node), &args),
+        }
+    };
+    let mut nodes: Vec<Node> = (0..3).map(start).collect();
+    nodes.iter().for_each(Node::wait_ready);
+    let mut out = Client::to(&nodes[0]);
+    out.send(&request("slip", "out", 15_000));
+    until("it is out", || server.seen().iter().any(|m| m.header("x-txn") == Some("out")));
+    faults.switch(true);
+    // A document that is proposed has to be written down.
+    let document = "# nothing is set\n";
+    let length = document.len();
+    let put =
+        format!("PUT /v1/fleet/policy HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n{document}");
+    until("the store doubts its disk", || {
+        let _ = nodes[0].manage(&put);
+        nodes[0].logged("can't go on")
+    });
+    assert_eq!(out.hear().expect("what was out is answered").status(), 200);
+    assert_eq!(nodes[0].exit_code(), Some(1));
+    faults.assert_injected();
+    let mut others = Client::to(&nodes[1]);
+    until("the others go on", || others.ask(&request("look", "t1", 5000)).status() == 200);
+    faults.switch(false);
+    start(0).wait_ready();
+}
--- a/tests/peers/load.rs
+++ b/tests/peers/load.rs
@@ -34,6 +34,15 @@
 impl Servers {
     /// So many servers, each of which takes `work` for an answer.
     pub fn new(count: usize, work: Duration) -> Self {
+        Self::answering(count, work, "", false)
+    }
+
+    /// The same of servers that take one request on each connection.
+    pub fn closing(count: usize, work: Duration) -> Self {
+        Self::answering(count, work, "Connection: close\r\n", true)
+    }
+
+    fn answering(count: usize, work: Duration, headers: &'static str, closes: bool) -> Self {
         let attempts = Arc::new(Mutex::new(Vec::new()));
         let peers = (0..count).map(|_| {
             let attempts = attempts.clone();
@@ -41,7 +50,13 @@
                 let Some(attempt) = Attempt::of(message) else { return Say::This(answer(200, "", "")) };
                 let body = format!("for {}", attempt.transaction);
                 attempts.lock().expect("no panic").push(attempt);
-                Say::Later(work, answer(200, "", &body))
+                std::thread::sleep(work);
+                let bytes = answer(200, headers, &body);
+                if closes {
+                    Say::Last(bytes)
+                } else {
+                    Say::This(bytes)
+                }
             })
         });
         Self { peers: peers.collect(), attempts: attempts.clone() }
@@ -176,7 +191,7 @@
             }
             let class = ["look", "pay", "slip"][(number + turn) % 3];
             let transaction = format!("t{}", TRANSACTIONS.fetch_add(1, Ordering::SeqCst));
-            let leaves = self.leaves > 0 && (number + turn) % self.leaves == 0;
+            let leaves = self.leaves > 0 && (number + turn).is_multiple_of(self.leaves);
             let taken = open.take().filter(|(_, used)| *used < self.reuse);
             let (stream, used) = match taken {
                 Some(kept) => (Ok(kept.0), kept.1),
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -518,13 +518,18 @@
 
     /// Starts a node whose system calls fail by a plan, with these arguments, and waits until it is ready.
     pub fn with_faults(config: &Value, faults: &faults::Faults, args: &[&str]) -> Self {
-        let (mut command, file) = command(config, None);
-        command.args(args).envs(faults.environment());
-        let node = Self::start((command, file));
+        let node = Self::listening_with_faults(config, faults, args);
         node.wait_ready();
         node
     }
 
+    /// The same, but waits only until it listens.
+    pub fn listening_with_faults(config: &Value, faults: &faults::Faults, args: &[&str]) -> Self {
+        let (mut command, file) = command(config, None);
+        command.args(args).envs(faults.environment());
+        Self::start((command, file))
+    }
+
     /// Starts a node and waits until it listens.
     pub fn listening(config: &Value, descriptors: Option<usize>) -> Self {
         Self::start(command(config, descriptors))
