Membership: a node whose clock was set back outbids its earlier life; a fault soak

Cause: a restart's generation is taken from the wall clock. After a step back of an hour it is an earlier one, which the others take for the past: the node renewed by one unit at a time and was not a member again within 15 s (virtual time, five seeds). Ruled out: foca's own renewal, which is right for a false death. Now renewals that follow within 2 s step by twice as much each time; the same five seeds agree.

--- a/crates/membership/src/room.rs
+++ b/crates/membership/src/room.rs
@@ -106,6 +106,35 @@
     leaving: bool,
     view: View,
     stale: bool,
+    renewals: Renewals,
+}
+
+/// How long a renewal may come behind another to be one in a row with it: far longer than a round trip, far shorter than it
+/// takes to be declared dead twice.
+const RENEWALS_APART: Duration = Duration::from_secs(2);
+/// The largest step of a generation: 2 to the power of this, in its units. More than the units of a year.
+const LARGEST_STEP: u32 = 29;
+
+/// New identities in a row. One is the answer to a false death; more come where an earlier life of the node had a later
+/// generation, as its clock has been set back since.
+#[derive(Default)]
+struct Renewals {
+    in_a_row: u32,
+    last: Option<Duration>,
+}
+
+impl Renewals {
+    /// How much later a generation the next identity needs beyond the one that follows: nothing for the first in a row, then
+    /// twice as much each time, so that any earlier life is outbid within some round trips.
+    fn step(&mut self, now: Duration) -> u32 {
+        let follows = self.last.is_some_and(|last| now.saturating_sub(last) < RENEWALS_APART);
+        self.last = Some(now);
+        self.in_a_row = if follows { self.in_a_row + 1 } else { 0 };
+        match self.in_a_row {
+            0 => 0,
+            more => 1 << more.min(LARGEST_STEP),
+        }
+    }
 }
 
 /// What `foca` leaves behind: timers, datagrams, counts. Apart from `foca` so that both can be borrowed at once.
@@ -147,6 +176,7 @@
             leaving: false,
             view: View::default(),
             stale: true,
+            renewals: Renewals::default(),
         };
         room.refresh();
         room
@@ -189,6 +219,9 @@
                 let result = self.foca.handle_data(swim, &mut fx);
                 let rejoined = fx.rejoined;
                 self.out.stats.rejoined += rejoined;
+                if rejoined > 0 {
+                    self.outbid(now);
+                }
                 match result {
                     Ok(()) => {}
                     Err(foca::Error::Decode(_) | foca::Error::DataTooBig | foca::Error::MalformedPacket) => {
@@ -201,6 +234,19 @@
         }
     }
 
+    /// The identity is a new one. Where it follows closely on another, it takes a far later generation.
+    fn outbid(&mut self, now: Duration) {
+        let step = self.renewals.step(now);
+        if step == 0 {
+            return;
+        }
+        let me = self.me().clone();
+        let later = NodeId { generation: me.generation.saturating_add(step), ..me };
+        let mut fx = Effects::new(&mut self.out, now);
+        // An error says that this is the identity already.
+        let _ = self.foca.change_identity(later, &mut fx);
+    }
+
     /// Fires the timers that are due at `now`, and announces again to seeds that are not members.
     pub fn tick(&mut self, now: Duration) {
         if self.leaving {
--- a/crates/membership/src/sim.rs
+++ b/crates/membership/src/sim.rs
@@ -129,6 +129,12 @@
 
     /// Node `i` starts again from nothing, under its name and address, with a later generation.
     pub fn start(&mut self, i: usize) {
+        self.start_with_clock_ahead(i, 0);
+    }
+
+    /// The same while its wall clock, which generations are taken from, is ahead by so many of their units: the next life's
+    /// generation is an earlier one.
+    pub fn start_with_clock_ahead(&mut self, i: usize, by: u32) {
         let (settings, names, seed) = (&self.settings, &self.names, self.seed);
         let seeds: &[SocketAddrV4] = match i {
             0 if names.len() > 1 => &[addr(1)],
@@ -136,7 +142,8 @@
             _ => &[addr(0)],
         };
         self.world.start(i, |peer, now| {
-            let id = id(i, &peer);
+            let mut id = id(i, &peer);
+            id.generation = id.generation.saturating_add(by);
             let seed = seed ^ ((i as u64) << 20) ^ u64::from(id.generation);
             let mut room = Room::new(id, settings, seed);
             room.join(now.boot, seeds);
--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -134,3 +134,26 @@
     let counts = f.view(0).map(|v| v.counts()).expect("running");
     assert_eq!(magpietally_membership::divisor(&counts), 5);
 }
+
+/// A node's wall clock was an hour ahead (tenths of a second are counted) and is set right before it starts again: its generation
+/// is one that the others take for the earlier life's past. It is told so, and outbids it within a few round trips.
+#[test]
+fn a_node_that_starts_again_after_its_clock_was_set_back_is_taken_for_itself() {
+    for seed in 20..25 {
+        let mut f = fleet(8, seed);
+        f.kill(5);
+        f.start_with_clock_ahead(5, 36_000);
+        let all: Vec<usize> = (0..8).collect();
+        assert!(f.run_until(30 * S, |f| f.all_see(&all, Liveness::Alive, &[])).is_some(), "it is not there");
+        f.kill(5);
+        f.run(2 * S);
+        f.start(5);
+        let took = f.run_until(15 * S, |f| {
+            let now_is = f.room(5).is_some_and(|r| r.me().generation > 36_000);
+            now_is && f.all_see(&all, Liveness::Alive, &[])
+        });
+        let took = took.expect("the others still hold to the earlier life");
+        let rejoined = f.room(5).map_or(0, |r| r.stats().rejoined);
+        assert!(rejoined < 40, "rejoined {rejoined} times in {took:?}");
+    }
+}
--- a/tests/fault_shim/src/plan.rs
+++ b/tests/fault_shim/src/plan.rs
@@ -8,7 +8,7 @@
 //! - PROBABILITY is from 0 to 1.
 //! - `from_ms=N` and `for_ms=N`: the rule holds from so long after the process began, for so long.
 //! - `first=N`: the rule holds for the first N calls only.
-//! - `on=socket`, `on=file`, `on=event`, `on=dialled`, `on=accepted`: the rule holds for descriptors of that kind only.
+//! - `on=socket`, `on=file`, `on=event`, `on=dialled`, `on=accepted`, `on=local`: the rule holds for descriptors of that kind only.
 
 use libc::c_int;
 
@@ -121,6 +121,8 @@
     Dialled,
     /// A socket that was accepted here.
     Accepted,
+    /// A Unix socket, as of a pair.
+    Local,
     /// A regular file.
     File,
     /// Neither, nor a pipe, folder or device: an eventfd, for one.
@@ -188,6 +190,7 @@
         "socket" => Some(Kind::Socket),
         "dialled" => Some(Kind::Dialled),
         "accepted" => Some(Kind::Accepted),
+        "local" => Some(Kind::Local),
         "file" => Some(Kind::File),
         "event" => Some(Kind::Event),
         _ => None,
--- a/tests/fault_shim/src/state.rs
+++ b/tests/fault_shim/src/state.rs
@@ -156,12 +156,25 @@
     match kind {
         Kind::Dialled => origin == DIALLED,
         Kind::Accepted => origin == ACCEPTED,
+        Kind::Local => domain(descriptor) == Some(libc::AF_UNIX),
         Kind::Socket => file_type(descriptor) == Some(libc::S_IFSOCK),
         Kind::File => file_type(descriptor) == Some(libc::S_IFREG),
         Kind::Event => file_type(descriptor) == Some(0),
     }
 }
 
+/// A socket's family of addresses.
+fn domain(descriptor: c_int) -> Option<c_int> {
+    let mut domain: c_int = 0;
+    let mut size = size_of::<c_int>() as libc::socklen_t;
+    // SAFETY: both places live through the call, and the size is that of the first.
+    let read = unsafe {
+        let (level, option) = (libc::SOL_SOCKET, libc::SO_DOMAIN);
+        libc::syscall(libc::SYS_getsockopt, descriptor, level, option, &raw mut domain, &raw mut size)
+    };
+    (read == 0).then_some(domain)
+}
+
 /// The type in a descriptor's mode.
 fn file_type(descriptor: c_int) -> Option<libc::mode_t> {
     let mut about = MaybeUninit::<libc::stat>::zeroed();
