--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -7,55 +7,37 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use hyper::header::{HeaderName, HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, Version};
-use magpietally_core::{Answer, Core, End, Turned};
-use magpietally_policy::{Effect, Millis, RequestId};
-use tokio::sync::{oneshot, Notify};
+use hyper::{Method, Request, Response, StatusCode, Version};
+use magpietally_core::{Core, End};
+use tokio::sync::Notify;
 use tokio::task::yield_now;
 use tokio::time::timeout;
 
-use crate::body::{Held, Out, Passing, Upload, Uploading};
-use crate::budget::PASSING;
+use crate::body::Out;
 use crate::carrier::Http;
-use crate::message::{keep_end_to_end, Content, Message, Reply, BODY_MOST, KEY, REMAINING, SERVICE};
+use crate::message::{Content, Message};
 use crate::sock::{io, Phase, Sock};
 use accept::Reduction;
+use answer::{body_length, end_of, log_refused, plain, refusal, settle};
 use closing::CloseReason;
+use request::{read, Bad};
 
 mod accept;
+mod answer;
 mod closing;
+mod request;
 
 type Node = Core<Http>;
 type Asked = magpietally_core::Asked<Message>;
 
-/// How long before the client's deadline the module's ends: the answer still has to be written and to
-/// arrive.
-const MARGIN: Duration = Duration::from_millis(20);
-/// How long before the client's deadline the node answers in the module's place.
-const GUARD: Duration = Duration::from_millis(9);
-/// The most of its time, as one part in so many, that either takes from a request that came with little: an eighth of
-/// 75 ms is still many times what an answer takes to the client, and a fixed 20 ms were a quarter of what could serve it.
-const MARGIN_PART: u32 = 8;
-const GUARD_PART: u32 = 16;
-/// The longest time that is believed, whatever its class has.
-const LONGEST: u64 = 600_000;
 /// How long a client may take nothing of its answer.
 const ANSWERING: Duration = Duration::from_secs(5);
 /// The same of one that is passed on, of which a server may give nothing for a while.
 const PASSING_ON: Duration = Duration::from_secs(12);
-/// How often a request that waits for the fleet's change of policy looks whether that is over: a change takes tens of
-/// milliseconds, and a look costs a microsecond.
-const HELD_LOOK: Duration = Duration::from_millis(2);
-/// How long a large request may wait for room before it is refused; its client is held back meanwhile.
-const ROOM: Duration = Duration::from_millis(1000);
-/// The largest body of a request that is held where there is room.
-const HELD_MOST: usize = 512 * 1024;
 /// How long a new connection may say nothing. Bad clients connect by hundreds and do just that.
 const SILENT: Duration = Duration::from_millis(2400);
 /// How long a connection may be idle between requests.
@@ -80,9 +62,6 @@
 const EASE_AFTER: Duration = Duration::from_secs(1);
 
 const TXN: HeaderName = HeaderName::from_static("x-txn");
-const ORG: HeaderName = HeaderName::from_static("x-org");
-/// Why a request was answered as failed without an attempt.
-const BECAUSE: HeaderName = HeaderName::from_static("x-failed-because");
 
 struct Client {
     number: u64,
@@ -371,318 +350,6 @@
     answer
 }
 
-/// How long an answer's body is; `None` where it goes out in chunks.
-fn body_length(answer: &Response<Out>) -> Option<usize> {
-    hyper::body::Body::size_hint(answer.body()).exact().and_then(|n| usize::try_from(n).ok())
-}
-
-fn plain(status: StatusCode) -> Response<Out> {
-    let mut answer = Response::new(Out::Whole(Bytes::new()));
-    *answer.status_mut() = status;
-    answer
-}
-
-/// What an answer to a proper request means for its client.
-fn end_of(status: StatusCode) -> End {
-    match status {
-        StatusCode::OK => End::Passed,
-        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => End::Dropped,
-        _ => End::BadGateway,
-    }
-}
-
-/// Gives up the request when the client's connection ends before its answer.
-struct Owed {
-    node: Rc<Node>,
-    id: RequestId,
-    answered: bool,
-}
-
-impl Drop for Owed {
-    fn drop(&mut self) {
-        if !self.answered {
-            self.node.client_gone(self.id);
-        }
-    }
-}
-
-/// How long before the client's deadline the module's ends, and the node answers in its place.
-fn kept_back(remaining: Duration) -> (Duration, Duration) {
-    (MARGIN.min(remaining / MARGIN_PART), GUARD.min(remaining / GUARD_PART))
-}
-
-/// Hands the request to the node and waits for its final answer.
-async fn settle(node: &Rc<Node>, asked: Asked, sock: &Rc<Sock>, remaining: Duration) -> Response<Out> {
-    let mut last = sock.arrived() + remaining;
-    let uploading = asked.request.body.uploading().cloned();
-    let (margin, guard) = kept_back(remaining);
-    let fails_open = || node.process().life().fails_open(Instant::now());
-    while node.fleet_holds() && !fails_open() && Instant::now() + HELD_LOOK < last - margin {
-        tokio::time::sleep(HELD_LOOK).await;
-    }
-    // What came before is failed by now: this one would be sent, and failed in the same breath.
-    if !node.has_room() || fails_open() {
-        let why = if fails_open() { "the node ends" } else { "too many are open" };
-        log_refused(node, sock, why);
-        return refusal(node.stay_away(asked.class));
-    }
-    let (id, answered) = match node.request(asked, last - margin) {
-        Ok(taken) => taken,
-        Err(Turned::Open) => {
-            log_refused(node, sock, "one with its id is open");
-            return plain(StatusCode::CONFLICT);
-        }
-        Err(Turned::Refused(stay_away)) => {
-            log_refused(node, sock, "turned away at its admission");
-            return refusal(stay_away);
-        }
-        Err(Turned::OverQuota(retry_after)) => {
-            log_refused(node, sock, "over its quota");
-            let mut answer = refusal(retry_after);
-            *answer.status_mut() = StatusCode::TOO_MANY_REQUESTS;
-            return answer;
-        }
-        Err(Turned::Failed(why)) => {
-            log_refused(node, sock, why.word());
-            let mut answer = plain(StatusCode::BAD_GATEWAY);
-            answer.headers_mut().insert(BECAUSE, HeaderValue::from_static(why.word()));
-            return answer;
-        }
-    };
-    let mut owed = Owed { node: node.clone(), id, answered: false };
-    let answered = match uploading {
-        None => in_time(last - guard, answered).await,
-        Some(uploading) => {
-            // Its time begins with its last byte. One that stops coming ends with its connection.
-            let mut answered = answered;
-            tokio::select! {
-                biased;
-                answer = &mut answered => answer.ok(),
-                () = uploading.over() => {
-                    last = Instant::now() + remaining;
-                    in_time(last - guard, answered).await
-                }
-            }
-        }
-    };
-    let Some(answer) = answered else {
-        log_refused(node, sock, "no answer in its time");
-        return plain(StatusCode::GATEWAY_TIMEOUT);
-    };
-    owed.answered = true;
-    match answer {
-        Answer::Served(reply) => served(reply, sock, last),
-        Answer::Refused(stay_away) => refusal(stay_away),
-        Answer::Failed => plain(StatusCode::BAD_GATEWAY),
-        Answer::Rejected => plain(StatusCode::BAD_REQUEST),
-    }
-}
-
-/// The answer, if it comes in time. Whatever becomes of the module's timers and attempts, the client is not
-/// kept waiting past that.
-async fn in_time(last: Instant, answered: oneshot::Receiver<Answer<Reply>>) -> Option<Answer<Reply>> {
-    tokio::time::timeout_at(last.into(), answered).await.ok()?.ok()
-}
-
-fn served(reply: Reply, to: &Rc<Sock>, due: Instant) -> Response<Out> {
-    let Reply { headers, body: held, rest } = reply;
-    let body = match rest {
-        None => Out::Whole(held),
-        Some((rest, length)) => Out::Passing(Box::new(Passing {
-            held,
-            rest: *rest,
-            length,
-            due: due.into(),
-            late: None,
-            to: to.clone(),
-            underway: None,
-            broken: false,
-        })),
-    };
-    let mut answer = Response::new(body);
-    *answer.headers_mut() = headers;
-    answer
-}
-
-/// Logs why a request is answered in the module's place, if this second has room for a line.
-fn log_refused(node: &Node, sock: &Sock, why: &str) {
-    node.carrier().pool.sample.line(|| {
-        let id = sock.request();
-        let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("none");
-        tracing::info!(target: "refused", "request {id}: {why}");
-    });
-}
-
-/// A refusal, with the module's word on when to come back in decimal seconds.
-fn refusal(stay_away: Millis) -> Response<Out> {
-    let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
-    if stay_away > 0.0 {
-        if let Ok(span) = HeaderValue::from_str(&format!("{:.3}", stay_away / 1000.0)) {
-            answer.headers_mut().insert(RETRY_AFTER, span);
-        }
-    }
-    answer
-}
-
-/// What is wrong with a request, and whether its connection is of further use.
-struct Bad {
-    status: StatusCode,
-    closes: bool,
-    /// Nothing is wrong with it, but there is no room for one of this class.
-    refused: Option<usize>,
-}
-
-impl Bad {
-    fn answer(&self) -> Response<Out> {
-        let mut answer = plain(self.status);
-        if self.closes {
-            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-        }
-        answer
-    }
-}
-
-impl From<StatusCode> for Bad {
-    fn from(status: StatusCode) -> Self {
-        Self { status, closes: false, refused: None }
-    }
-}
-
-/// The one value of a header, if it has one that can be read.
-fn header<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, Bad> {
-    let mut values = headers.get_all(name).iter();
-    match (values.next(), values.next()) {
-        (None, _) => Ok(None),
-        (Some(value), None) => value.to_str().map(Some).map_err(|_| StatusCode::BAD_REQUEST.into()),
-        _ => Err(StatusCode::BAD_REQUEST.into()),
-    }
-}
-
-/// Ids and keys: some visible characters.
-fn token(value: Option<&str>) -> Result<&str, Bad> {
-    let fits = |v: &&str| (1..=256).contains(&v.len()) && v.bytes().all(|b| b.is_ascii_graphic());
-    value.filter(fits).ok_or(StatusCode::BAD_REQUEST.into())
-}
-
-async fn read(
-    node: &Node,
-    sock: &Rc<Sock>,
-    request: Request<Incoming>,
-    framed_once: bool,
-) -> Result<(Asked, Duration), Bad> {
-    let told = &node.carrier().config.told;
-    let (parts, body) = request.into_parts();
-    let bodied = !hyper::body::Body::is_end_stream(&body);
-    // Nothing more is read of one whose end is in doubt, or that has a body where none may be.
-    if !framed_once || (parts.method != Method::POST && bodied) {
-        return Err(Bad { status: StatusCode::BAD_REQUEST, closes: true, refused: None });
-    }
-    let declared = parts.headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
-    // What has not been read when the answer goes out makes the connection useless.
-    let unread = |status| Bad {
-        status,
-        closes: declared != Some(0) && !hyper::body::Body::is_end_stream(&body),
-        refused: None,
-    };
-    let name = parts.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-    let class = told.classes.iter().position(|c| c == name).ok_or_else(|| unread(StatusCode::NOT_FOUND))?;
-    let (effect, deadline) = (told.settings.classes[class].effect, told.deadlines[class]);
-    let checked = check(&parts.method, &parts.headers, effect, deadline);
-    let (txn, remaining) = checked.map_err(|bad| unread(bad.status))?;
-    let tenant = header(&parts.headers, &ORG).ok().flatten();
-    let tenant = tenant.and_then(|org| told.tenants.iter().position(|t| t == org));
-    let mut uri = Uri::builder();
-    if let Some(path) = parts.uri.path_and_query() {
-        uri = uri.path_and_query(path.clone());
-    }
-    let uri = uri.build().map_err(|_| unread(StatusCode::BAD_REQUEST))?;
-    let body = match body_of(node, sock, class, declared, body).await {
-        Ok(body) => body,
-        Err(status) => {
-            let refused = (status == StatusCode::SERVICE_UNAVAILABLE).then_some(class);
-            return Err(Bad { status, closes: true, refused });
-        }
-    };
-    let mut headers = parts.headers;
-    keep_end_to_end(&mut headers);
-    headers.remove(REMAINING);
-    if !headers.contains_key(HOST) {
-        headers.insert(HOST, SERVICE);
-    }
-    let request = Message { method: parts.method, uri, headers, body };
-    Ok((Asked { id: txn, class, tenant, request }, remaining))
-}
-
-/// Reads a request's body: whole, so that it may be sent again, while there is room for that; what is larger is passed on as
-/// it comes. To hold each until its last byte would take memory that the node does not have; to pass each on from its first
-/// would take a server's connection, and its turn, for as long as a slow client sends.
-async fn body_of(
-    node: &Node,
-    sock: &Rc<Sock>,
-    class: usize,
-    length: Option<u64>,
-    mut body: Incoming,
-) -> Result<Content, StatusCode> {
-    let (mut held, mut lease) = (Held::default(), node.carrier().budget.lease());
-    while let Some(frame) = body.frame().await {
-        held.push(frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data().unwrap_or_default());
-        if held.len() <= BODY_MOST {
-            continue;
-        }
-        if lease.bytes() == 0 && timeout(ROOM, lease.pass()).await.is_err() {
-            return Err(StatusCode::SERVICE_UNAVAILABLE);
-        }
-        let above = held.takes().saturating_sub(BODY_MOST);
-        if held.len() <= HELD_MOST && lease.hold(above.max(PASSING)) {
-            continue;
-        }
-        let underway = Rc::new(RefCell::new(Some(node.process().figures.request(class))));
-        let (uploading, held, from) = (Rc::new(Uploading::default()), held.bytes(), sock.clone());
-        let upload = Upload {
-            held,
-            rest: body,
-            length,
-            passed: 0,
-            from,
-            underway,
-            uploading: uploading.clone(),
-            lease,
-        };
-        return Ok(Content::Passing { upload: RefCell::new(Some(upload)), uploading, length });
-    }
-    Ok(Content::Held { bytes: held.bytes(), _lease: lease })
-}
-
-/// How much of the time that a client claims is believed, of a class whose clients wait for so long.
-fn believed(claimed: u64, deadline: Millis) -> Duration {
-    let most = Duration::from_millis(LONGEST);
-    // A deadline beyond what a span can hold bounds nothing.
-    let most = Duration::try_from_secs_f64(deadline / 1000.0).map_or(most, |deadline| deadline.min(most));
-    Duration::from_millis(claimed).min(most)
-}
-
-/// Checks what a request must bring, and gives its id and its time. No client waits for longer than its class does in all: who
-/// says so else sets the measure by which others are taken for repeats, and may fill the node with what is held for it.
-fn check(
-    method: &Method,
-    headers: &HeaderMap,
-    effect: Effect,
-    deadline: Millis,
-) -> Result<(String, Duration), Bad> {
-    let txn = token(header(headers, &TXN)?)?.to_string();
-    let remaining = header(headers, &REMAINING)?.filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
-    let remaining = remaining.and_then(|v| v.parse::<u64>().ok()).ok_or(StatusCode::BAD_REQUEST)?;
-    let fits =
-        if effect == Effect::Safe { [Method::GET, Method::HEAD] } else { [Method::POST, Method::POST] };
-    if !fits.contains(method) {
-        return Err(StatusCode::BAD_REQUEST.into());
-    }
-    if matches!(effect, Effect::Keyed { .. }) {
-        token(header(headers, &KEY)?)?;
-    }
-    Ok((txn, believed(remaining, deadline)))
-}
-
 #[cfg(test)]
 mod closes;
 #[cfg(test)]
@@ -691,6 +358,3 @@
 mod ends;
 #[cfg(test)]
 mod harness;
-
-#[cfg(test)]
-mod tests;
--- a/crates/http/src/clients/closes.rs
+++ b/crates/http/src/clients/closes.rs
@@ -5,9 +5,12 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::yield_now;
 
+use magpietally_core::Answer;
 use magpietally_net::{Listener, Stream};
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 
+use super::answer::in_time;
 use super::harness::*;
 use super::*;
 
