A server's start is reckoned once and never lies ahead; fewer calls of a start fail for good

Ruled out: steps while a node runs, whose offset is fixed at its start.

The address, another descriptor and the checks of an inherited listener are tried again at a start. New test: workers and the second address under failing calls.

--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -24,10 +24,10 @@
         self.start.elapsed()
     }
 
-    /// Unix time in the policy's; the same offset for the node's whole life, as the policy takes another
-    /// start time for a restart.
+    /// A past moment of Unix time in the policy's, by one offset for the node's whole life. One that lies ahead was just now:
+    /// this machine's wall clock was behind when the node began.
     pub(crate) fn at_unix(&self, unix_ms: Millis) -> Option<Millis> {
-        (unix_ms > 0.0).then_some(unix_ms - self.unix_start)
+        (unix_ms > 0.0).then(|| (unix_ms - self.unix_start).min(self.at(Instant::now())))
     }
 }
 
@@ -40,3 +40,6 @@
 pub(crate) fn ms(span: Duration) -> Millis {
     span.as_secs_f64() * 1000.0
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -49,6 +49,8 @@
     name: String,
     place: Place,
     state: Listed,
+    /// When this life began, by the policy's clock. Reckoned once: it must not move while the life goes on.
+    started: Option<Millis>,
     /// The rest of what the list said, for a decision module that begins later.
     zone: u64,
     cell: u64,
@@ -93,7 +95,7 @@
     }
 
     /// All of them as the list has them, in the order of their numbers.
-    pub(crate) fn entries(&self, started: impl Fn(Millis) -> Option<Millis>) -> Vec<Entry> {
+    pub(crate) fn entries(&self) -> Vec<Entry> {
         let entry = |(server, k): (&ServerId, &Known)| Entry {
             server: *server,
             zone: k.zone,
@@ -101,7 +103,7 @@
             kind: k.kind,
             state: k.state,
             weight: k.weight,
-            started: started(k.place.born_ms),
+            started: k.started,
         };
         let mut all: Vec<Entry> = self.known.iter().map(entry).collect();
         all.sort_by_key(|e| e.server);
@@ -159,13 +161,15 @@
             // Its connections ended with the old process.
             void.push(server);
         }
+        let same_life = before.filter(|b| b.place.born_ms == member.born_ms);
+        let started = same_life.map_or_else(|| started(member.born_ms), |b| b.started);
         let (zone, kind) = (number_of(&member.zone), number_of(&member.kind));
         let Member { name, cell, state, weight, born_ms, .. } = member;
         if let Some(dial) = dial {
             let place = Place { dial, born_ms };
-            self.known.insert(server, Known { name, place, state, zone, cell, kind, weight });
+            self.known.insert(server, Known { name, place, state, started, zone, cell, kind, weight });
         }
-        Some(Entry { server, zone, cell, kind, state, weight, started: started(born_ms) })
+        Some(Entry { server, zone, cell, kind, state, weight, started })
     }
 }
 
--- a/crates/core/src/members/tests.rs
+++ b/crates/core/src/members/tests.rs
@@ -55,3 +55,19 @@
     assert_eq!(take(&mut members, true, renamed.collect()).len(), 99, "a list that renames every box");
     assert_eq!(members.known.len(), 100);
 }
+
+/// The policy takes another start for a restart, so a life keeps the one that it was given first.
+#[test]
+fn a_life_has_one_start_however_often_it_is_listed() {
+    let mut members = Members::default();
+    let mut listed_at = |now: Millis, born_ms: Millis| {
+        let listing =
+            Listing { version: 1, whole: true, members: vec![member("one", 1, Listed::Up, born_ms)] };
+        members.take(listing, |_| Some(now)).0[0].started
+    };
+    assert_eq!(
+        [listed_at(10.0, 7.0), listed_at(20.0, 7.0), listed_at(30.0, 8.0)],
+        [10.0, 10.0, 30.0].map(Some)
+    );
+    assert_eq!(members.entries()[0].started, Some(30.0));
+}
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -360,7 +360,7 @@
             }
         }
         tracing::info!(target: "fleet", "requests are decided under version {epoch}, by settings of its own");
-        let entries = self.state.borrow().members.entries(|unix| self.clock.at_unix(unix));
+        let entries = self.state.borrow().members.entries();
         let saved = !self.informed.get();
         self.state.borrow_mut().events.push_back((For::Newest, Event::List { entries, saved }));
         self.feed(Event::Timer);
--- a/crates/http/src/inherited.rs
+++ b/crates/http/src/inherited.rs
@@ -3,8 +3,11 @@
 use std::net::{SocketAddr, TcpListener};
 
 use listenfd::ListenFd;
+use magpietally_os_error::{retry, Call};
 use socket2::SockRef;
 
+use crate::service::address_of;
+
 /// The first descriptor that is not one of the standard streams.
 const FIRST: u32 = 3;
 
@@ -30,15 +33,17 @@
         Ok(None) => return fail(format!("{fd} can't be taken")),
         Err(error) => return fail(error.to_string()),
     };
-    if !SockRef::from(&listener).is_listener().is_ok_and(|listens| listens) {
+    let listens = || SockRef::from(&listener).is_listener();
+    if !retry::at_start(Call::Create, "BALANCER_FD", listens).is_ok_and(|listens| listens) {
         return fail(format!("{fd} does not listen"));
     }
-    match listener.local_addr() {
+    match address_of(&listener) {
         // Port 0 asks for any.
         Ok(is) if is == at || (at.port() == 0 && is.ip() == at.ip()) => {}
         Ok(is) => return fail(format!("{fd} listens at {is}, {at} is expected")),
         Err(error) => return fail(format!("{fd}: {error}")),
     }
-    listener.set_nonblocking(true).map_err(|e| format!("BALANCER_FD: {fd}: {e}"))?;
+    let unblock = || listener.set_nonblocking(true);
+    retry::at_start(Call::Create, "BALANCER_FD", unblock).map_err(|e| format!("BALANCER_FD: {fd}: {e}"))?;
     Ok(listener)
 }
--- a/crates/http/src/service.rs
+++ b/crates/http/src/service.rs
@@ -1,5 +1,6 @@
 //! One node as a process: its listener, its signals, and how it ends.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -71,7 +72,7 @@
 pub fn run(config: Config, extras: Extras, lost_lines: impl Fn() -> u64 + 'static) -> Result<(), String> {
     let Opened { mut listeners, management, process } = Opened::new(&config, 1)?;
     let listener = listeners.pop().ok_or("listen: nowhere")?;
-    let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
+    let address = address_of(&listener).map_err(|e| format!("listen: {e}"))?;
     let name = config.name.clone();
     let part = Part { listener, management, process, label: String::new(), extras };
     work(config, part, || tracing::info!(target: "node", "{name} listens at {address}"), lost_lines)
@@ -89,7 +90,7 @@
     pub(crate) fn new(config: &Config, workers: usize) -> Result<Self, String> {
         let listeners = listeners(config, workers)?;
         let management = config.management.map(management::open).transpose()?;
-        if let Some(at) = management.as_ref().and_then(|m| m.local_addr().ok()) {
+        if let Some(at) = management.as_ref().and_then(|m| address_of(m).ok()) {
             tracing::info!(target: "node", "{} is managed at {at}", config.name);
         }
         let life = Life::new(config.told.longest_deadline(), config.inherited.is_some());
@@ -105,17 +106,27 @@
         Some(fd) => inherited::listener(fd, config.listen)?,
         None => listen(config.listen, workers > 1).map_err(cannot)?,
     };
-    let at = first.local_addr().map_err(cannot)?;
+    let at = address_of(&first).map_err(cannot)?;
     let mut all = vec![first];
     for _ in 1..workers {
         all.push(match config.inherited {
-            Some(_) => all[0].try_clone().map_err(cannot)?,
+            Some(_) => another(&all[0]).map_err(cannot)?,
             None => listen(at, true).map_err(cannot)?,
         });
     }
     Ok(all)
 }
 
+/// Where a listener is.
+pub(crate) fn address_of(listener: &std::net::TcpListener) -> std::io::Result<SocketAddr> {
+    retry::at_start(Call::Create, "the address of a listener", || listener.local_addr())
+}
+
+/// Another descriptor of a listener.
+pub(crate) fn another(listener: &std::net::TcpListener) -> std::io::Result<std::net::TcpListener> {
+    retry::at_start(Call::Create, "another descriptor of a listener", || listener.try_clone())
+}
+
 /// Runs a worker until a signal ends it or its thread has panicked. `begun` is called once it accepts.
 pub(crate) fn work(
     config: Config,
--- a/crates/http/src/workers.rs
+++ b/crates/http/src/workers.rs
@@ -16,7 +16,7 @@
 use tokio::sync::Notify;
 
 use crate::config::Config;
-use crate::service::{work, Extras, Opened, Part};
+use crate::service::{address_of, another, work, Extras, Opened, Part};
 
 /// How long a worker that died stays down: its clients have turned to others by then.
 const DOWN: Duration = Duration::from_millis(100);
@@ -65,7 +65,7 @@
     /// Where a worker that is started again accepts.
     fn listener(&self) -> std::io::Result<TcpListener> {
         match &self.inherited {
-            Some(socket) => socket.try_clone(),
+            Some(socket) => another(socket),
             None => listen(self.at, true),
         }
     }
@@ -80,7 +80,7 @@
         let config = self.config.part(worker, self.count)?;
         let (process, extras) = (self.process.clone(), self.extras.clone());
         // The first answers calls to the second address; started again, it goes on with the same listener.
-        let management = self.management.as_ref().filter(|_| worker == 0).map(TcpListener::try_clone);
+        let management = self.management.as_ref().filter(|_| worker == 0).map(another);
         let management = management.transpose().map_err(|e| format!("management: {e}"))?;
         let part = Part { listener, management, process, label: format!("worker {worker}: "), extras };
         let ended = self.ended.clone();
@@ -109,8 +109,8 @@
     let Opened { listeners, management, process } = Opened::new(&config, count)?;
     let cannot = |e| format!("listen: {}: {e}", config.listen);
     let Some(first) = listeners.first() else { return Err("workers: none are wanted".into()) };
-    let at = first.local_addr().map_err(cannot)?;
-    let inherited = config.inherited.map(|_| first.try_clone()).transpose().map_err(cannot)?;
+    let at = address_of(first).map_err(cannot)?;
+    let inherited = config.inherited.map(|_| another(first)).transpose().map_err(cannot)?;
     let (ended, ends) = mpsc::channel();
     let name = config.name.clone();
     let workers = Workers { config, count, at, inherited, management, process, extras, ended };
--- a/tests/faults_peers.rs
+++ b/tests/faults_peers.rs
@@ -40,6 +40,27 @@
     }
 }
 
+/// The second address answers, and two workers share the first, while calls fail.
+#[test]
+fn workers_and_the_second_address_serve_while_calls_fail() {
+    let server = Peer::good("a");
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let mut told = config(registry.address);
+    told["management"] = json!("127.0.0.1:0");
+    let plan =
+        "getsockopt:ENOBUFS:0.2;recv:EINTR:0.1;recv:short=5:0.2;writev:short=9:0.2;accept4:ECONNABORTED:0.2;\
+        accept4:ENFILE:0.1;epoll_add:ENOMEM:0.1;pthread_create:EAGAIN:1:first=3";
+    let faults = Faults::new(plan, 12);
+    let mut node = Node::with_faults(&told, &faults, &["--workers", "2"]);
+    for n in 0..60 {
+        assert_eq!(Client::to(&node).ask(&request("pay", &format!("t{n}"), 5000)).status(), 200);
+        assert_eq!(node.call("GET", "/v1/readyz").status(), 200);
+    }
+    faults.assert_injected();
+    node.terminate();
+    assert_eq!(node.exit_code(), Some(0));
+}
+
 #[test]
 fn members_know_each_other_while_their_datagrams_calls_fail() {
     let server = Peer::good("a");
