--- a/tests/fault_shim/src/lib.rs
+++ b/tests/fault_shim/src/lib.rs
@@ -3,7 +3,7 @@
 //! The library is preloaded (`LD_PRELOAD`) into the node processes of a test, and there alone. It replaces some functions
 //! of the C library; each call either goes on to the real function or fails as the plan in the environment says:
 //!
-//! - `MAGPIETALLY_FAULTS`: the plan, rules separated by `;` (see [`plan`]).
+//! - `MAGPIETALLY_FAULTS`: the plan, rules separated by `;` (see the module `plan`).
 //! - `MAGPIETALLY_FAULTS_SEED`: the seed of all draws, 1 where it is not set.
 //! - `MAGPIETALLY_FAULTS_COUNTS`: a file that receives, for each rule in order, how many faults were injected, as a
 //!   little-endian 64-bit number. It is mapped, so the counts outlive a process that is killed.
