The change read again: one registration, one durable replacement, one "may pass"

Cause: registering a connection with its retries stood in three places, putting a file in another's place for good in two (ledger, fleet's session), the question whether an error may pass in two, the operators' file of a ledger in three tests, and a quiet machine's delay in two. Listener::try_accept was called by a test alone; that test now asks accept itself. end_in_order, which fleet used from membership, has a module of its own.

Ruled out: the fleet's and membership's own stop flags and threads, which log under targets of their own. No behaviour changes.

--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -58,9 +58,6 @@
 /// For how long a stopping node may still count on new connections.
 const STILL_DEALT: Duration = Duration::from_millis(200);
 
-/// How long descriptors must have sufficed before more connections are held again than when they ran out.
-const EASE_AFTER: Duration = Duration::from_secs(1);
-
 const TXN: HeaderName = HeaderName::from_static("x-txn");
 
 struct Client {
--- a/crates/http/src/clients/accept.rs
+++ b/crates/http/src/clients/accept.rs
@@ -27,6 +27,8 @@
 const EXHAUSTED: Duration = Duration::from_millis(20);
 /// So many descriptors are left to others when they have run out: the call to discovery, and attempts.
 const LEFT: usize = 8;
+/// How long descriptors must have sufficed before more connections are held again than when they ran out.
+const EASE_AFTER: Duration = Duration::from_secs(1);
 
 /// Something that accepting lacks, from its first failure to its first success.
 #[derive(Default)]
@@ -76,7 +78,7 @@
 
     /// Takes half of it back, where descriptors have not run out again for a while.
     pub(super) fn ease(&self) {
-        if self.since.get().is_none_or(|since| since.elapsed() >= super::EASE_AFTER) {
+        if self.since.get().is_none_or(|since| since.elapsed() >= EASE_AFTER) {
             self.by.set(self.by.get() / 2);
         }
     }
--- a/crates/http/src/config.rs
+++ b/crates/http/src/config.rs
@@ -9,7 +9,7 @@
 use magpietally_config::file::read_plain_within;
 use magpietally_core::Listing;
 use magpietally_os_error::retry::START_WITHIN;
-use magpietally_os_error::{classify, Call, Class};
+use magpietally_os_error::{classify, Call};
 use magpietally_policy::Discovery;
 use magpietally_settings::{told, Told};
 use magpietally_structures::GOLDEN;
@@ -139,8 +139,7 @@
 impl ConfigError {
     /// May the file be read a moment later?
     pub fn may_pass(&self) -> bool {
-        let Self::Unreadable(_, error) = self else { return false };
-        matches!(classify(Call::File, error), Class::TryAgain | Class::OutOfResources)
+        matches!(self, Self::Unreadable(_, error) if classify(Call::File, error).may_pass())
     }
 }
 
--- a/crates/http/src/management.rs
+++ b/crates/http/src/management.rs
@@ -84,12 +84,9 @@
 }
 
 async fn converse(node: &Rc<Node>, socket: TcpStream) {
-    let stream = match Stream::new(socket) {
+    let stream = match Stream::register(socket).await {
         Ok(stream) => stream,
-        Err(unregistered) => match unregistered.retry().await {
-            Ok(registered) => Stream::from(registered),
-            Err(error) => return tracing::warn!(target: "management", "a call is closed unread: {error}"),
-        },
+        Err(error) => return tracing::warn!(target: "management", "a call is closed unread: {error}"),
     };
     let sock = Sock::new(stream);
     let service = service_fn(|request| async move {
--- a/crates/ledger/src/disk.rs
+++ b/crates/ledger/src/disk.rs
@@ -1,11 +1,11 @@
 //! Whose directory a ledger's is. The disk itself, its lock and the one that is simulated are the store's.
 
-use std::fs::File;
-use std::io::{self, ErrorKind, Write};
+use std::io::{self, ErrorKind};
 use std::path::Path;
 
 use magpietally_os_error::retry::{self, FILE_WITHIN};
 use magpietally_os_error::Call;
+use magpietally_store::disk::replace_file;
 pub use magpietally_store::disk::{Disk, Folder, Lock};
 
 use crate::segment::{Identity, Owner};
@@ -60,23 +60,14 @@
         Ok(own) => Ok(own.owner),
         Err(Refused::Io(_, error)) if error.kind() == ErrorKind::NotFound => {
             let own = Identity { node: node.to_string(), owner: Owner::draw() };
-            retry::at_start(Call::File, IDENTITY, || write_identity(folder, &own)).map_err(io)?;
+            let write = || replace_file(folder, IDENTITY, own.text().as_bytes());
+            retry::at_start(Call::File, IDENTITY, write).map_err(io)?;
             Ok(own.owner)
         }
         Err(why) => Err(why),
     }
 }
 
-/// Writes a directory's identity. Until it has its name there is none, so this can be done again.
-fn write_identity(folder: &Path, own: &Identity) -> std::io::Result<()> {
-    let next = folder.join("identity.next");
-    let mut file = File::create(&next)?;
-    file.write_all(own.text().as_bytes())?;
-    file.sync_all()?;
-    std::fs::rename(&next, folder.join(IDENTITY))?;
-    File::open(folder)?.sync_all()
-}
-
 /// Whose directory it is, for readers.
 ///
 /// # Errors
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -102,24 +102,6 @@
             yield_now().await;
         }
     }
-
-    /// The next connection, if one waits now.
-    ///
-    /// # Errors
-    /// What accepting lacks.
-    pub fn try_accept(&self) -> Result<Option<TcpStream>, Shortage> {
-        loop {
-            let error = match accept_once(self.registered.get_ref()) {
-                Ok(stream) => return Ok(Some(stream)),
-                Err(error) => error,
-            };
-            match classify(Call::Accept, &error) {
-                Class::TryAgain | Class::ConnectionOver => {}
-                Class::WaitForReadiness => return Ok(None),
-                Class::OutOfResources | Class::Permanent => return Err(Shortage { error }),
-            }
-        }
-    }
 }
 
 fn accept_once(listener: &TcpListener) -> io::Result<TcpStream> {
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -60,6 +60,17 @@
         register(socket).map(Self::from)
     }
 
+    /// The same; where the poll has no room for it, it is tried again for as long as that may pass.
+    ///
+    /// # Errors
+    /// The system's last error; the connection is closed then.
+    pub async fn register(socket: TcpStream) -> io::Result<Self> {
+        match Self::new(socket) {
+            Ok(stream) => Ok(stream),
+            Err(unregistered) => unregistered.retry().await.map(Self::from),
+        }
+    }
+
     /// Turns off Nagle's delay. A connection that can't have that is slower, and of use all the same.
     fn send_at_once(&self) {
         for _ in 0..OPTION_TRIES {
--- a/crates/net/src/tests.rs
+++ b/crates/net/src/tests.rs
@@ -19,7 +19,8 @@
     let near = connect(listener.get_ref().local_addr().expect("bound")).await.expect("it listens");
     assert!(near.peer_address().is_ok());
     let far = listener.accept().await.expect("one has come");
-    assert!(listener.try_accept().expect("nothing is lacking").is_none());
+    let another = timeout(Duration::from_millis(20), listener.accept());
+    assert!(another.await.is_err(), "no other waits");
     (near, Stream::new(far).expect("it is registered"))
 }
 
--- a/crates/os_error/src/classify.rs
+++ b/crates/os_error/src/classify.rs
@@ -36,6 +36,13 @@
     Permanent,
 }
 
+impl Class {
+    /// May the same call succeed a moment later, with nothing changed by its caller?
+    pub fn may_pass(self) -> bool {
+        matches!(self, Self::TryAgain | Self::OutOfResources)
+    }
+}
+
 /// `ERESTARTSYS`, which `accept(2)` says may be seen during a trace.
 const ERESTARTSYS: i32 = 512;
 
--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -137,6 +137,20 @@
     }
 }
 
+/// Puts a small file in the place of the one of this name, if there is one, for good when this returns. A crash before leaves
+/// what was there, so it may be done again.
+///
+/// # Errors
+/// The system's.
+pub fn replace_file(folder: &Path, name: &str, contents: &[u8]) -> io::Result<()> {
+    let next = folder.join(format!("{name}.next"));
+    let mut file = File::create(&next)?;
+    file.write_all(contents)?;
+    file.sync_all()?;
+    std::fs::rename(&next, folder.join(name))?;
+    File::open(folder)?.sync_all()
+}
+
 /// The right to write in a directory. It ends with the process, however that ends: a lock file that was left behind is
 /// locked by nobody.
 #[derive(Debug)]
--- a/crates/transport/src/tcp/accept.rs
+++ b/crates/transport/src/tcp/accept.rs
@@ -34,11 +34,7 @@
         };
         let shared = shared.clone();
         tokio::spawn(async move {
-            let stream = match Stream::new(socket) {
-                Ok(stream) => Ok(stream),
-                Err(unregistered) => unregistered.retry().await.map(Stream::from),
-            };
-            if let Ok(stream) = stream {
+            if let Ok(stream) = Stream::register(socket).await {
                 serve(&shared, stream).await;
             }
             drop(permit);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -17,7 +17,7 @@
 use magpietally_config::fleet_policy::{self, Ground};
 use magpietally_consensus as consensus;
 use magpietally_os_error::retry::{self, Pauses, START_WITHIN};
-use magpietally_os_error::{classify, Call, Class};
+use magpietally_os_error::{classify, Call};
 use magpietally_policy_change::PolicyChange;
 use magpietally_quota::Quota;
 use magpietally_store::disk::Folder;
@@ -120,9 +120,7 @@
 fn may_pass(error: &StoreError) -> bool {
     match error {
         StoreError::Full => true,
-        StoreError::Io(_, error) => {
-            matches!(classify(Call::File, error), Class::TryAgain | Class::OutOfResources)
-        }
+        StoreError::Io(_, error) => classify(Call::File, error).may_pass(),
         _ => false,
     }
 }
--- a/src/fleet/session.rs
+++ b/src/fleet/session.rs
@@ -1,9 +1,9 @@
 //! Which start of a node this is: a number in the store's directory that grows with each.
 
-use std::fs::File;
-use std::io::{self, Write};
+use std::io;
 use std::path::Path;
 
+use magpietally_store::disk::replace_file;
 use magpietally_transport::Session;
 
 use super::clock;
@@ -26,12 +26,7 @@
         Err(error) => return Err(io::Error::new(error.kind(), format!("{FILE}: {error}"))),
     };
     let session = wall.max(last.saturating_add(1));
-    let new = folder.join("session.next");
-    let mut file = File::create(&new)?;
-    writeln!(file, "{session}")?;
-    file.sync_all()?;
-    std::fs::rename(&new, &path)?;
-    File::open(folder)?.sync_all()?;
+    replace_file(folder, FILE, format!("{session}\n").as_bytes())?;
     Ok(Session(session))
 }
 
--- a/src/fleet/thread.rs
+++ b/src/fleet/thread.rs
@@ -17,7 +17,7 @@
 
 use super::clock;
 use super::gate::{Line, Shared};
-use crate::membership::end_in_order;
+use crate::end::end_in_order;
 
 /// How long the thread rests when nothing came: a message waits that long at most, an entry takes some of these, and five
 /// hundred looks a second cost half a hundredth of a core.
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The program: arguments, log and exit codes; each subcommand is a crate's to carry out.
 
 mod commands;
+mod end;
 mod fleet;
 mod logging;
 mod membership;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -12,10 +12,10 @@
     DATAGRAM_MAX,
 };
 use magpietally_os_error::{classify, retry, Call, Class};
-use nix::sys::signal::{raise, Signal};
 use serde::Deserialize;
 
 use crate::commands::{toml_file, wrong, Failure};
+use crate::end::end_in_order;
 
 /// The largest file that is read, in bytes.
 const FILE_MOST: usize = 1 << 16;
@@ -211,14 +211,6 @@
     }
 }
 
-/// Ends the node as SIGTERM does, so that all that it has taken is answered.
-pub(crate) fn end_in_order(who: &'static str, words: &str) {
-    tracing::error!(target: "node", "{who} can't go on, the node ends: {words}");
-    if let Err(error) = raise(Signal::SIGTERM) {
-        tracing::error!(target: "node", "{who}: it can't be told to: {error}");
-    }
-}
-
 fn send(socket: &UdpSocket, room: &mut Room) {
     while let Some((to, bytes)) = room.take_outgoing() {
         // A datagram that can't go is a loss, which the protocol is built for.
--- a/tests/fault_soak.rs
+++ b/tests/fault_soak.rs
@@ -12,7 +12,7 @@
 use peers::faults::Faults;
 use peers::load::{Load, Report, Servers};
 use peers::machine::Machine;
-use peers::{config, folder, Node, Registry};
+use peers::{config, folder, ledger_file, Node, Registry};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -168,16 +168,7 @@
     }
 
     fn operators(&self) -> Option<String> {
-        if !self.ledger {
-            return None;
-        }
-        let place = folder(&format!("soak-{}", self.seed));
-        std::fs::create_dir_all(&place).expect("a directory");
-        let file = place.join("operators.toml").display().to_string();
-        let ledger = place.join("ledger").display().to_string();
-        let text = format!("[ledger]\ndirectory = {ledger:?}\npromise = \"process-crash\"\n");
-        std::fs::write(&file, text).expect("a file");
-        Some(file)
+        self.ledger.then(|| ledger_file(&folder(&format!("soak-{}", self.seed)), "process-crash"))
     }
 
     fn judge(&self, report: &Report) -> Result<(), String> {
--- a/tests/faults_disk.rs
+++ b/tests/faults_disk.rs
@@ -2,34 +2,20 @@
 
 mod peers;
 
-use std::path::Path;
 use std::time::{Duration, Instant};
 
 use peers::faults::Faults;
 use peers::load::{Load, Servers};
 use peers::three;
 use peers::{
-    answer, config, folder, host, magpietally, request, text, until, Client, Node, Peer, Registry, Say,
+    answer, config, folder, host, ledger_file, magpietally, request, text, until, Client, Node, Peer,
+    Registry, Say,
 };
 use serde_json::json;
 
 /// An hour, in milliseconds.
 const HOUR_MS: i64 = 3_600_000;
 
-fn quoted(path: &Path) -> String {
-    format!("{:?}", path.display().to_string())
-}
-
-/// An operators' file that keeps a ledger in this folder.
-fn ledger_file(place: &Path) -> String {
-    std::fs::create_dir_all(place).expect("a directory");
-    let file = place.join("operators.toml");
-    let ledger = quoted(&place.join("ledger"));
-    std::fs::write(&file, format!("[ledger]\ndirectory = {ledger}\npromise = \"power-loss\"\n"))
-        .expect("a file");
-    file.display().to_string()
-}
-
 /// A new configuration is followed within 4 s of its signal, also where its file could not be read at first.
 #[test]
 fn a_configuration_that_can_not_be_read_for_a_moment_is_read_again() {
@@ -55,7 +41,7 @@
 #[test]
 fn a_ledgers_disk_that_fails_for_a_while_costs_refusals_and_no_record() {
     let place = folder("faults-ledger");
-    let operators = ledger_file(&place);
+    let operators = ledger_file(&place, "power-loss");
     let servers = Servers::new(2, Duration::from_millis(5));
     let registry = Registry::new(&servers.hosts());
     let plan = "write:ENOSPC:0.2:on=file;write:short=7:0.3:on=file;sync:EIO:0.2";
@@ -81,7 +67,7 @@
 #[test]
 fn a_ledger_begins_once_its_disk_works() {
     let place = folder("faults-ledger-start");
-    let operators = ledger_file(&place);
+    let operators = ledger_file(&place, "power-loss");
     let servers = Servers::new(1, Duration::ZERO);
     let registry = Registry::new(&servers.hosts());
     for plan in
@@ -99,7 +85,7 @@
 #[test]
 fn a_stepped_wall_clock_opens_no_key_and_no_id() {
     let place = folder("faults-clock");
-    let operators = ledger_file(&place);
+    let operators = ledger_file(&place, "power-loss");
     let args = ["--operators", operators.as_str()];
     let silent = Peer::new(|_| Say::Nothing);
     let registry = Registry::new(&[host("one", silent.address, "active", 0)]);
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -3,7 +3,8 @@
 mod peers;
 
 use peers::{
-    config, folder, host, magpietally, request, run_with, text, until, Client, Node, Peer, Registry, Say,
+    config, folder, host, ledger_file, magpietally, request, run_with, text, until, Client, Node, Peer,
+    Registry, Say,
 };
 use serde_json::Value;
 
@@ -83,11 +84,8 @@
 #[test]
 fn after_a_kill_what_was_out_is_unknown_and_is_not_sent_on_the_strength_of_it() {
     let kept = folder("unknown");
-    std::fs::create_dir_all(&kept).expect("a directory");
-    let operators = kept.join("operators.toml").display().to_string();
+    let operators = ledger_file(&kept, "power-loss");
     let ledger = kept.join("ledger").display().to_string();
-    std::fs::write(&operators, format!("[ledger]\ndirectory = {ledger:?}\npromise = \"power-loss\"\n"))
-        .expect("a file");
     let args = ["--operators", operators.as_str()];
     let silent = Peer::new(|_| Say::Nothing);
     let registry = Registry::new(&[host("one", silent.address, "active", 0)]);
--- a/tests/peers/load.rs
+++ b/tests/peers/load.rs
@@ -9,7 +9,7 @@
 
 use serde_json::Value;
 
-use super::machine::Machine;
+use super::machine::{self, Machine};
 use super::{answer, host, read_message, request, Message, Peer, Say};
 
 /// A request's final answer may be so late.
@@ -22,8 +22,6 @@
 const REMAINING_SLACK: Duration = Duration::from_millis(150);
 /// What a machine that is held up may be late by counts for one attempt in so many at the most: more is the node's.
 const LATE_PART: usize = 10;
-/// What a quiet machine itself takes.
-const OWN_DELAY: Duration = Duration::from_millis(50);
 
 /// A node that closes a connection may cross a request on its way: the client then sees the end at once. Whatever was read is
 /// kept for longer, or was forwarded.
@@ -307,7 +305,7 @@
                 let words = || format!("{transaction} ({}): {lateness:?}", asked.class);
                 if lateness.by > lateness.slack + own_delay {
                     report.broken.push(words());
-                } else if lateness.by > lateness.slack + OWN_DELAY {
+                } else if lateness.by > lateness.slack + machine::QUIET {
                     late.push(words());
                 }
             }
--- a/tests/peers/machine.rs
+++ b/tests/peers/machine.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 /// What a quiet machine may be late by.
-const QUIET: Duration = Duration::from_millis(50);
+pub const QUIET: Duration = Duration::from_millis(50);
 /// How often lateness is measured.
 const LOOK: Duration = Duration::from_millis(5);
 /// How long a processor that was given to others may hold up whatever ran on it: up to 1.1 s was seen.
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -53,6 +53,16 @@
     folder
 }
 
+/// An operators' file that keeps a ledger with this promise in a folder, which is made where it is not there.
+pub fn ledger_file(place: &Path, promise: &str) -> String {
+    std::fs::create_dir_all(place).expect("a directory");
+    let file = place.join("operators.toml").display().to_string();
+    let ledger = place.join("ledger").display().to_string();
+    std::fs::write(&file, format!("[ledger]\ndirectory = {ledger:?}\npromise = {promise:?}\n"))
+        .expect("a file");
+    file
+}
+
 // ---- Messages ----
 
 /// A request or an answer.
