--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -2,11 +2,13 @@
 
 mod peers;
 
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use peers::faults::Faults;
 use peers::load::{Load, Servers};
-use peers::{config, Node, Registry};
+use peers::machine::Machine;
+use peers::{answer, config, host, request, Client, Node, Peer, Registry, Say};
 
 /// Runs clients against a node with these faults; at least `served_least` of the requests are served, and none is broken.
 fn kept_under(plan: &str, load: Load, served_least: f64) {
@@ -94,6 +96,61 @@
     kept_under(plan, new_connections(), 0.97);
 }
 
+/// How long a request of [`told_in_time`] has.
+const DEADLINE: Duration = Duration::from_millis(4000);
+/// What an attempt is told may exceed its client's own time by so much.
+const REMAINING_SLACK: Duration = Duration::from_millis(150);
+
+/// Plays one request while this plan holds up what it needs for longer than the slack; its server is told of no more time
+/// than its client has left.
+fn told_in_time(plan: &str) {
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let noted = seen.clone();
+    let server = Peer::new(move |message| {
+        let told = message.header("x-remaining-ms").and_then(|told| told.parse().ok());
+        noted.lock().expect("no panic").push((Instant::now(), told.map(Duration::from_millis)));
+        Say::This(answer(200, "", "served"))
+    });
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let faults = Faults::switched_off(plan, 7);
+    let node = Node::with_faults(&config(registry.address), &faults, &[]);
+    let mut client = Client::to(&node);
+    assert_eq!(client.ask(&request("look", "before", 4000)).status(), 200);
+    seen.lock().expect("no panic").clear();
+    faults.switch(true);
+    if plan.contains("accept") {
+        client = Client::to(&node);
+    }
+    let (machine, sent) = (Machine::measure(), Instant::now());
+    assert_eq!(client.ask(&request("slip", "held-up", DEADLINE.as_millis() as u64)).status(), 200, "{plan}");
+    faults.assert_injected();
+    let seen = seen.lock().expect("no panic");
+    let [(at, Some(told))] = seen[..] else { panic!("{plan}: one attempt, {seen:?}") };
+    let took = at - sent;
+    assert!(took > 2 * REMAINING_SLACK, "{plan}: nothing was held up, {took:?}");
+    let left = DEADLINE.saturating_sub(took);
+    let slack = REMAINING_SLACK + machine.delay();
+    let words = format!("{plan}: {took:?} after it was sent its server was told {told:?}");
+    assert!(told <= left + slack, "{words}, more than was left");
+    assert!(told + slack >= left, "{words}, much less than was left");
+}
+
+#[test]
+fn time_before_a_connection_is_accepted_or_registered_counts() {
+    told_in_time("accept4:ENFILE:1:first=40");
+    told_in_time("epoll_add:ENOMEM:1:first=40:on=accepted");
+}
+
+#[test]
+fn time_before_a_request_can_be_read_counts() {
+    told_in_time("recv:ENOMEM:1:first=250:on=accepted");
+}
+
+#[test]
+fn time_before_an_attempt_can_be_written_counts() {
+    told_in_time("writev:ENOBUFS:1:first=250:on=dialled");
+}
+
 /// What a start needs may be missing for a moment: each call fails at first.
 #[test]
 fn a_start_outlasts_calls_that_fail_at_first() {
--- a/tests/faults_disk.rs
+++ b/tests/faults_disk.rs
@@ -49,10 +49,12 @@
     let mut node = Node::with_faults(&config(registry.address), &faults, &["--operators", &operators]);
     let load = Load { clients: 8, span: Duration::from_millis(1500), ..Load::default() };
     faults.switch(true);
-    let during = load.run(node.address, &servers);
-    faults.assert_injected();
+    // Behind a write that failed the ledger pauses for seconds, in which it syncs nothing.
+    until("each fault has come", || {
+        load.run(node.address, &servers).assert_kept(0.3);
+        faults.all_injected()
+    });
     faults.switch(false);
-    during.assert_kept(0.3);
     until("the disk is back", || Client::to(&node).ask(&request("slip", "back", 5000)).status() == 200);
     load.run(node.address, &servers).assert_kept(0.99);
     node.kill();
--- a/tests/peers/faults.rs
+++ b/tests/peers/faults.rs
@@ -75,9 +75,14 @@
         bytes.chunks_exact(8).map(|b| u64::from_le_bytes(b.try_into().expect("eight bytes"))).collect()
     }
 
+    /// Has every rule injected something?
+    pub fn all_injected(&self) -> bool {
+        let counts = self.counts();
+        !counts.is_empty() && counts.iter().all(|count| *count > 0)
+    }
+
     /// Every rule has injected something: a test of faults that never came proves nothing.
     pub fn assert_injected(&self) {
-        let counts = self.counts();
-        assert!(!counts.is_empty() && counts.iter().all(|count| *count > 0), "{}: {counts:?}", self.plan);
+        assert!(self.all_injected(), "{}: {:?}", self.plan, self.counts());
     }
 }
