A request's time begins when its bytes may have come, also where a call kept them unread

Cause: the time of a request began when its last bytes were read, or in fact when it was handed to the module: the phase was changed just before, for which arrived() answers "now". Where accept4 or the registration fails for a moment, or recv has no memory, that is later than they came, by up to 0.8 s in the tests, and its server was told of that much too much. A head that was built before its write failed kept its deadline, however long the write took. A socket whose registration failed for 3 s was closed with its request unread; its tries were up to 0.1 s apart.

Ruled out: the runtime's own lateness, which tests allow for; other errors of these calls, which cost no pause.

Change: a listener says since when connections may have waited behind a shortage, until its backlog is seen empty or 50 ms after; a stream says since when its bytes may have stood unread, until a read finds nothing; a request's time begins then. Registration is tried every 10 ms. An attempt of which the kernel takes nothing within 0.1 s is begun anew, on another connection, with the time that is left then. Clients of the accept and registration tests leave now and then.

--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -299,10 +299,11 @@
                     log_refused(node, &sock, "the node stops, and few connections are free");
                     refusal(node.stay_away(asked.class))
                 } else {
+                    let arrived = sock.arrived();
                     if uploading.is_none() {
                         sock.enter(Phase::Busy);
                     }
-                    settle(node, asked, &sock, remaining).await
+                    settle(node, asked, &sock, arrived, remaining).await
                 };
                 if uploading.is_some_and(|u| u.over_since().is_none()) {
                     // What its client still sends is read by nobody.
--- a/crates/http/src/clients/accept.rs
+++ b/crates/http/src/clients/accept.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use magpietally_net::{Listener, Shortage, Stream, Unregistered};
+use magpietally_net::{Accepted, Listener, Shortage, Stream, Unregistered};
 use magpietally_os_error::retry::Pauses;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -91,9 +91,9 @@
         loop {
             self.room().await;
             match listener.accept().await {
-                Ok(stream) => {
+                Ok(accepted) => {
                     lack.is_over();
-                    self.serve(stream);
+                    self.serve(accepted);
                 }
                 Err(shortage) => self.wait_for_room(listener, &shortage, &mut lack).await,
             }
@@ -140,9 +140,9 @@
                 continue;
             }
             match timeout(EXHAUSTED, listener.accept()).await {
-                Ok(Ok(stream)) => {
+                Ok(Ok(accepted)) => {
                     lack.is_over();
-                    self.serve(stream);
+                    self.serve(accepted);
                 }
                 Ok(Err(shortage)) => self.wait_for_room(listener, &shortage, &mut lack).await,
                 // Nothing waits any more.
@@ -175,17 +175,18 @@
     }
 
     /// Takes over a connection. One that the poll has no room for yet is held until it has.
-    pub(super) fn serve(self: &Rc<Self>, socket: TcpStream) {
-        match Stream::new(socket) {
-            Ok(stream) => self.begin(stream),
+    pub(super) fn serve(self: &Rc<Self>, accepted: Accepted) {
+        match Stream::new(accepted.socket) {
+            Ok(stream) => self.begin(stream, accepted.unread_since),
             Err(unregistered) => {
+                let unread_since = accepted.unread_since.unwrap_or_else(Instant::now);
                 self.registering.set(self.registering.get() + 1);
                 let clients = self.clone();
                 tokio::task::spawn_local(async move {
                     let registered = clients.register(unregistered).await;
                     clients.registering.set(clients.registering.get() - 1);
                     if let Some(stream) = registered {
-                        clients.begin(stream);
+                        clients.begin(stream, Some(unread_since));
                     }
                 });
             }
@@ -204,7 +205,11 @@
         }
     }
 
-    fn begin(self: &Rc<Self>, stream: Stream) {
+    /// Serves a connection whose first bytes may have waited for a while.
+    fn begin(self: &Rc<Self>, stream: Stream, unread_since: Option<Instant>) {
+        if let Some(since) = unread_since {
+            stream.delayed_since(since);
+        }
         let number = self.last.get() + 1;
         self.last.set(number);
         let client = Rc::new(Client {
--- a/crates/http/src/clients/answer.rs
+++ b/crates/http/src/clients/answer.rs
@@ -70,14 +70,15 @@
     (MARGIN.min(remaining / MARGIN_PART), GUARD.min(remaining / GUARD_PART))
 }
 
-/// Hands the request to the node and waits for its final answer.
+/// Hands a request that has so much time from its arrival to the node, and waits for its final answer.
 pub(super) async fn settle(
     node: &Rc<Node>,
     asked: Asked,
     sock: &Rc<Sock>,
+    arrived: Instant,
     remaining: Duration,
 ) -> Response<Out> {
-    let mut last = sock.arrived() + remaining;
+    let mut last = arrived + remaining;
     let uploading = asked.request.body.uploading().cloned();
     let (margin, guard) = kept_back(remaining);
     let fails_open = || node.process().life().fails_open(Instant::now());
@@ -123,7 +124,7 @@
                 biased;
                 answer = &mut answered => answer.ok(),
                 () = uploading.over() => {
-                    last = Instant::now() + remaining;
+                    last = sock.last_bytes_came() + remaining;
                     in_time(last - guard, answered).await
                 }
             }
--- a/crates/http/src/clients/closes.rs
+++ b/crates/http/src/clients/closes.rs
@@ -62,7 +62,7 @@
         for open in [Sock::of_client, Sock::new] {
             let stream = TcpStream::connect(address(&listener)).await.expect("it listens");
             let accepted = listener.accept().await.expect("it comes");
-            for side in [stream.into_std().expect("a socket"), accepted] {
+            for side in [stream.into_std().expect("a socket"), accepted.socket] {
                 let same = socket2::SockRef::from(&side).try_clone().expect("a descriptor");
                 let _open = open(Stream::new(side).expect("a runtime"));
                 assert!(same.tcp_nodelay().expect("it tells"));
--- a/crates/http/src/management.rs
+++ b/crates/http/src/management.rs
@@ -58,7 +58,7 @@
     let calls: Rc<RefCell<VecDeque<(u64, AbortHandle)>>> = Rc::default();
     for number in 0.. {
         let stream = match listener.accept().await {
-            Ok(stream) => stream,
+            Ok(accepted) => accepted.socket,
             Err(shortage) => {
                 node.carrier()
                     .pool
--- a/crates/http/src/sock.rs
+++ b/crates/http/src/sock.rs
@@ -200,6 +200,8 @@
         self.since.set(Instant::now());
         if phase == Phase::Answering {
             self.answers.set(self.answers.get() + 1);
+            // What still waits is not of this request.
+            self.stream.caught_up();
         }
     }
 
@@ -258,8 +260,9 @@
         self.answers.get()
     }
 
-    /// When the last bytes of the present request came: that is when its time begins, however slowly it was sent. One that
-    /// came right behind another was read with it; its time counts from now.
+    /// When the last bytes of the present request came: that is when its time begins, however slowly it was sent. Where a call
+    /// that failed kept them from being read, that is when they may have come at the earliest. One that came right behind
+    /// another was read with it; its time counts from now.
     pub fn arrived(&self) -> Instant {
         if self.phase.get() == Phase::Reading {
             self.heard.get().max(self.since.get())
@@ -268,6 +271,11 @@
         }
     }
 
+    /// When the bytes that were read last may have come, at the earliest.
+    pub fn last_bytes_came(&self) -> Instant {
+        self.stream.unread_since().unwrap_or_else(Instant::now)
+    }
+
     /// Nothing to read, and not closed by the other side. Asks the kernel, as what the runtime knows may be
     /// a turn of its loop old.
     pub fn quiet(&self) -> bool {
@@ -324,12 +332,14 @@
             return;
         }
         let now = Instant::now();
-        self.heard.set(now);
+        let heard = self.last_bytes_came();
+        self.heard.set(heard);
         if let Some(since) = self.waits.take() {
             self.waited.set(self.waited.get() + (now - since));
         }
         if self.phase.get() == Phase::Idle {
             self.coming(self.spoke.replace(true));
+            self.since.set(heard);
         }
         self.came.set(self.came.get().wrapping_add(came.len()));
         self.scan.borrow_mut().came(came);
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -16,12 +16,12 @@
 use hyper::{HeaderMap, Method, Request, StatusCode, Version};
 use magpietally_core::{Ended, Place};
 use magpietally_policy::{Outcome, ServerId};
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
 
 use crate::body::{within, Held, Outgoing, Rest};
 use crate::message::{keep_end_to_end, Message, Reply, BODY_MOST, REMAINING};
 use crate::pool::{unfinished, Link, Pool};
-use crate::sock::Io;
+use crate::sock::{Io, Sock};
 
 /// Turned away unseen.
 const TURNED_AWAY: HeaderName = HeaderName::from_static("x-turned-away");
@@ -34,6 +34,10 @@
 /// How long before its attempt is given up it is passed on at the latest.
 const PASS_BEFORE: Duration = Duration::from_millis(10);
 
+/// How long the deadline in a head holds while the kernel takes nothing of it, as where it lacks memory: a server may be told
+/// of 150 ms more than its client has left.
+const HEAD_HOLDS: Duration = Duration::from_millis(100);
+
 /// One request to a server, given up at a time, and how it ended. `may` tells where the server is, if the request may still be
 /// written to it, and `now_at` where it is if it takes new work at all; `fresh` asks for a connection of its own: a probe is
 /// to tell whether the process takes connections, which a kept one could not.
@@ -97,7 +101,7 @@
         let request = request(message, body, end);
         let uploading = message.body.uploading();
         let to = link.sock.clone();
-        let talk = converse(&mut link, request, end);
+        let talk = unless_untaken(&to, converse(&mut link, request, end));
         let ended = within(end.into(), uploading.map(|u| &**u), &to, talk).await;
         let overtaken = ended.is_none() && pool.overtaken(server, sent);
         drop(expected);
@@ -106,8 +110,9 @@
             pool.distrust(server, sent);
         }
         match ended {
-            // A kept connection that was closed before the first byte was written: nothing was sent, so this
-            // is still the same attempt.
+            // A kept connection that was closed before the first byte was written, or a head whose deadline no longer holds:
+            // nothing was sent, so this is still the same attempt.
+            Some(Err(Broken::Untaken)) if !any && uploading.is_none() => continue,
             Some(Err(_)) if reused && !any && uploading.is_none() => continue,
             // What its client broke off says nothing of the server, and never ran.
             Some(Err(_)) if !whole && uploading.is_some_and(|u| u.broken()) => {
@@ -238,6 +243,8 @@
     Link,
     /// What came can't be read.
     Garbled,
+    /// The kernel took nothing of the request for too long.
+    Untaken,
 }
 
 impl From<hyper::Error> for Broken {
@@ -253,6 +260,24 @@
     }
 }
 
+/// Ends an exchange of whose request the kernel has taken nothing while its head holds.
+async fn unless_untaken(
+    sock: &Sock,
+    talk: impl Future<Output = Result<Heard, Broken>>,
+) -> Result<Heard, Broken> {
+    let mut talk = pin!(talk);
+    tokio::select! {
+        biased;
+        ended = &mut talk => return ended,
+        () = sleep(HEAD_HOLDS) => {}
+    }
+    if sock.any() {
+        talk.await
+    } else {
+        Err(Broken::Untaken)
+    }
+}
+
 /// Writes a request and reads the answer: whole, or as much as must be seen of one that is passed on. A second request on
 /// the connection is never begun here, and nothing is sent again.
 async fn converse(link: &mut Link, request: Request<Outgoing>, end: Instant) -> Result<Heard, Broken> {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -15,7 +15,7 @@
 mod stream;
 
 pub use dial::{connect, DialError};
-pub use listener::{listen, Listener, Shortage};
+pub use listener::{listen, Accepted, Listener, Shortage};
 pub use register::{register, Unregistered};
 pub use stream::Stream;
 
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use magpietally_os_error::{classify, retry, Call, Class};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
@@ -15,6 +17,18 @@
 /// After so many connections in a row that were over before they were accepted, others have their turn.
 const FAILED_IN_A_ROW: usize = 64;
 
+/// How long after a shortage the backlog may still hold connections that came during it. A thousand are accepted within less.
+const CAUGHT_UP_WITHIN: Duration = Duration::from_millis(50);
+
+/// A connection that was accepted, and does not block.
+#[derive(Debug)]
+pub struct Accepted {
+    /// The connection.
+    pub socket: TcpStream,
+    /// Its bytes may have waited since then: accepting had failed by that time, and this one may have come already.
+    pub unread_since: Option<Instant>,
+}
+
 /// What accepting lacks.
 #[derive(Debug)]
 pub struct Shortage {
@@ -52,6 +66,14 @@
 #[derive(Debug)]
 pub struct Listener {
     registered: AsyncFd<TcpListener>,
+    delay: Mutex<Option<Delay>>,
+}
+
+/// A time in which accepting failed, and the backlog has not been seen empty since.
+#[derive(Clone, Copy, Debug)]
+struct Delay {
+    since: Instant,
+    last_failed: Instant,
 }
 
 impl Listener {
@@ -68,7 +90,7 @@
                 failed.error
             })
         })?;
-        Ok(Self { registered })
+        Ok(Self { registered, delay: Mutex::default() })
     }
 
     /// The socket.
@@ -85,23 +107,46 @@
     ///
     /// # Errors
     /// What accepting lacks. The connection stays in the backlog; the caller makes room or pauses, and calls again.
-    pub async fn accept(&self) -> Result<TcpStream, Shortage> {
+    pub async fn accept(&self) -> Result<Accepted, Shortage> {
         loop {
             for _ in 0..FAILED_IN_A_ROW {
                 let mut ready = self.registered.readable().await.map_err(|error| Shortage { error })?;
                 let error = match accept_once(self.registered.get_ref()) {
-                    Ok(stream) => return Ok(stream),
+                    Ok(socket) => return Ok(Accepted { socket, unread_since: self.delayed_since() }),
                     Err(error) => error,
                 };
                 match classify(Call::Accept, &error) {
                     Class::TryAgain | Class::ConnectionOver => {}
-                    Class::WaitForReadiness => ready.clear_ready(),
-                    Class::OutOfResources | Class::Permanent => return Err(Shortage { error }),
+                    Class::WaitForReadiness => {
+                        self.set_delay(None);
+                        ready.clear_ready();
+                    }
+                    Class::OutOfResources | Class::Permanent => {
+                        self.note_failure();
+                        return Err(Shortage { error });
+                    }
                 }
             }
             yield_now().await;
         }
     }
+
+    fn note_failure(&self) {
+        let last_failed = Instant::now();
+        let since = self.delayed_since().unwrap_or(last_failed);
+        self.set_delay(Some(Delay { since, last_failed }));
+    }
+
+    fn set_delay(&self, delay: Option<Delay>) {
+        *self.delay.lock().unwrap_or_else(PoisonError::into_inner) = delay;
+    }
+
+    /// Since when connections may have waited in the backlog, where a shortage kept them there.
+    fn delayed_since(&self) -> Option<Instant> {
+        let delay = *self.delay.lock().unwrap_or_else(PoisonError::into_inner);
+        let delay = delay?;
+        (delay.last_failed.elapsed() < CAUGHT_UP_WITHIN).then_some(delay.since)
+    }
 }
 
 fn accept_once(listener: &TcpListener) -> io::Result<TcpStream> {
--- a/crates/net/src/register.rs
+++ b/crates/net/src/register.rs
@@ -11,6 +11,8 @@
 
 /// For how long a registration is tried: whoever waits for the socket's bytes has gone by then.
 const REGISTER_WITHIN: Duration = Duration::from_secs(3);
+/// The longest pause between two tries. What waits on the socket has a deadline.
+const PAUSE_MOST: Duration = Duration::from_millis(10);
 
 /// A descriptor that could not be registered, and is still open.
 pub struct Unregistered<T> {
@@ -39,7 +41,7 @@
             match classify(Call::Create, &failed.error) {
                 Class::TryAgain => {}
                 Class::OutOfResources if began.elapsed() < REGISTER_WITHIN => {
-                    tokio::time::sleep(pauses.next_pause()).await;
+                    tokio::time::sleep(pauses.next_pause().min(PAUSE_MOST)).await;
                 }
                 _ => return Err(failed.error),
             }
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -7,7 +7,7 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::pin::Pin;
 use std::task::{ready, Context, Poll, Waker};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use magpietally_os_error::{classify, retry, Call, Class};
 use socket2::SockRef;
@@ -38,6 +38,8 @@
     registered: AsyncFd<TcpStream>,
     /// The last read found nothing.
     drained: Cell<bool>,
+    /// Since when bytes may have stood unread, as reading them failed; until a read finds nothing.
+    unread_since: Cell<Option<Instant>>,
     reading_rests: Rest,
     writing_rests: Rest,
 }
@@ -45,7 +47,8 @@
 impl From<AsyncFd<TcpStream>> for Stream {
     fn from(registered: AsyncFd<TcpStream>) -> Self {
         let (reading_rests, writing_rests) = (Rest::default(), Rest::default());
-        let stream = Self { registered, drained: Cell::new(false), reading_rests, writing_rests };
+        let (drained, unread_since) = (Cell::new(false), Cell::default());
+        let stream = Self { registered, drained, unread_since, reading_rests, writing_rests };
         stream.send_at_once();
         stream
     }
@@ -99,7 +102,7 @@
         let mut read = |scratch: &mut [u8; READ_MOST]| {
             let room = to.remaining().min(READ_MOST);
             let read = self.socket().read(&mut scratch[..room]);
-            self.drained.set(matches!(&read, Err(error) if error.kind() == io::ErrorKind::WouldBlock));
+            self.note(&read);
             let came = read?;
             to.put_slice(&scratch[..came]);
             Ok(())
@@ -107,6 +110,32 @@
         poll_call(cx, &self.reading_rests, ready, || SCRATCH.with_borrow_mut(&mut read))
     }
 
+    /// Notes what a read tells of the bytes that wait.
+    fn note(&self, read: &io::Result<usize>) {
+        let class = read.as_ref().err().map(|error| classify(Call::Stream, error));
+        self.drained.set(class == Some(Class::WaitForReadiness));
+        match class {
+            Some(Class::WaitForReadiness) => self.unread_since.set(None),
+            Some(Class::OutOfResources) => self.delayed_since(Instant::now()),
+            _ => {}
+        }
+    }
+
+    /// Its bytes may have waited since then.
+    pub fn delayed_since(&self, since: Instant) {
+        self.unread_since.set(Some(self.unread_since.get().map_or(since, |known| known.min(since))));
+    }
+
+    /// The bytes that still wait are not those that were delayed.
+    pub fn caught_up(&self) {
+        self.unread_since.set(None);
+    }
+
+    /// Since when the bytes that were read last may have waited, where a call that failed kept them from being read.
+    pub fn unread_since(&self) -> Option<Instant> {
+        self.unread_since.get()
+    }
+
     /// Writes some of these bytes; how many the kernel took.
     pub fn poll_send(&self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let ready = |cx: &mut Context<'_>| self.registered.poll_write_ready(cx);
--- a/crates/net/src/tests.rs
+++ b/crates/net/src/tests.rs
@@ -18,7 +18,7 @@
     let listener = Listener::new(listen(nowhere_else, false).expect("a port")).expect("a runtime");
     let near = connect(listener.get_ref().local_addr().expect("bound")).await.expect("it listens");
     assert!(near.peer_address().is_ok());
-    let far = listener.accept().await.expect("one has come");
+    let far = listener.accept().await.expect("one has come").socket;
     let another = timeout(Duration::from_millis(20), listener.accept());
     assert!(another.await.is_err(), "no other waits");
     (near, Stream::new(far).expect("it is registered"))
--- a/crates/transport/src/tcp/accept.rs
+++ b/crates/transport/src/tcp/accept.rs
@@ -24,7 +24,7 @@
             () = shared.ended.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
-        let Ok(socket) = accepted else {
+        let Ok(accepted) = accepted else {
             sleep(ACCEPT_AGAIN).await;
             continue;
         };
@@ -34,7 +34,7 @@
         };
         let shared = shared.clone();
         tokio::spawn(async move {
-            if let Ok(stream) = Stream::register(socket).await {
+            if let Ok(stream) = Stream::register(accepted.socket).await {
                 serve(&shared, stream).await;
             }
             drop(permit);
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -26,9 +26,9 @@
     faults.assert_injected();
 }
 
-/// Clients that connect anew for every second request.
+/// Clients that connect anew for every second request, and leave now and then before they are answered.
 fn new_connections() -> Load {
-    Load { reuse: 2, ..Load::default() }
+    Load { reuse: 2, leaves: 7, ..Load::default() }
 }
 
 /// No run of a plan goes without one of its faults by chance, however rare that fault and its call are.
