A call that is interrupted over and over pauses, so that its thread serves others

Cause: the soak now has moments in which each call of a kind fails. Accepting repeated in turns, but did not note that connections waited.

Change: after 64 interruptions in a row a call on a serving thread pauses as where it lacks memory (os_error::retry::Interruptions); a stream and a listener note the delay, so that the time of a request begins before it.

--- a/crates/http/src/signals.rs
+++ b/crates/http/src/signals.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use magpietally_net::register;
+use magpietally_os_error::retry::Interruptions;
 use magpietally_os_error::{classify, Call, Class};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::{flag, low_level, SigId};
@@ -88,13 +89,14 @@
         let Some(pipe) = &self.pipe else { return std::future::pending().await };
         let Ok(mut ready) = pipe.readable().await else { return sleep(REST).await };
         let mut bytes = [0; 64];
+        let mut interruptions = Interruptions::default();
         loop {
             let error = match pipe.get_ref().read(&mut bytes) {
                 Ok(0) => return sleep(REST).await,
                 Ok(_) => return,
                 Err(error) => error,
             };
-            match classify(Call::Stream, &error) {
+            match interruptions.bound(classify(Call::Stream, &error)) {
                 Class::TryAgain => {}
                 Class::WaitForReadiness => return ready.clear_ready(),
                 _ => return sleep(REST).await,
--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 
-use magpietally_os_error::retry::Pauses;
+use magpietally_os_error::retry::{Interruptions, Pauses};
 use magpietally_os_error::{classify, Call, Class};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 
@@ -56,9 +56,12 @@
         };
         tries += 1;
         match classify(Call::Connect, &error) {
-            Class::TryAgain => {}
-            Class::OutOfResources if tries < TRIES => tokio::time::sleep(pauses.next_pause()).await,
-            Class::OutOfResources | Class::Permanent => return Err(DialError::Lacking(error)),
+            Class::TryAgain | Class::OutOfResources if tries < TRIES => {
+                tokio::time::sleep(pauses.next_pause()).await;
+            }
+            Class::TryAgain | Class::OutOfResources | Class::Permanent => {
+                return Err(DialError::Lacking(error));
+            }
             Class::WaitForReadiness | Class::ConnectionOver => return Err(DialError::Failed(error)),
         }
     }
@@ -67,8 +70,9 @@
 /// A socket that is connecting or connected.
 fn begin(to: SocketAddr) -> io::Result<TcpStream> {
     let socket = Socket::new(Domain::for_address(to), Type::STREAM.nonblocking(), Some(Protocol::TCP))?;
+    let mut interruptions = Interruptions::default();
     while let Err(error) = socket.connect(&to.into()) {
-        match classify(Call::Connect, &error) {
+        match interruptions.bound(classify(Call::Connect, &error)) {
             // An interrupted call may have begun the connection all the same; the next tells (EALREADY, EISCONN).
             Class::TryAgain => {}
             Class::WaitForReadiness => break,
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -127,6 +127,8 @@
                     }
                 }
             }
+            // Where they were not taken out of the backlog, others wait behind them.
+            self.note_failure();
             yield_now().await;
         }
     }
--- a/crates/net/src/register.rs
+++ b/crates/net/src/register.rs
@@ -39,8 +39,7 @@
         let mut failed = self;
         loop {
             match classify(Call::Create, &failed.error) {
-                Class::TryAgain => {}
-                Class::OutOfResources if began.elapsed() < REGISTER_WITHIN => {
+                Class::TryAgain | Class::OutOfResources if began.elapsed() < REGISTER_WITHIN => {
                     tokio::time::sleep(pauses.next_pause().min(PAUSE_MOST)).await;
                 }
                 _ => return Err(failed.error),
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -9,7 +9,8 @@
 use std::task::{ready, Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
-use magpietally_os_error::{classify, retry, Call, Class};
+use magpietally_os_error::retry::{self, Interruptions};
+use magpietally_os_error::{classify, Call, Class};
 use socket2::SockRef;
 use tokio::io::unix::{AsyncFd, AsyncFdReadyGuard};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
@@ -17,7 +18,7 @@
 
 use crate::register::{register, Unregistered};
 
-/// How long a call rests that the kernel had no memory for. Nothing tells when there is some again.
+/// How long a call rests that the kernel had no memory for, or that is interrupted over and over. Nothing tells when to go on.
 const NO_MEMORY_REST: Duration = Duration::from_millis(2);
 /// The most that is read at once.
 const READ_MOST: usize = 64 * 1024;
@@ -116,7 +117,7 @@
         self.drained.set(class == Some(Class::WaitForReadiness));
         match class {
             Some(Class::WaitForReadiness) => self.unread_since.set(None),
-            Some(Class::OutOfResources) => self.delayed_since(Instant::now()),
+            Some(Class::TryAgain | Class::OutOfResources) => self.delayed_since(Instant::now()),
             _ => {}
         }
     }
@@ -156,9 +157,10 @@
     /// Nothing to read, and not closed by the other side: the kernel is asked.
     pub fn is_quiet(&self) -> bool {
         let mut byte = [MaybeUninit::uninit(); 1];
+        let mut interruptions = Interruptions::default();
         loop {
             let Err(error) = SockRef::from(self.socket()).peek(&mut byte) else { return false };
-            match classify(Call::Stream, &error) {
+            match interruptions.bound(classify(Call::Stream, &error)) {
                 Class::TryAgain => {}
                 class => return class == Class::WaitForReadiness,
             }
@@ -203,13 +205,14 @@
         ready!(rest.as_mut().poll(cx));
     }
     rests.take();
+    let mut interruptions = Interruptions::default();
     loop {
         let mut ready = ready!(poll_ready(cx))?;
         let error = match call() {
             Ok(done) => return Poll::Ready(Ok(done)),
             Err(error) => error,
         };
-        match classify(Call::Stream, &error) {
+        match interruptions.bound(classify(Call::Stream, &error)) {
             Class::TryAgain => {}
             Class::WaitForReadiness => ready.clear_ready(),
             Class::OutOfResources => {
--- a/crates/os_error/src/retry.rs
+++ b/crates/os_error/src/retry.rs
@@ -35,6 +35,31 @@
     }
 }
 
+/// How often a call that was interrupted is repeated at once by a thread that others wait for.
+const INTERRUPTIONS_MOST: u32 = 64;
+
+/// The interruptions of one call in a row, for a thread that serves others: they are repeated at once, but not without end.
+#[derive(Debug, Default)]
+pub struct Interruptions {
+    in_a_row: u32,
+}
+
+impl Interruptions {
+    /// The class of the call's latest error: after many interruptions in a row as if it lacked something, so that the caller
+    /// pauses.
+    pub fn bound(&mut self, class: Class) -> Class {
+        if class != Class::TryAgain {
+            return class;
+        }
+        self.in_a_row += 1;
+        if self.in_a_row < INTERRUPTIONS_MOST {
+            Class::TryAgain
+        } else {
+            Class::OutOfResources
+        }
+    }
+}
+
 /// Repeats a call that was interrupted.
 ///
 /// # Errors
--- a/crates/os_error/src/retry/tests.rs
+++ b/crates/os_error/src/retry/tests.rs
@@ -1,8 +1,8 @@
 use std::io;
 use std::time::{Duration, Instant};
 
-use super::{interrupted, spawn, within, Pauses};
-use crate::Call;
+use super::{interrupted, spawn, within, Interruptions, Pauses, INTERRUPTIONS_MOST};
+use crate::{Call, Class};
 
 /// Fails with each of these in turn, and then succeeds.
 fn failing(numbers: &[i32]) -> impl FnMut() -> io::Result<usize> + '_ {
@@ -36,6 +36,17 @@
     assert!(interrupted(failing(&[libc::EIO])).is_err());
 }
 
+#[test]
+fn interruptions_in_a_row_end_in_a_pause() {
+    let mut interruptions = Interruptions::default();
+    assert_eq!(interruptions.bound(Class::WaitForReadiness), Class::WaitForReadiness);
+    for _ in 1..INTERRUPTIONS_MOST {
+        assert_eq!(interruptions.bound(Class::TryAgain), Class::TryAgain);
+    }
+    assert_eq!(interruptions.bound(Class::TryAgain), Class::OutOfResources);
+    assert_eq!(interruptions.bound(Class::ConnectionOver), Class::ConnectionOver);
+}
+
 #[test]
 fn pauses_grow_up_to_a_bound() {
     let mut pauses = Pauses::default();
