An error of a connection that the kernel still knows does not end it

Cause: any error of recv or writev that TCP tells was taken for the connection's end. Such an error may be of the way to the other end and pass (ip(7), IP_RECVERR): where ETIMEDOUT or EHOSTUNREACH came from a call on a client's live connection, the node closed it with its request unanswered.

Ruled out: that the connection is over whenever the error comes. A connection that is over has no other end any more: getpeername(2) gives ENOTCONN, after a reset as after a time-out.

--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -30,8 +30,33 @@
     static SCRATCH: RefCell<[u8; READ_MOST]> = const { RefCell::new([0; READ_MOST]) };
 }
 
-/// A rest of one direction that lacked memory.
-type Rest = RefCell<Option<Pin<Box<Sleep>>>>;
+/// For how long errors are passed over on a connection that the kernel still knows.
+const PASSED_OVER_FOR: Duration = Duration::from_secs(1);
+
+/// What holds up one direction of a connection.
+#[derive(Debug, Default)]
+struct Direction {
+    /// A rest after a call that lacked something.
+    rest: RefCell<Option<Pin<Box<Sleep>>>>,
+    /// Since when calls have ended with errors of a connection that is over, while the kernel still knows it.
+    errors_since: Cell<Option<Instant>>,
+}
+
+impl Direction {
+    /// May the direction be used further after an error that says that its connection is over? TCP passes on what the way to
+    /// the other end reports, also where that passes (ip(7), IP_RECVERR). A connection that is over has no other end any more
+    /// (getpeername(2), ENOTCONN).
+    fn outlasts(&self, error: &io::Error, socket: &TcpStream) -> bool {
+        if socket.peer_addr().is_err() {
+            return false;
+        }
+        let now = Instant::now();
+        let since = self.errors_since.get().unwrap_or(now);
+        self.errors_since.set(Some(since));
+        tracing::debug!(target: "net", "an error of a connection that is not over: {error}");
+        now - since < PASSED_OVER_FOR
+    }
+}
 
 /// A TCP connection on the runtime's poll. Reads and writes end with an error only where the connection is over.
 #[derive(Debug)]
@@ -41,15 +66,19 @@
     drained: Cell<bool>,
     /// Since when bytes may have stood unread, as reading them failed; until a read finds nothing.
     unread_since: Cell<Option<Instant>>,
-    reading_rests: Rest,
-    writing_rests: Rest,
+    reading: Direction,
+    writing: Direction,
 }
 
 impl From<AsyncFd<TcpStream>> for Stream {
     fn from(registered: AsyncFd<TcpStream>) -> Self {
-        let (reading_rests, writing_rests) = (Rest::default(), Rest::default());
-        let (drained, unread_since) = (Cell::new(false), Cell::default());
-        let stream = Self { registered, drained, unread_since, reading_rests, writing_rests };
+        let stream = Self {
+            registered,
+            drained: Cell::new(false),
+            unread_since: Cell::default(),
+            reading: Direction::default(),
+            writing: Direction::default(),
+        };
         stream.send_at_once();
         stream
     }
@@ -108,7 +137,7 @@
             to.put_slice(&scratch[..came]);
             Ok(())
         };
-        poll_call(cx, &self.reading_rests, ready, || SCRATCH.with_borrow_mut(&mut read))
+        poll_call(cx, &self.reading, self.socket(), ready, || SCRATCH.with_borrow_mut(&mut read))
     }
 
     /// Notes what a read tells of the bytes that wait.
@@ -117,8 +146,8 @@
         self.drained.set(class == Some(Class::WaitForReadiness));
         match class {
             Some(Class::WaitForReadiness) => self.unread_since.set(None),
-            Some(Class::TryAgain | Class::OutOfResources) => self.delayed_since(Instant::now()),
-            _ => {}
+            Some(_) => self.delayed_since(Instant::now()),
+            None => {}
         }
     }
 
@@ -140,13 +169,13 @@
     /// Writes some of these bytes; how many the kernel took.
     pub fn poll_send(&self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let ready = |cx: &mut Context<'_>| self.registered.poll_write_ready(cx);
-        poll_call(cx, &self.writing_rests, ready, || self.socket().write(bytes))
+        poll_call(cx, &self.writing, self.socket(), ready, || self.socket().write(bytes))
     }
 
     /// The same of bytes in several pieces.
     pub fn poll_send_pieces(&self, cx: &mut Context<'_>, pieces: &[IoSlice<'_>]) -> Poll<io::Result<usize>> {
         let ready = |cx: &mut Context<'_>| self.registered.poll_write_ready(cx);
-        poll_call(cx, &self.writing_rests, ready, || self.socket().write_vectored(pieces))
+        poll_call(cx, &self.writing, self.socket(), ready, || self.socket().write_vectored(pieces))
     }
 
     /// Did the last read find that there was nothing?
@@ -197,32 +226,40 @@
 /// Makes a call once its descriptor is ready, and again as its errors say.
 fn poll_call<'a, T>(
     cx: &mut Context<'_>,
-    rests: &Rest,
+    direction: &Direction,
+    socket: &TcpStream,
     mut poll_ready: impl FnMut(&mut Context<'_>) -> Poll<io::Result<AsyncFdReadyGuard<'a, TcpStream>>>,
     mut call: impl FnMut() -> io::Result<T>,
 ) -> Poll<io::Result<T>> {
-    if let Some(rest) = rests.borrow_mut().as_mut() {
+    if let Some(rest) = direction.rest.borrow_mut().as_mut() {
         ready!(rest.as_mut().poll(cx));
     }
-    rests.take();
+    direction.rest.take();
     let mut interruptions = Interruptions::default();
     loop {
         let mut ready = ready!(poll_ready(cx))?;
         let error = match call() {
-            Ok(done) => return Poll::Ready(Ok(done)),
+            Ok(done) => {
+                direction.errors_since.set(None);
+                return Poll::Ready(Ok(done));
+            }
             Err(error) => error,
         };
         match interruptions.bound(classify(Call::Stream, &error)) {
             Class::TryAgain => {}
-            Class::WaitForReadiness => ready.clear_ready(),
-            Class::OutOfResources => {
+            Class::WaitForReadiness => {
+                direction.errors_since.set(None);
+                ready.clear_ready();
+            }
+            Class::ConnectionOver if !direction.outlasts(&error, socket) => return Poll::Ready(Err(error)),
+            Class::Permanent => return Poll::Ready(Err(error)),
+            Class::OutOfResources | Class::ConnectionOver => {
                 let mut rest = Box::pin(sleep(NO_MEMORY_REST));
                 if rest.as_mut().poll(cx).is_pending() {
-                    *rests.borrow_mut() = Some(rest);
+                    *direction.rest.borrow_mut() = Some(rest);
                     return Poll::Pending;
                 }
             }
-            Class::ConnectionOver | Class::Permanent => return Poll::Ready(Err(error)),
         }
     }
 }
--- a/tests/fault_shim/src/calls.rs
+++ b/tests/fault_shim/src/calls.rs
@@ -50,11 +50,31 @@
     }};
 }
 
+/// Breaks a connection off, as far as both ends are concerned.
+fn disconnect(descriptor: c_int) {
+    let nowhere = sockaddr { sa_family: libc::AF_UNSPEC as libc::sa_family_t, sa_data: [0; 14] };
+    // SAFETY: the address lives through the call, and the size is its own.
+    unsafe { libc::syscall(libc::SYS_connect, descriptor, &raw const nowhere, size_of::<sockaddr>()) };
+}
+
+/// Sets the error that a fault gives to a call, where it gives one.
+fn fails(fault: Option<Fault>, descriptor: c_int) -> bool {
+    let error = match fault {
+        Some(Fault::Error(error)) => error,
+        Some(Fault::Broken(error)) => {
+            disconnect(descriptor);
+            error
+        }
+        Some(Fault::Short(_) | Fault::Step(_)) | None => return false,
+    };
+    set_errno(error);
+    true
+}
+
 /// Ends the call where the plan says so.
 macro_rules! fail {
     ($call:expr, $descriptor:expr) => {
-        if let Some(Fault::Error(error)) = fault($call, $descriptor) {
-            set_errno(error);
+        if fails(fault($call, $descriptor), $descriptor) {
             return -1;
         }
     };
@@ -64,11 +84,8 @@
 macro_rules! fail_or_cut {
     ($call:expr, $descriptor:expr, $length:expr) => {
         match fault($call, $descriptor) {
-            Some(Fault::Error(error)) => {
-                set_errno(error);
-                return -1;
-            }
             Some(Fault::Short(most)) => $length.min(most.max(1)),
+            fault if fails(fault, $descriptor) => return -1,
             _ => $length,
         }
     };
@@ -157,16 +174,13 @@
 #[no_mangle]
 pub unsafe extern "C" fn writev(fd: c_int, from: *const iovec, count: c_int) -> ssize_t {
     match fault(Call::Writev, fd) {
-        Some(Fault::Error(error)) => {
-            set_errno(error);
-            -1
-        }
         Some(Fault::Short(most)) if count > 0 => {
             // SAFETY: the caller gives at least one piece.
             let mut first = unsafe { *from };
             first.iov_len = first.iov_len.min(most.max(1));
             real!(c"writev", (c_int, *const iovec, c_int) -> ssize_t, fd, &first, 1)
         }
+        fault if fails(fault, fd) => -1,
         _ => real!(c"writev", (c_int, *const iovec, c_int) -> ssize_t, fd, from, count),
     }
 }
--- a/tests/fault_shim/src/plan.rs
+++ b/tests/fault_shim/src/plan.rs
@@ -3,7 +3,8 @@
 //! A rule is `CALL:FAULT:PROBABILITY`, with options behind it that are separated by `:` as well:
 //!
 //! - CALL is a name of [`Call`], as `recv` or `accept4`.
-//! - FAULT is the name of an error, as `EINTR`; `short=N`: at most N bytes are moved; or, for `clock` alone, `step=MS`: the
+//! - FAULT is the name of an error, as `EINTR`; `broken=ERROR`: the same, of a connection that is over from then on, as after
+//!   that error of a real one; `short=N`: at most N bytes are moved; or, for `clock` alone, `step=MS`: the
 //!   wall clock is ahead by so many milliseconds (behind, where negative).
 //! - PROBABILITY is from 0 to 1. The first call that a rule applies to fails whatever it is, so that no run of a plan goes
 //!   without a fault of each rule by chance; of two rules for one call the earlier one comes first.
@@ -107,6 +108,8 @@
 pub enum Fault {
     /// It fails with this error number.
     Error(c_int),
+    /// Its connection breaks, and it fails with this error number.
+    Broken(c_int),
     /// It moves so many bytes at most.
     Short(usize),
     /// The wall clock is ahead by so many milliseconds.
@@ -179,6 +182,7 @@
 
 fn fault(text: &str) -> Option<Fault> {
     match text.split_once('=') {
+        Some(("broken", error)) => named(&ERRORS, error).map(Fault::Broken),
         Some(("short", most)) => most.parse().ok().map(Fault::Short),
         Some(("step", ms)) => ms.parse().ok().map(Fault::Step),
         Some(_) => None,
--- a/tests/fault_soak.rs
+++ b/tests/fault_soak.rs
@@ -28,7 +28,7 @@
 const CROWD: usize = 150;
 
 /// Faults of single calls, at any time.
-const OF_SOCKETS: [&str; 31] = [
+const OF_SOCKETS: [&str; 34] = [
     "recv:EINTR",
     "recv:short=40",
     "recv:short=1",
@@ -59,7 +59,10 @@
     "getsockopt:ENOBUFS",
     "close:EIO",
     "shutdown:ENOBUFS",
-    "recv:ETIMEDOUT:0.005:on=dialled",
+    "recv:broken=ETIMEDOUT:0.005:on=dialled",
+    "recv:ETIMEDOUT",
+    "recv:EHOSTUNREACH",
+    "writev:EHOSTUNREACH",
 ];
 /// Faults of what the node needs beside: signals, files, the wall clock. Each holds as it stands.
 const OF_THE_REST: [&str; 8] = [
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -86,10 +86,17 @@
 /// Unsafe requests may not be repeated, and a third of all are: they fail, and are answered.
 #[test]
 fn a_broken_connection_to_a_server_leaves_no_request_unanswered() {
-    let plan = "recv:ETIMEDOUT:0.03:on=dialled;writev:EHOSTUNREACH:0.03:on=dialled";
+    let plan = "recv:broken=ETIMEDOUT:0.03:on=dialled;writev:broken=EHOSTUNREACH:0.03:on=dialled";
     kept_under(plan, Load::default(), 0.8);
 }
 
+/// The way to the other end may report an error that passes.
+#[test]
+fn an_error_of_a_connection_that_is_not_over_ends_none() {
+    let plan = "recv:ETIMEDOUT:0.03;recv:EHOSTUNREACH:0.03;writev:EHOSTUNREACH:0.03;send:ENETUNREACH:0.03";
+    kept_under(plan, Load { leaves: 7, ..Load::default() }, 0.97);
+}
+
 #[test]
 fn options_that_can_not_be_set_or_read_cost_no_connection() {
     let plan = "setsockopt:ENOBUFS:0.3:from_ms=500;shutdown:ENOTCONN:0.2;close:EINTR:0.2;close:EIO:0.2";
