--- a/tests/fault_shim/src/state.rs
+++ b/tests/fault_shim/src/state.rs
@@ -20,7 +20,8 @@
     seed: u64,
     draws: AtomicU64,
     switch: Option<CString>,
-    began_ms: u64,
+    /// The earliest time that was seen.
+    began_ms: AtomicU64,
 }
 
 static STATE: OnceLock<State> = OnceLock::new();
@@ -70,7 +71,7 @@
             seed: seed.unwrap_or(1),
             draws: AtomicU64::new(0),
             switch: switch.and_then(|path| CString::new(path).ok()),
-            began_ms: now_ms(),
+            began_ms: AtomicU64::new(now_ms()),
         }
     }
 
@@ -83,7 +84,7 @@
         if rule.call != call || rule.on.is_some_and(|kind| !is_of_kind(descriptor, kind)) {
             return None;
         }
-        let age = now_ms().saturating_sub(self.began_ms);
+        let age = self.age_ms();
         if age < rule.from_ms || age - rule.from_ms >= rule.for_ms || !self.switched_on() {
             return None;
         }
@@ -98,6 +99,14 @@
         Some(rule.fault)
     }
 
+    /// How old the process is by the clock that it sees. Another preloaded library may put a clock of its own in the place of the
+    /// kernel's once the process runs, which then begins anew.
+    fn age_ms(&self) -> u64 {
+        let now = now_ms();
+        let began = self.began_ms.fetch_min(now, Ordering::Relaxed).min(now);
+        now - began
+    }
+
     fn switched_on(&self) -> bool {
         let Some(path) = &self.switch else { return true };
         // SAFETY: the path is a C string that lives through the call.
