--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -8,14 +8,16 @@
 use magpietally_os_error::{classify, retry, Call, Class};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use tokio::io::unix::AsyncFd;
-use tokio::task::yield_now;
+use tokio::time::sleep;
 
 use crate::register::register;
 
 /// Connections that the kernel may hold until they are accepted.
 const BACKLOG: i32 = 1024;
-/// After so many connections in a row that were over before they were accepted, others have their turn.
-const FAILED_IN_A_ROW: usize = 64;
+/// After so many connections in a row that were over before they were accepted, accepting rests.
+const FAILED_IN_A_ROW: usize = 16;
+/// For how long.
+const FAILED_REST: Duration = Duration::from_millis(1);
 
 /// How long after a shortage the backlog may still hold connections that came during it. A thousand are accepted within less.
 const CAUGHT_UP_WITHIN: Duration = Duration::from_millis(50);
@@ -129,7 +131,7 @@
             }
             // Where they were not taken out of the backlog, others wait behind them.
             self.note_failure();
-            yield_now().await;
+            sleep(FAILED_REST).await;
         }
     }
 
--- a/crates/os_error/src/retry.rs
+++ b/crates/os_error/src/retry.rs
@@ -35,8 +35,9 @@
     }
 }
 
-/// How often a call that was interrupted is repeated at once by a thread that others wait for.
-const INTERRUPTIONS_MOST: u32 = 64;
+/// How often a call that was interrupted is repeated at once by a thread that others wait for. Each takes processor time from
+/// them, on each of their connections.
+const INTERRUPTIONS_MOST: u32 = 8;
 
 /// The interruptions of one call in a row, for a thread that serves others: they are repeated at once, but not without end.
 #[derive(Debug, Default)]
