Each fleet of a test process has a loopback address of its own

Cause: two tests of faults_peers start fleets, and run at the same time in one process: the second to listen at an address ended, and its test with it. It had been run alone until now.

Change: the fleet's number is part of its address.

--- a/tests/faults_disk.rs
+++ b/tests/faults_disk.rs
@@ -130,7 +130,7 @@
     let named = |node| three::config(&registry, node);
     let faults = Faults::switched_off("sync:EIO:1", 3);
     let start = |node: usize| {
-        let args = ["--fleet", &three::file(&place, node)];
+        let args = ["--fleet", &three::file(&place, 0, node)];
         match node {
             0 => Node::listening_with_faults(&named(node), &faults, &args),
             _ => Node::listening_with_args(&named(node), &args),
--- a/tests/faults_peers.rs
+++ b/tests/faults_peers.rs
@@ -117,7 +117,7 @@
     let nodes: Vec<(Node, Faults)> = (0..3)
         .map(|node| {
             let faults = Faults::new(OF_SOCKETS, 30 + node as u64);
-            let (told, file) = (three::config(&registry, node), three::file(&place, node));
+            let (told, file) = (three::config(&registry, node), three::file(&place, 0, node));
             (Node::listening_with_faults(&told, &faults, &["--fleet", &file]), faults)
         })
         .collect();
@@ -143,7 +143,7 @@
     let operators = ledger_file(&place, "process-crash");
     let start = |node: usize, seed: u64| {
         let faults = Faults::new(&plan, seed);
-        let fleet = three::file(&place, node);
+        let fleet = three::file(&place, 1, node);
         let membership = membership_file(&place, 10 + node, 10 + (node + 1) % 3);
         let mut args = vec!["--fleet", &fleet, "--membership", &membership];
         if node == 0 {
