--- /dev/null
+++ b/review/standins/client.rs
@@ -0,0 +1,84 @@
+//! A client's connection to a node.
+
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use crate::http::{read_message, Message};
+
+/// One connection, with one request at a time.
+pub struct Client {
+    out: TcpStream,
+    from: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn on(stream: TcpStream) -> Self {
+        let _ = stream.set_nodelay(true);
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(20)));
+        let from = BufReader::new(stream.try_clone().expect("a descriptor"));
+        Self { out: stream, from }
+    }
+
+    /// Connects to a node.
+    pub fn connect(address: SocketAddr) -> Option<Self> {
+        TcpStream::connect(address).ok().map(Self::on)
+    }
+
+    /// Sends a request and reads its answer; `None` if the connection ends before the head of an answer.
+    pub fn exchange(&mut self, request: &str) -> Option<Message> {
+        self.out.write_all(request.as_bytes()).ok()?;
+        read_message(&mut self.from)
+    }
+}
+
+/// A client that keeps its connection, and opens another when the node has closed it.
+pub struct KeptClient {
+    address: SocketAddr,
+    client: Option<Client>,
+}
+
+impl KeptClient {
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, client: None }
+    }
+
+    /// Sends a request and reads its answer. If the node closes a kept connection and the request crosses that, it
+    /// is sent once more on a new connection, as the protocol has it.
+    pub fn exchange(&mut self, request: &str) -> Option<Message> {
+        if let Some(client) = &mut self.client {
+            if let Some(answer) = client.exchange(request) {
+                return self.keep(answer);
+            }
+        }
+        self.client = Client::connect(self.address);
+        let answer = self.client.as_mut()?.exchange(request);
+        match answer {
+            Some(answer) => self.keep(answer),
+            None => {
+                self.client = None;
+                None
+            }
+        }
+    }
+
+    fn keep(&mut self, answer: Message) -> Option<Message> {
+        if answer.closes() || !answer.whole {
+            self.client = None;
+        }
+        Some(answer)
+    }
+}
+
+/// A request of a class of `lahore-main`.
+pub fn request(class: &str, txn: &str, remaining_ms: u64) -> String {
+    let common =
+        format!("Host: service.internal\r\nX-Txn: {txn}\r\nX-Org: punjab-clubs\r\nCookie: user=7f3a9c21e0b4d655\r\nX-Remaining-Ms: {remaining_ms}\r\n");
+    match class {
+        "lookup" => format!("GET /lookup/{txn} HTTP/1.1\r\n{common}\r\n"),
+        "fee-payment" => {
+            format!("POST /fee-payment HTTP/1.1\r\n{common}Idempotency-Key: key-{txn}\r\nContent-Length: 4\r\n\r\nform")
+        }
+        _ => format!("POST /signup HTTP/1.1\r\n{common}Content-Length: 4\r\n\r\nform"),
+    }
+}
--- /dev/null
+++ b/review/standins/server.rs
@@ -0,0 +1,93 @@
+//! An app box: HTTP/1.1, a request at a time on a connection.
+
+use std::io::{self, BufReader};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::Duration;
+
+use crate::http::{read_message, Message};
+
+/// A connection to write an answer to.
+pub type Out = Arc<Mutex<TcpStream>>;
+
+/// What a server does with a request: it works, and writes the answer to the connection.
+type Handler = dyn Fn(&Message, &Out) -> io::Result<()> + Send + Sync;
+
+/// A server that runs.
+pub struct Server {
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Default)]
+struct State {
+    stopped: bool,
+    open: Vec<TcpStream>,
+}
+
+impl Server {
+    /// Starts a server.
+    pub fn start(handler: impl Fn(&Message, &Out) -> io::Result<()> + Send + Sync + 'static) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let handler: Arc<Handler> = Arc::new(handler);
+        let state: Arc<Mutex<State>> = Arc::default();
+        let shared = state.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let mut state = shared.lock().unwrap();
+                if state.stopped {
+                    return;
+                }
+                let Ok(copy) = stream.try_clone() else { return };
+                state.open.push(copy);
+                let handler = handler.clone();
+                std::thread::spawn(move || serve(stream, &*handler));
+            }
+        });
+        Ok(Self { address, state })
+    }
+
+    /// Ends the server as the end of its process would: its connections break and new ones are refused.
+    pub fn stop(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.stopped = true;
+        for stream in state.open.drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        drop(state);
+        // Wakes the listener, which then ends.
+        let _ = TcpStream::connect(self.address);
+    }
+}
+
+fn serve(stream: TcpStream, handler: &Handler) -> Option<()> {
+    stream.set_nodelay(true).ok()?;
+    let out = Arc::new(Mutex::new(stream.try_clone().ok()?));
+    let mut from = BufReader::new(stream.try_clone().ok()?);
+    while let Some(request) = read_message(&mut from) {
+        if !request.whole || handler(&request, &out).is_err() || request.closes() {
+            break;
+        }
+    }
+    stream.shutdown(Shutdown::Both).ok()
+}
+
+/// The cores of a server: so many requests are in work at once, the others wait.
+pub struct Cores(Mutex<usize>, Condvar);
+
+impl Cores {
+    pub fn new(count: usize) -> Self {
+        Self(Mutex::new(count), Condvar::new())
+    }
+
+    /// Works for this time on a core, after a wait for one.
+    pub fn work(&self, time: Duration) {
+        let mut free = self.1.wait_while(self.0.lock().unwrap(), |count| *count == 0).unwrap();
+        *free -= 1;
+        drop(free);
+        std::thread::sleep(time);
+        *self.0.lock().unwrap() += 1;
+        self.1.notify_one();
+    }
+}
