--- a/review/standins/case2.rs
+++ b/review/standins/case2.rs
@@ -26,10 +26,10 @@
 /// From the start of the clients on: when discovery becomes crowded, when the drain begins, when the drained server's
 /// process ends, when discovery is no longer crowded, and when the clients stop.
 const CROWDED_AT: Duration = Duration::from_millis(3000);
-const DRAIN_AT: Duration = Duration::from_millis(4000);
-const SERVER_ENDS_AT: Duration = Duration::from_millis(14000);
-const CROWDED_UNTIL: Duration = Duration::from_millis(15000);
-const CLIENTS_UNTIL: Duration = Duration::from_millis(18000);
+const DRAIN_AT: Duration = Duration::from_millis(3300);
+const SERVER_ENDS_AT: Duration = Duration::from_millis(11300);
+const CROWDED_UNTIL: Duration = Duration::from_millis(12000);
+const CLIENTS_UNTIL: Duration = Duration::from_millis(16000);
 /// How long a call waits before it fails: `timeout_ms` of the site.
 const CALL_FAILS_AFTER: Duration = Duration::from_millis(2000);
 
--- a/review/standins/node.rs
+++ b/review/standins/node.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -12,15 +13,18 @@
 use crate::discovery::Discovery;
 use crate::record::Record;
 
-#[allow(dead_code)]
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
 
 /// How long a node may take to be ready: the limit of the standing test.
 const READY_WITHIN: Duration = Duration::from_secs(30);
 
+/// `PR_SET_PDEATHSIG` of prctl(2): the signal that a process gets when the thread that started it ends.
+const PARENT_DEATH_SIGNAL: i32 = 1;
+
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 /// The processes that run, and the folders to remove.
@@ -85,7 +89,15 @@
         );
         fs::write(&config, text)?;
         let log = fs::File::create(folder.join("log"))?;
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        // A node does not outlive a case that is ended from outside.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PARENT_DEATH_SIGNAL, SIGKILL as std::ffi::c_ulong);
+                Ok(())
+            })
+        };
+        let child = command
             .args(["-c", &run_command()?])
             .env("BALANCER_NAME", &name)
             .env("BALANCER_LISTEN", address.to_string())
@@ -124,7 +136,6 @@
     }
 
     /// Sends a signal to its process, if that still runs.
-    #[allow(dead_code)]
     pub fn signal(&mut self, signal: i32) {
         let running = !self.has_ended();
         self.record.line(format!("{}: signal {signal}{}", self.name, if running { "" } else { ", but it has ended" }));
