Review, a case of memory: many bodies of 64 KiB take a node over its limit

Claimed: the limits on connections allow what the memory limit does not. A node with 32 MB and 512 descriptors, with a third of these in use by clients whose bodies and answers are of 64 KiB, goes over its memory limit, and is killed with what it has. The code is max_client_connections in crates/http/src/config.rs, and what is held per connection.

--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -82,3 +82,12 @@
         _ => format!("POST /signup HTTP/1.1\r\n{common}Content-Length: 4\r\n\r\nform"),
     }
 }
+
+/// A `POST` with a body of this size.
+pub fn request_with_body(class: &str, txn: &str, remaining_ms: u64, bytes: usize) -> String {
+    let head = format!(
+        "POST /{class} HTTP/1.1\r\nHost: service.internal\r\nX-Txn: {txn}\r\nX-Org: punjab-clubs\r\nX-Remaining-Ms: {remaining_ms}\r\n\
+         Content-Length: {bytes}\r\n\r\n"
+    );
+    head + &"f".repeat(bytes)
+}
