Review, case 3: a client that reads slowly and steadily is cut off

Claimed: a client that takes a long answer at 64 kB a second is taken for one that reads nothing. The kernel says that a full socket can be written again only when a third of its buffer is free, for which such a client needs longer than the 12 s that the node waits. The code is overdue_reason with STREAMED_WRITE_TIMEOUT in crates/http/src/clients.rs.

--- a/review/standins/case3.rs
+++ b/review/standins/case3.rs
@@ -1,58 +1,100 @@
-//! A planned restart while long answers are on their way.
+//! A client that reads a long answer at 64 kB a second, without a pause.
 //!
-//! Two nodes and two app boxes. Clients fetch answers of some hundred kB that their server gives in pieces. One node is
-//! told to end (SIGTERM); SIGKILL follows some seconds later. The servers go on giving all the time.
+//! Two nodes and two app boxes, which give their answers as fast as they are taken. One client reads slowly and steadily.
 
-use std::io::Write;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::client::{request, Client};
+use crate::client::request;
 use crate::discovery::{Discovery, Host};
-use crate::node::{Node, SIGKILL, SIGTERM};
+use crate::node::Node;
 use crate::record::Record;
 use crate::server::Server;
 use crate::Verdict;
 
 const NODES: usize = 2;
 const SERVERS: usize = 2;
-/// Size of one piece of an answer, and the time between two.
-const PIECE_BYTES: usize = 16 * 1024;
-const PIECE_EVERY: Duration = Duration::from_millis(50);
-/// From the clients' start on: when SIGTERM is sent.
-const TERM_AT: Duration = Duration::from_millis(500);
-/// How long after SIGTERM the answers are complete if nobody cuts them off. The first is complete before the earliest
-/// SIGKILL that the pages allow: 1 s, the longest deadline of the settings, and 0.7 s.
-const COMPLETE_AFTER_TERM: [Duration; 4] =
-    [Duration::from_millis(1600), Duration::from_millis(2000), Duration::from_millis(3000), Duration::from_millis(4000)];
-/// How long after SIGTERM the platform sends SIGKILL.
-const KILL_AFTER_TERM: Duration = Duration::from_millis(7000);
+const ANSWER_BYTES: usize = 16_000_000;
+/// What the slow clients read a second.
+const SLOW_RATE: usize = 64_000;
+/// How long they read so. After that, or once a server has seen that the node has closed the connection, they read on as
+/// fast as they can, to see whether the answer is whole.
+const SLOW_FOR: Duration = Duration::from_secs(80);
 
-/// The number of pieces of an answer that is complete so long after SIGTERM.
-fn pieces(complete: Duration) -> usize {
-    ((TERM_AT + complete).as_millis() / PIECE_EVERY.as_millis()) as usize
-}
+/// The requests whose connection the node has closed before the server had given all.
+type CutOff = Arc<Mutex<Vec<String>>>;
 
-fn start_server(name: String, record: Record) -> std::io::Result<Server> {
+fn start_server(name: String, record: Record, cut_off: CutOff) -> std::io::Result<Server> {
     Server::start(move |asked, out| {
         let txn = asked.header("x-txn").unwrap_or("none").to_string();
-        let count = txn.rsplit('-').next().and_then(|n| n.parse().ok()).unwrap_or(1);
-        record.line(format!("{name}: runs {txn}, answers with {count} pieces"));
-        let mut out = out.lock().unwrap();
+        record.line(format!("{name}: runs {txn}"));
         let began = Instant::now();
-        write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", count * PIECE_BYTES)?;
-        for n in 0..count {
-            if let Err(error) = out.write_all(&[b'a' + (n % 26) as u8; PIECE_BYTES]) {
-                record.line(format!("{name}: the node has closed the connection of {txn} behind piece {n} of {count}"));
+        let mut out = out.lock().unwrap();
+        write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {ANSWER_BYTES}\r\n\r\n")?;
+        let piece = [b'x'; 16_000];
+        for n in 0..ANSWER_BYTES / piece.len() {
+            if let Err(error) = out.write_all(&piece) {
+                let after = began.elapsed().as_secs_f64();
+                record.line(format!("{name}: the node has closed the connection of {txn} after {after:.1} s, {} bytes were written", n * piece.len()));
+                cut_off.lock().unwrap().push(txn);
                 return Err(error);
             }
-            std::thread::sleep((began + PIECE_EVERY * (n as u32 + 1)).saturating_duration_since(Instant::now()));
         }
         record.line(format!("{name}: has given all of {txn}"));
         Ok(())
     })
 }
 
+/// Reads an answer, at first at the slow rate if `slowly`. Returns whether it came whole.
+fn read_answer(address: std::net::SocketAddr, class: &str, txn: &str, slowly: bool, cut_off: &CutOff, record: &Record) -> std::io::Result<bool> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.write_all(request(class, txn, 1000).as_bytes())?;
+    let began = Instant::now();
+    let (mut read, mut head_end, mut head) = (0usize, None, Vec::new());
+    let mut buffer = vec![0; 16_000];
+    let mut longest_pause = Duration::ZERO;
+    let mut last = Instant::now();
+    let ended = loop {
+        let slow = slowly && began.elapsed() < SLOW_FOR && !cut_off.lock().unwrap().iter().any(|t| t == txn);
+        let mut take = buffer.len();
+        if slow {
+            let allowed = (began.elapsed().as_secs_f64() * SLOW_RATE as f64) as usize;
+            if allowed < read + 3200 {
+                std::thread::sleep(Duration::from_millis(10));
+                continue;
+            }
+            take = 3200;
+        }
+        match stream.read(&mut buffer[..take]) {
+            Ok(0) => break "the end of the connection",
+            Ok(count) => {
+                if head_end.is_none() {
+                    head.extend_from_slice(&buffer[..count]);
+                    head_end = head.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4);
+                }
+                read += count;
+                if slow {
+                    longest_pause = longest_pause.max(last.elapsed());
+                }
+                last = Instant::now();
+                if head_end.is_some_and(|end| read >= end + ANSWER_BYTES) {
+                    break "the last byte";
+                }
+            }
+            Err(_) => break "a broken connection",
+        }
+    };
+    let body = read.saturating_sub(head_end.unwrap_or(read));
+    record.line(format!(
+        "client: {class} {txn}: {body} of {ANSWER_BYTES} bytes, then {ended}, after {:.1} s; the longest pause between two reads was {:.0} ms",
+        began.elapsed().as_secs_f64(),
+        longest_pause.as_secs_f64() * 1e3
+    ));
+    Ok(body == ANSWER_BYTES)
+}
+
 pub fn run(record: &Record, trouble: bool) -> Verdict {
     match play(record, trouble) {
         Ok(verdict) => verdict,
@@ -61,10 +103,11 @@
 }
 
 fn play(record: &Record, trouble: bool) -> std::io::Result<Verdict> {
+    let cut_off: CutOff = Arc::default();
     let (mut servers, mut hosts) = (Vec::new(), Vec::new());
     for n in 0..SERVERS {
         let name = format!("s{n}");
-        let server = start_server(name.clone(), record.clone())?;
+        let server = start_server(name.clone(), record.clone(), cut_off.clone())?;
         hosts.push(Host { dial: server.address, name, health: "active" });
         servers.push(server);
     }
@@ -73,49 +116,26 @@
     for n in 0..NODES {
         nodes.push(Node::start(n, NODES, &discovery, record)?);
     }
-    std::thread::sleep(Duration::from_millis(500));
-    let start = Instant::now();
-    let killed: Arc<Mutex<Option<Instant>>> = Arc::default();
     let mut clients = Vec::new();
-    for (n, complete) in COMPLETE_AFTER_TERM.into_iter().enumerate() {
-        let (record, address, killed) = (record.clone(), nodes[0].address, killed.clone());
+    for n in 0..4 {
+        let (record, cut_off, address) = (record.clone(), cut_off.clone(), nodes[n % NODES].address);
         clients.push(std::thread::spawn(move || {
-            let txn = format!("long{n}-{}", pieces(complete));
-            let class = ["lookup", "signup"][n % 2];
-            let answer = Client::connect(address).and_then(|mut c| c.exchange(&request(class, &txn, 1000)));
-            let before_kill = killed.lock().unwrap().is_none();
-            let (status, bytes, whole) = answer.map_or((0, 0, false), |a| (a.status(), a.body.len(), a.whole));
-            let of = pieces(complete) * PIECE_BYTES;
-            record.line(format!("client: {class} {txn}: {status}, {bytes} of {of} bytes, whole: {whole}, before SIGKILL: {before_kill}"));
-            (status == 200 && whole && bytes == of, before_kill)
+            let (class, slowly) = (["lookup", "lookup", "signup", "signup"][n], trouble && n % 2 == 0);
+            read_answer(address, class, &format!("long{n}"), slowly, &cut_off, &record)
         }));
     }
-    std::thread::sleep((start + TERM_AT).saturating_duration_since(Instant::now()));
-    if trouble {
-        nodes[0].signal(SIGTERM);
-        while start.elapsed() < TERM_AT + KILL_AFTER_TERM && !nodes[0].has_ended() {
-            std::thread::sleep(Duration::from_millis(5));
-        }
-        let after = (start.elapsed() - TERM_AT).as_millis();
-        if nodes[0].has_ended() {
-            record.line(format!("n0: has ended by itself, {after} ms after SIGTERM"));
-        } else {
-            *killed.lock().unwrap() = Some(Instant::now());
-            nodes[0].signal(SIGKILL);
-        }
-    }
-    let (mut whole, mut cut, mut cut_by_kill) = (0, 0, 0);
+    let (mut whole, mut cut) = (0, 0);
     for client in clients {
-        match client.join().map_err(|_| std::io::Error::other("a client failed"))? {
-            (true, _) => whole += 1,
-            (false, true) => cut += 1,
-            (false, false) => cut_by_kill += 1,
+        match client.join().map_err(|_| std::io::Error::other("a client failed"))?? {
+            true => whole += 1,
+            false => cut += 1,
         }
     }
-    let text = format!("{whole} answers came whole, {cut} were cut off by the node, {cut_by_kill} by SIGKILL");
+    let ended = nodes.iter_mut().any(Node::has_ended);
+    let text = format!("{whole} answers came whole, {cut} were cut off by their node{}", if ended { "; a node has ended" } else { "" });
     Ok(if cut > 0 {
         Verdict::Broken(text)
-    } else if whole == 0 {
+    } else if ended {
         Verdict::CouldNotRun(text)
     } else {
         Verdict::Held(text)
