Try blocked writes again each second, so that slow readers are not cut off

Cause: progress of a peer was measured by accepted writes, and a write was made only when the poller reported the socket as writable. Linux reports a full socket only once a third of its send buffer is free: 18 to 24 s at 64 kB/s by a probe.

Change: magpietally-net tries a blocked write again each second and goes on until the kernel accepts nothing more. The limits get an allowance for a receiver that announces no free space until a sixteenth of its buffer is free (9.1 s without an acknowledgement by the probe). The log line of the close says how long nothing was accepted.

Tests: a_blocked_write_continues_while_most_of_the_send_buffer_is_full and four tests of tests/slow_peers.rs failed before and pass. The six others passed before: the other directions, and peers that read nothing.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -21,8 +21,9 @@
 use crate::pool::{Pool, PooledConnection};
 use crate::watched_stream::WatchedStream;
 
-/// How long a server may send nothing of a response that it has begun while the client could accept more, and
-/// how long it may accept nothing of a streamed request.
+/// How long a server may send nothing of a response that it has begun while the client could accept more, and,
+/// with the allowance of [`WatchedStream::write_stall_limit`], how long it may accept nothing of a streamed
+/// request.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Minimum progress of a response without a length in each [`MIN_PROGRESS_INTERVAL`] after the client's
 /// deadline, until the response has proved to be large. Such a response may be a large one that is slow or a
@@ -443,7 +444,7 @@
         biased;
         result = &mut exchange => return Some(result),
         () = upload.finished() => {}
-        () = connection.write_stalled_for(STALL_TIMEOUT) => return None,
+        () = connection.write_stalled(STALL_TIMEOUT) => return None,
     }
     tokio::time::timeout(span, exchange).await.ok()
 }
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -36,9 +36,10 @@
 type Node = Core<HttpTransport>;
 type Asked = magpietally_core::ClientRequest<UpstreamRequest>;
 
-/// How long a client may accept nothing of a buffered response.
+/// How long a client may accept nothing of a buffered response, before the allowance of
+/// [`WatchedStream::write_stall_limit`].
 const RESPONSE_WRITE_TIMEOUT: Duration = Duration::from_secs(5);
-/// How long a client may accept nothing of a streamed response, whose server may pause for a while.
+/// The same for a streamed response, whose server may pause for a while.
 const STREAMED_WRITE_TIMEOUT: Duration = Duration::from_secs(12);
 /// How long a new connection may send nothing. Misbehaving clients open hundreds of such connections.
 const FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(2400);
@@ -171,12 +172,13 @@
             }
             ConnectionPhase::Busy => None,
             ConnectionPhase::Answering => {
-                let timeout = if client.stream.is_streaming() {
+                let base = if client.stream.is_streaming() {
                     STREAMED_WRITE_TIMEOUT
                 } else {
                     RESPONSE_WRITE_TIMEOUT
                 };
-                (age >= timeout).then_some(CloseReason::SlowReader)
+                let unread = CloseReason::Unread { stalled_for: age, sent_bytes: client.stream.sent_bytes() };
+                (age >= client.stream.write_stall_limit(base)).then_some(unread)
             }
         }
     }
--- a/crates/http/src/clients/close_reason.rs
+++ b/crates/http/src/clients/close_reason.rs
@@ -1,6 +1,7 @@
 //! The reasons for which the node closes connections of clients, and their log lines.
 
 use std::fmt;
+use std::time::Duration;
 
 use super::{ClientConnection, ClientConnections};
 use crate::watched_stream::ConnectionPhase;
@@ -15,7 +16,12 @@
     /// Its request took too long to arrive.
     SlowRequest,
     /// The client did not read its response.
-    SlowReader,
+    Unread {
+        /// How long it has accepted nothing.
+        stalled_for: Duration,
+        /// Number of bytes that were written to the connection before.
+        sent_bytes: u64,
+    },
     /// It made room for a new connection.
     Evicted,
     /// The node is draining or stopping.
@@ -24,14 +30,21 @@
 
 impl fmt::Display for CloseReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+        let text = match self {
+            Self::Unread { stalled_for, sent_bytes } => {
+                let seconds = stalled_for.as_secs_f64();
+                return write!(
+                    f,
+                    "the client does not read its response: no bytes accepted for {seconds:.1} s after {sent_bytes}"
+                );
+            }
             Self::Silent => "no bytes received",
             Self::Idle => "idle timeout",
             Self::SlowRequest => "request timeout",
-            Self::SlowReader => "the client does not read its response",
             Self::Evicted => "evicted for a new connection",
             Self::Leaving => "the node is draining or stopping",
-        })
+        };
+        f.write_str(text)
     }
 }
 
--- a/crates/http/src/watched_stream.rs
+++ b/crates/http/src/watched_stream.rs
@@ -16,6 +16,7 @@
 
 use crate::message::BUFFERED_BODY_MAX_BYTES;
 use crate::request_scanner::RequestScanner;
+use crate::write_stall::{write_stall_limit, MIN_PEER_BYTES_PER_SECOND};
 use progress::{MessageProgress, ResponseProgress, LAST_CHUNK};
 
 mod progress;
@@ -28,8 +29,8 @@
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2700);
 /// How long the node may wait for a request's body in total, before the allowance for its bytes.
 const BODY_WAIT_BASE: Duration = Duration::from_millis(600);
-/// Additional waiting time for each byte of the body: slow clients send 64 kB/s.
-const BODY_WAIT_PER_BYTE: Duration = Duration::from_nanos(1_000_000_000 / 48_000);
+/// Additional waiting time for each byte of the body.
+const BODY_WAIT_PER_BYTE: Duration = Duration::from_nanos(1_000_000_000 / MIN_PEER_BYTES_PER_SECOND);
 /// Longest single pause in a body, however fast it arrived before.
 const BODY_PAUSE_MAX: Duration = Duration::from_millis(1500);
 
@@ -52,6 +53,8 @@
     sent: RefCell<MessageProgress>,
     /// The metrics that count the attempt once the kernel has accepted its last byte.
     attempt_metrics: RefCell<Option<Metrics>>,
+    /// Number of bytes that the kernel has accepted, of all messages.
+    sent_bytes: Cell<u64>,
     /// When the kernel last accepted bytes of the message, or the message was begun.
     last_write_at: Cell<tokio::time::Instant>,
     /// What was received since the message was begun.
@@ -103,6 +106,7 @@
             inner,
             sent: RefCell::default(),
             attempt_metrics: RefCell::default(),
+            sent_bytes: Cell::new(0),
             last_write_at: Cell::new(tokio::time::Instant::now()),
             response: RefCell::default(),
             phase: Cell::new(ConnectionPhase::Idle),
@@ -172,12 +176,23 @@
         self.sent.borrow().started
     }
 
-    /// Waits until the kernel has accepted no bytes of the message for `span`.
-    pub async fn write_stalled_for(&self, span: Duration) {
+    /// Number of bytes that the kernel has accepted, of all messages on the connection.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.get()
+    }
+
+    /// How long the peer may accept nothing before it counts as one that does not read: `base`, and an
+    /// allowance for what it may read unnoticed.
+    pub fn write_stall_limit(&self, base: Duration) -> Duration {
+        write_stall_limit(base, self.sent_bytes.get())
+    }
+
+    /// Waits until the kernel has accepted no bytes of the message for [`Self::write_stall_limit`].
+    pub async fn write_stalled(&self, base: Duration) {
         loop {
-            let end = self.last_write_at.get() + span;
-            tokio::time::sleep_until(end).await;
-            if end == self.last_write_at.get() + span {
+            let last_write_at = self.last_write_at.get();
+            tokio::time::sleep_until(last_write_at + self.write_stall_limit(base)).await;
+            if last_write_at == self.last_write_at.get() {
                 return;
             }
         }
@@ -366,6 +381,7 @@
 
     fn on_written(&self, bytes: &[u8]) {
         self.sent.borrow_mut().on_sent(bytes);
+        self.sent_bytes.set(self.sent_bytes.get() + bytes.len() as u64);
         self.last_write_at.set(tokio::time::Instant::now());
         if self.is_message_sent() {
             if let Some(metrics) = self.attempt_metrics.take() {
@@ -375,7 +391,7 @@
         if self.phase.get() != ConnectionPhase::Answering {
             return;
         }
-        // Every write restarts the timeout: a client that reads slowly still reads.
+        // Every write restarts the timeout: the peer has read some of what was written before.
         self.phase_since.set(Instant::now());
         if self.is_message_sent() {
             // A pipelined request may be incomplete; the connection is not idle then.
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -14,7 +14,7 @@
 use socket2::SockRef;
 use tokio::io::unix::{AsyncFd, AsyncFdReadyGuard};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
-use tokio::time::{sleep, Sleep};
+use tokio::time::{sleep, Instant as TimerInstant, Sleep};
 
 use crate::register::{register, RegisterError};
 
@@ -32,6 +32,11 @@
     static SCRATCH: RefCell<[u8; READ_MAX_BYTES]> = const { RefCell::new([0; READ_MAX_BYTES]) };
 }
 
+/// The interval in which a blocked write is tried again. Linux reports a full socket as writable only once a
+/// third of its send buffer is free, which may take a peer that reads slowly tens of seconds, but accepts
+/// bytes as soon as any of it is free.
+const BLOCKED_WRITE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// How long errors are tolerated on a connection that the kernel still reports as connected.
 const TOLERATED_ERRORS_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -73,6 +78,11 @@
     unread_since: Cell<Option<Instant>>,
     reading: Direction,
     writing: Direction,
+    /// When a blocked write is tried again; `None` while no write is blocked.
+    blocked_write_timer: RefCell<Option<Pin<Box<Sleep>>>>,
+    /// Whether the last blocked write that was tried again succeeded: the socket accepts bytes although the
+    /// poller does not report it.
+    writes_unreported: Cell<bool>,
 }
 
 impl From<AsyncFd<TcpStream>> for Stream {
@@ -83,6 +93,8 @@
             unread_since: Cell::default(),
             reading: Direction::default(),
             writing: Direction::default(),
+            blocked_write_timer: RefCell::default(),
+            writes_unreported: Cell::new(false),
         };
         stream.disable_nagle();
         stream
@@ -174,14 +186,52 @@
 
     /// Writes some of these bytes and returns how many the kernel accepted.
     pub fn poll_send(&self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        let ready = |cx: &mut Context<'_>| self.registered.poll_write_ready(cx);
-        poll_call(cx, &self.writing, self.socket(), ready, || self.socket().write(bytes))
+        self.poll_write_call(cx, || self.socket().write(bytes))
     }
 
     /// Like [`Stream::poll_send`], but for bytes in several pieces.
     pub fn poll_send_pieces(&self, cx: &mut Context<'_>, pieces: &[IoSlice<'_>]) -> Poll<io::Result<usize>> {
+        self.poll_write_call(cx, || self.socket().write_vectored(pieces))
+    }
+
+    /// Makes a writing call once the poller reports the socket as writable, and also each
+    /// [`BLOCKED_WRITE_INTERVAL`] while it does not.
+    fn poll_write_call(
+        &self,
+        cx: &mut Context<'_>,
+        mut write: impl FnMut() -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
         let ready = |cx: &mut Context<'_>| self.registered.poll_write_ready(cx);
-        poll_call(cx, &self.writing, self.socket(), ready, || self.socket().write_vectored(pieces))
+        let mut written = poll_call(cx, &self.writing, self.socket(), ready, &mut write);
+        if written.is_pending() {
+            written = self.poll_blocked_write(cx, write).map(Ok);
+        }
+        if written.is_ready() {
+            self.blocked_write_timer.take();
+        }
+        written
+    }
+
+    /// Tries a blocked write without waiting for readiness whenever its timer ends, and goes on writing until
+    /// the kernel accepts nothing more. The poller reports errors that end the connection.
+    fn poll_blocked_write(
+        &self,
+        cx: &mut Context<'_>,
+        mut write: impl FnMut() -> io::Result<usize>,
+    ) -> Poll<usize> {
+        let mut timer = self.blocked_write_timer.borrow_mut();
+        let timer = timer.get_or_insert_with(|| Box::pin(sleep(BLOCKED_WRITE_INTERVAL)));
+        loop {
+            if !self.writes_unreported.get() {
+                ready!(timer.as_mut().poll(cx));
+                timer.as_mut().reset(TimerInstant::now() + BLOCKED_WRITE_INTERVAL);
+            }
+            let written = write();
+            self.writes_unreported.set(written.is_ok());
+            if let Ok(count) = written {
+                return Poll::Ready(count);
+            }
+        }
     }
 
     /// Returns whether the last read found nothing to read.
--- a/crates/net/src/tests.rs
+++ b/crates/net/src/tests.rs
@@ -1,4 +1,4 @@
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -24,6 +24,11 @@
     (near, Stream::new(far).expect("the connection can be registered"))
 }
 
+/// Writes some bytes.
+async fn send(stream: &Stream, bytes: &[u8]) -> std::io::Result<usize> {
+    poll_fn(|cx| stream.poll_send(cx, bytes)).await
+}
+
 #[test]
 fn bytes_pass_in_both_directions_until_the_end() {
     run(async {
@@ -45,6 +50,29 @@
     });
 }
 
+/// Guards against a peer that reads slowly being taken for one that reads nothing: the poller reports nothing
+/// until a third of the send buffer is free.
+#[test]
+fn a_blocked_write_continues_while_most_of_the_send_buffer_is_full() {
+    const READ_BYTES: usize = 300_000;
+    run(async {
+        let (near, mut far) = connected_pair().await;
+        let piece = vec![7; 64 * 1024];
+        let mut queued = 0;
+        while let Ok(written) = timeout(Duration::from_millis(200), send(&near, &piece)).await {
+            queued += written.expect("the connection is open");
+        }
+        assert!(queued > 6 * READ_BYTES, "{queued} bytes");
+        for _ in 0..3 {
+            far.read_exact(&mut vec![0; READ_BYTES]).await.expect("the bytes have arrived");
+            let written = timeout(Duration::from_secs(5), send(&near, &piece)).await;
+            assert!(written.expect("the write continues").is_ok_and(|count| count > 0));
+        }
+        let blocked = timeout(Duration::from_secs(3), async { while send(&near, &piece).await.is_ok() {} });
+        assert!(blocked.await.is_err(), "a peer that reads nothing blocks the write");
+    });
+}
+
 #[test]
 fn a_reset_ends_the_connection() {
     run(async {
