Let connections to servers rest in bursts too, and look at each before its reuse

Cause: the pool handed out a connection that had not rested for 8 ms where four or more to the server lay idle. On a path beside it, the check for unread bytes went by the runtime's readiness for GET, which may be one iteration of the event loop old.

Change: no exception, and the kernel is asked before every reuse.

--- a/crates/core/src/servers.rs
+++ b/crates/core/src/servers.rs
@@ -45,6 +45,14 @@
     start_ms: Millis,
 }
 
+impl Endpoint {
+    /// The endpoint of a server that listens at `address` and last started at `start_ms`, in milliseconds of
+    /// Unix time.
+    pub fn new(address: SocketAddr, start_ms: Millis) -> Self {
+        Self { address, start_ms }
+    }
+}
+
 struct Known {
     name: String,
     endpoint: Endpoint,
@@ -172,7 +180,7 @@
         let (zone, kind) = (stable_hash(&listed.zone), stable_hash(&listed.kind));
         let ListedServer { name, cell, state, weight, start_ms, .. } = listed;
         if let Some(address) = address {
-            let endpoint = Endpoint { address, start_ms };
+            let endpoint = Endpoint::new(address, start_ms);
             self.known.insert(server, Known { name, endpoint, state, started, zone, cell, kind, weight });
         }
         Some(ServerEntry { server, zone, cell, kind, state, weight, started })
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -23,9 +23,6 @@
 /// Time for which a connection is not reused after a response. A second, unsolicited response may follow the
 /// first by a few milliseconds and would be taken for the response to the next request.
 const REUSE_DELAY: Duration = Duration::from_millis(8);
-/// Number of a server's idle connections from which on `REUSE_DELAY` no longer holds: a server that busy
-/// would otherwise get a connection for each request.
-const MAX_RESTING: usize = 4;
 
 /// An idle connection. It is not polled while idle, so its state is checked before use.
 pub(crate) struct PooledConnection {
@@ -134,19 +131,16 @@
         all.retain(|_, connections| !connections.is_empty());
     }
 
-    /// Takes the most recently used connection that is still open and past its `REUSE_DELAY`; where too many
-    /// are within that delay, the one that has been idle longest. `ask_kernel` checks the socket with a
-    /// system call, for a request that must not be lost on a closed connection.
-    pub(crate) fn take(&self, server: ServerId, ask_kernel: bool) -> Option<PooledConnection> {
+    /// Takes the most recently used connection that is still open and past its [`REUSE_DELAY`], and on which
+    /// nothing has arrived since its last response. Asks the kernel: the runtime's readiness may miss a
+    /// second response that has just arrived.
+    pub(crate) fn take(&self, server: ServerId) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&server)?;
         loop {
             let rested = connections.partition_point(|l| l.idle_since.elapsed() >= REUSE_DELAY);
-            let at = rested.checked_sub(1).or((connections.len() >= MAX_RESTING).then_some(0))?;
-            let connection = connections.remove(at);
-            let quiet =
-                if ask_kernel { connection.stream.is_quiet() } else { connection.stream.is_quiet_cached() };
-            if connection.idle_since.elapsed() < self.max_idle && quiet {
+            let connection = connections.remove(rested.checked_sub(1)?);
+            if connection.idle_since.elapsed() < self.max_idle && connection.stream.is_quiet() {
                 return Some(connection);
             }
         }
--- a/crates/http/src/pool/tests.rs
+++ b/crates/http/src/pool/tests.rs
@@ -1,3 +1,6 @@
+use std::io::Write;
+use std::net::TcpListener;
+
 use super::*;
 
 /// A machine without a listener refuses the connect; a reset means that something accepted and closed it.
@@ -36,3 +39,23 @@
     assert_eq!(unfinished_connect(Duration::from_millis(100), connect_timeout), Outcome::Unwritten);
     assert_eq!(unfinished_connect(Duration::from_millis(20), connect_timeout), Outcome::NotSent);
 }
+
+/// Guards against a second response, which arrived unnoticed by the runtime, being taken for the response to
+/// the next request on its connection.
+#[tokio::test]
+async fn a_connection_with_unread_bytes_is_not_reused_before_the_runtime_polls() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let endpoint = Endpoint::new(listener.local_addr().expect("bound"), 0.0);
+    let pool = Pool::new(8, 60_000.0, 1000.0, Metrics::new(0));
+    for second_response in [false, true] {
+        let connection = pool.connect(endpoint).await.ok().expect("the listener accepts");
+        let (mut server, _) = listener.accept().expect("a connection is pending");
+        pool.store(ServerId(0), connection);
+        assert!(pool.take(ServerId(0)).is_none(), "the reuse delay has not passed");
+        std::thread::sleep(REUSE_DELAY);
+        if second_response {
+            server.write_all(b"HTTP/1.1 200 OK\r\n").expect("the connection is open");
+        }
+        assert_eq!(pool.take(ServerId(0)).is_none(), second_response);
+    }
+}
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -71,10 +71,7 @@
     fresh: bool,
     kept: &Cell<Option<Duration>>,
 ) -> (Outcome, Option<UpstreamResponse>) {
-    // An idempotent request may go to a connection that its server closed since the runtime last polled it;
-    // any other request would be lost with it.
-    let ask_kernel = message.method != Method::GET;
-    let mut pooled = if fresh { None } else { pool.take(server, ask_kernel) };
+    let mut pooled = if fresh { None } else { pool.take(server) };
     loop {
         // A drain takes effect at once, also for an attempt that has waited for a connection; so does a
         // client that left.
--- a/tests/server_ends.rs
+++ b/tests/server_ends.rs
@@ -4,7 +4,7 @@
 
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::{mpsc, Arc, Mutex};
+use std::sync::{mpsc, Arc, Barrier, Mutex};
 use std::time::{Duration, Instant};
 
 use peers::*;
@@ -313,6 +313,52 @@
     assert!(connections < 12, "{connections} connections: they are used again once they have rested");
 }
 
+/// Guards against a client being served with the answer to another client's request in a burst, when a server's connections
+/// were used again before a second answer could have come.
+#[test]
+fn a_second_answer_that_comes_late_answers_nobody_in_a_burst() {
+    const CLIENTS: usize = 16;
+    const ROUNDS: usize = 5;
+    const REQUESTS: usize = 4;
+    let answered: Mutex<std::collections::BTreeMap<usize, Instant>> = Mutex::default();
+    let server = Server::new(move |m, out| {
+        let last = answered.lock().expect("no panic").remove(&m.conn);
+        if last.is_some_and(|at| at.elapsed() < Duration::from_millis(6)) {
+            write(out, &response(200, "", "the same again"));
+        }
+        write(out, &response(200, "", m.header("x-txn").expect("an id")));
+        answered.lock().expect("no panic").insert(m.conn, Instant::now());
+        Then::Keep
+    });
+    let (_registry, node) = before(&[&server]);
+    let start = Arc::new(Barrier::new(CLIENTS));
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            let (mut client, start) = (Client::to(&node), start.clone());
+            std::thread::spawn(move || {
+                let mut foreign = 0;
+                for round in 0..ROUNDS {
+                    start.wait();
+                    for n in 0..REQUESTS {
+                        let id = format!("c{number}-{round}-{n}");
+                        let class = if n % 2 == 0 { "look" } else { "slip" };
+                        let received = client.exchange(&request(class, &id, 15_000));
+                        foreign += usize::from((received.status(), text(&received.body)) != (200, id));
+                    }
+                    let_connection_idle();
+                }
+                foreign
+            })
+        })
+        .collect();
+    let foreign: usize = clients.into_iter().map(|client| client.join().expect("it ends")).sum();
+    assert_eq!(foreign, 0, "answers to other requests");
+    let seen = server.requests();
+    let connections = seen.iter().map(|m| m.conn).max().expect("some came");
+    assert_eq!(seen.len(), CLIENTS * ROUNDS * REQUESTS);
+    assert!(connections < 2 * CLIENTS * REQUESTS, "{connections} connections: they are used again later");
+}
+
 /// Half a line from a server on a connection between requests: the next request goes by another one, whole, and once.
 #[test]
 fn half_a_line_on_an_idle_connection_reaches_nobody() {
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -359,6 +359,7 @@
         assert_eq!(client.receive().expect("an answer").status(), 200);
     }
     assert_eq!(server.open_connections(), 5);
+    let_connection_idle();
     silent.store(true, Ordering::SeqCst);
     let mut ask = |n: usize| clients[0].exchange(&request("slip", &format!("n{n}"), 2_000)).status();
     let served = (0..6).filter(|n| ask(*n) == 200).count();
