Answer an upload in its client's time while its server hangs

Cause: the time of a streamed request began with the last byte that the node reads, and it reads nothing while the server accepts nothing.

Change: the client's time also begins when it may have written its last byte: no more is missing than a send buffer holds (4 MB), and the node waits for the server, not for the client.

Two guards of slow peers have 1 s left in place of 15.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -79,9 +79,18 @@
 
 // ---- Requests to a server ----
 
+/// Bytes of an upload that may be on their way from a client that has written them: the default maximum of a
+/// send buffer on Linux (`tcp_wmem`).
+const CLIENT_SEND_BUFFER_BYTES: u64 = 4 << 20;
+/// Interval in which it is checked whether an upload waits for its client or for its server.
+const UPLOAD_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Progress of a streamed request body.
 #[derive(Default)]
 pub struct UploadProgress {
+    /// Bytes that have not been received; `None` if the client declared no length.
+    missing_bytes: Cell<Option<u64>>,
+    client_waiting_since: Cell<Option<Instant>>,
     finished_at: Cell<Option<Instant>>,
     aborted: Cell<bool>,
     finish_notify: Notify,
@@ -95,6 +104,35 @@
         }
     }
 
+    /// The progress of an upload of `length` bytes, if the client declared it.
+    pub fn new(length: Option<u64>) -> Self {
+        Self { missing_bytes: Cell::new(length), ..Self::default() }
+    }
+
+    /// Since when the client may have been waiting for its response, because it may have written its last
+    /// byte: all that is missing may be on its way, and the node has not waited for the client since, but for
+    /// the server. Kept up to date by [`Self::client_waiting_for`].
+    pub fn client_waiting_since(&self) -> Option<Instant> {
+        self.client_waiting_since.get()
+    }
+
+    /// Waits until the client may have been waiting for its response for `span`.
+    pub async fn client_waiting_for(&self, source: &WatchedStream, span: Duration) {
+        loop {
+            sleep(UPLOAD_CHECK_INTERVAL).await;
+            let may_be_written = self.missing_bytes.get().is_some_and(|n| n <= CLIENT_SEND_BUFFER_BYTES);
+            if !may_be_written || source.is_waiting_for_peer() {
+                self.client_waiting_since.set(None);
+                continue;
+            }
+            let since = self.client_waiting_since.get().unwrap_or_else(Instant::now);
+            self.client_waiting_since.set(Some(since));
+            if since.elapsed() >= span {
+                return;
+            }
+        }
+    }
+
     /// When the upload finished or was aborted.
     pub fn finished_at(&self) -> Option<Instant> {
         self.finished_at.get()
@@ -153,6 +191,9 @@
             std::mem::take(&mut self.buffered)
         };
         self.forwarded_bytes += data.len() as u64;
+        self.progress
+            .missing_bytes
+            .set(self.length.map(|length| length.saturating_sub(self.forwarded_bytes)));
         // hyper does not poll for the end of a body whose length is known.
         if Some(self.forwarded_bytes) == self.length {
             self.complete();
--- a/crates/http/src/body/tests.rs
+++ b/crates/http/src/body/tests.rs
@@ -46,6 +46,24 @@
     );
 }
 
+/// Guards against a client that has written its whole request waiting without limit while a server that hangs
+/// keeps the node from reading the rest. Where more is missing than may be on its way, the client is not done.
+#[tokio::test(start_paused = true)]
+async fn the_time_of_a_client_begins_when_it_may_have_written_its_last_byte() {
+    let span = Duration::from_secs(1);
+    let (connection, _listener) = connection().await;
+    let start = Instant::now();
+    let nearly_whole = UploadProgress::new(Some(CLIENT_SEND_BUFFER_BYTES));
+    nearly_whole.client_waiting_for(&connection, span).await;
+    assert!((span..span * 11 / 10).contains(&start.elapsed()), "{:?}", start.elapsed());
+    assert!(nearly_whole.client_waiting_since().is_some_and(|since| since - start <= span / 10));
+    for length in [Some(CLIENT_SEND_BUFFER_BYTES + 1), None] {
+        let upload = UploadProgress::new(length);
+        let waited = timeout(span * 100, upload.client_waiting_for(&connection, span)).await;
+        assert!(waited.is_err() && upload.client_waiting_since().is_none(), "{length:?}");
+    }
+}
+
 /// A streamed request continues past its deadline as long as its server accepts some of it now and then; it
 /// is given up once the server accepts nothing for [`STALL_TIMEOUT`].
 #[tokio::test(start_paused = true)]
--- a/crates/http/src/clients/request.rs
+++ b/crates/http/src/clients/request.rs
@@ -158,7 +158,7 @@
         }
         let in_progress = Rc::new(RefCell::new(Some(node.process().metrics.start_request(class))));
         let (progress, buffered, source) =
-            (Rc::new(UploadProgress::default()), buffered.into_bytes(), stream.clone());
+            (Rc::new(UploadProgress::new(length)), buffered.into_bytes(), stream.clone());
         let upload = StreamedRequestBody {
             buffered,
             rest: body,
--- a/crates/http/src/clients/response.rs
+++ b/crates/http/src/clients/response.rs
@@ -126,16 +126,19 @@
     let answer = match upload {
         None => answer_before(deadline - guard, answer_receiver).await,
         Some(upload) => {
-            // The time of a streamed request begins with its last byte. An upload that stalls ends with its
-            // connection.
+            // The time of a streamed request begins with its last byte, also where a server that accepts nothing
+            // keeps the node from reading that byte. An upload that its client stalls ends with its connection.
             let mut answer_receiver = answer_receiver;
             tokio::select! {
                 biased;
                 answer = &mut answer_receiver => answer.ok(),
                 () = upload.finished() => {
-                    deadline = stream.last_read_arrived_at() + remaining;
+                    let last_byte_at = stream.last_read_arrived_at();
+                    let waiting_since = upload.client_waiting_since().map(|since| since.into_std());
+                    deadline = waiting_since.map_or(last_byte_at, |since| since.min(last_byte_at)) + remaining;
                     answer_before(deadline - guard, answer_receiver).await
                 }
+                () = upload.client_waiting_for(stream, remaining - guard) => None,
             }
         }
     };
--- a/crates/http/src/watched_stream.rs
+++ b/crates/http/src/watched_stream.rs
@@ -271,6 +271,11 @@
         wait >= BODY_PAUSE_MAX || (slow && now >= self.request_due.get())
     }
 
+    /// Returns whether a read is waiting for the peer to send more.
+    pub fn is_waiting_for_peer(&self) -> bool {
+        self.waiting_since.get().is_some()
+    }
+
     /// Returns whether any bytes were ever received on the connection.
     pub fn has_received_any(&self) -> bool {
         self.received_any.get()
--- a/tests/slow_peers.rs
+++ b/tests/slow_peers.rs
@@ -139,7 +139,8 @@
     let server = ScriptedServer::healthy("a");
     let (_registry, node) = node_before(server.address);
     let mut client = Client::to(&node);
-    client.send(&upload_head(UPLOAD_BYTES));
+    // Little time for the response: it counts from the last byte.
+    client.send(&upload_head(UPLOAD_BYTES, 1000));
     write_slowly(&mut client.writer(), &body_of(UPLOAD_BYTES)).expect("the node reads");
     assert_eq!(client.receive().expect("a response").status(), 200);
     assert!(server.requests()[0].body == body_of(UPLOAD_BYTES));
@@ -194,16 +195,17 @@
     address
 }
 
-/// The head of an upload of `length` bytes.
-fn upload_head(length: usize) -> String {
-    let head = request("slip", "upload", 15_000);
+/// The head of an upload of `length` bytes, with `remaining` milliseconds left.
+fn upload_head(length: usize, remaining: u64) -> String {
+    let head = request("slip", "upload", remaining);
     head.replace("Content-Length: 4\r\n\r\nwork", &format!("Content-Length: {length}\r\n\r\n"))
 }
 
-/// Sends an upload of `length` bytes on a connection of its own; returns the status of the response, if there is any.
-fn upload(node: &Node, length: usize) -> JoinHandle<Option<u16>> {
+/// Sends an upload of `length` bytes on a connection of its own, with `remaining` milliseconds left; returns the status of
+/// the response, if there is any.
+fn upload(node: &Node, length: usize, remaining: u64) -> JoinHandle<Option<u16>> {
     let mut client = Client::to(node);
-    client.send(&upload_head(length));
+    client.send(&upload_head(length, remaining));
     let mut writer = client.writer();
     std::thread::spawn(move || {
         // Fails if the node answers before it has read everything.
@@ -226,7 +228,7 @@
         std::thread::sleep(Duration::from_secs(1));
     });
     let (_registry, node) = node_before(server);
-    let status = upload(&node, LONG_BYTES).join().expect("it ends");
+    let status = upload(&node, LONG_BYTES, 1000).join().expect("it ends");
     assert_eq!(status, Some(200));
     assert!(received.recv_timeout(WAIT_TIMEOUT).expect("the server has read it"), "the body is whole");
 }
@@ -283,7 +285,29 @@
     });
     let (_registry, node) = node_before(server);
     let start = Instant::now();
-    let status = upload(&node, UNREAD_BYTES).join().expect("it ends");
+    let status = upload(&node, LONG_BYTES, 15_000).join().expect("it ends");
     assert!(start.elapsed() < UNREAD_PEER_LIMIT, "{:?}", start.elapsed());
     assert_eq!(status, Some(503));
 }
+
+/// Guards against a client that has written its whole upload waiting for 10 s because a server that hangs keeps the node
+/// from reading the rest.
+#[test]
+fn an_upload_whose_server_hangs_is_answered_in_the_time_of_its_client() {
+    const UPLOAD_BYTES: usize = 6_000_000;
+    /// The client's second, half a second in which an answer is only late, and the measurement.
+    const ANSWERED_WITHIN: Duration = Duration::from_millis(1600);
+    let (_keep_open, test_ended) = mpsc::channel::<()>();
+    let server = upload_server(Some(SMALL_RECEIVE_BUFFER_BYTES), move |stream| {
+        let _ = test_ended.recv();
+        drop(stream);
+    });
+    let (_registry, node) = node_before(server);
+    let mut client = Client::to(&node);
+    client.send(&upload_head(UPLOAD_BYTES, 1000));
+    client.send_bytes(&body_of(UPLOAD_BYTES));
+    let last_byte_at = Instant::now();
+    let status = client.receive().expect("a response").status();
+    assert!(last_byte_at.elapsed() < ANSWERED_WITHIN, "{status} after {:?}", last_byte_at.elapsed());
+    assert!(status >= 500, "{status}");
+}
