--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,7 +1,6 @@
 //! Bodies: those that are buffered whole, and those that are streamed. Of a streamed body the node holds only
 //! what one side has sent and the other has not yet accepted, so a slow side throttles the other.
 
-use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
@@ -13,13 +12,14 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use magpietally_core::{Endpoint, InProgress, RequestOutcome};
 use magpietally_policy::ServerId;
-use tokio::sync::Notify;
 use tokio::time::{sleep, sleep_until, Instant, Sleep};
 
-use crate::memory_budget::Reservation;
 use crate::message::BUFFERED_BODY_MAX_BYTES;
 use crate::pool::{Pool, PooledConnection};
 use crate::watched_stream::WatchedStream;
+pub use upload::{StreamedRequestBody, UploadProgress};
+
+mod upload;
 
 /// How long a server may send nothing of a response that it has begun while the client could accept more, and,
 /// with the allowance of [`WatchedStream::write_stall_limit`], how long it may accept nothing of a streamed
@@ -79,165 +79,6 @@
 
 // ---- Requests to a server ----
 
-/// Bytes of an upload that may be on their way from a client that has written them: the default maximum of a
-/// send buffer on Linux (`tcp_wmem`).
-const CLIENT_SEND_BUFFER_BYTES: u64 = 4 << 20;
-/// Interval in which it is checked whether an upload waits for its client or for its server.
-const UPLOAD_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-
-/// Progress of a streamed request body.
-#[derive(Default)]
-pub struct UploadProgress {
-    /// Bytes that have not been received; `None` if the client declared no length.
-    missing_bytes: Cell<Option<u64>>,
-    client_waiting_since: Cell<Option<Instant>>,
-    finished_at: Cell<Option<Instant>>,
-    aborted: Cell<bool>,
-    finish_notify: Notify,
-}
-
-impl UploadProgress {
-    /// Waits until the last byte has been forwarded, or it is certain that it never will be.
-    pub async fn finished(&self) {
-        while self.finished_at.get().is_none() {
-            self.finish_notify.notified().await;
-        }
-    }
-
-    /// The progress of an upload of `length` bytes, if the client declared it.
-    pub fn new(length: Option<u64>) -> Self {
-        Self { missing_bytes: Cell::new(length), ..Self::default() }
-    }
-
-    /// Since when the client may have been waiting for its response, because it may have written its last
-    /// byte: all that is missing may be on its way, and the node has not waited for the client since, but for
-    /// the server. Kept up to date by [`Self::client_waiting_for`].
-    pub fn client_waiting_since(&self) -> Option<Instant> {
-        self.client_waiting_since.get()
-    }
-
-    /// Waits until the client may have been waiting for its response for `span`.
-    pub async fn client_waiting_for(&self, source: &WatchedStream, span: Duration) {
-        loop {
-            sleep(UPLOAD_CHECK_INTERVAL).await;
-            let may_be_written = self.missing_bytes.get().is_some_and(|n| n <= CLIENT_SEND_BUFFER_BYTES);
-            if !may_be_written || source.is_waiting_for_peer() {
-                self.client_waiting_since.set(None);
-                continue;
-            }
-            let since = self.client_waiting_since.get().unwrap_or_else(Instant::now);
-            self.client_waiting_since.set(Some(since));
-            if since.elapsed() >= span {
-                return;
-            }
-        }
-    }
-
-    /// When the upload finished or was aborted.
-    pub fn finished_at(&self) -> Option<Instant> {
-        self.finished_at.get()
-    }
-
-    /// Returns whether the upload ended before its last byte, as when the client aborts it.
-    pub fn is_aborted(&self) -> bool {
-        self.aborted.get()
-    }
-
-    fn finish(&self, aborted: bool) {
-        self.finished_at.set(Some(Instant::now()));
-        self.aborted.set(aborted);
-        // Both the attempt and the task that answers the client wait for this.
-        self.finish_notify.notify_waiters();
-    }
-}
-
-/// A request body that is forwarded while it is received.
-pub struct StreamedRequestBody {
-    /// What was received before the decision to stream.
-    pub buffered: Bytes,
-    /// The part that is still to be received.
-    pub rest: Incoming,
-    /// Total length in bytes, if the client declared it.
-    pub length: Option<u64>,
-    /// Number of bytes forwarded so far.
-    pub forwarded_bytes: u64,
-    /// The client's connection.
-    pub source: Rc<WatchedStream>,
-    /// The request's entry in the metrics.
-    pub in_progress: Rc<RefCell<Option<InProgress>>>,
-    /// Progress, shared with those that wait for the end of the upload.
-    pub progress: Rc<UploadProgress>,
-    /// Memory reserved for the upload.
-    pub reservation: Reservation,
-}
-
-impl StreamedRequestBody {
-    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        let data = if self.buffered.is_empty() {
-            // The buffered part has been forwarded, so its memory is released.
-            self.reservation.try_reserve(crate::memory_budget::STREAMED_MESSAGE_BYTES);
-            match ready!(self.poll_rest(cx)) {
-                Some(Ok(data)) => data,
-                Some(Err(error)) => {
-                    self.progress.finish(true);
-                    return Poll::Ready(Some(Err(io::Error::other(error))));
-                }
-                None => {
-                    self.complete();
-                    return Poll::Ready(None);
-                }
-            }
-        } else {
-            std::mem::take(&mut self.buffered)
-        };
-        self.forwarded_bytes += data.len() as u64;
-        self.progress
-            .missing_bytes
-            .set(self.length.map(|length| length.saturating_sub(self.forwarded_bytes)));
-        // hyper does not poll for the end of a body whose length is known.
-        if Some(self.forwarded_bytes) == self.length {
-            self.complete();
-        }
-        Poll::Ready(Some(Ok(Frame::data(data))))
-    }
-
-    /// Polls for the next data; trailers are dropped.
-    fn poll_rest(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, hyper::Error>>> {
-        loop {
-            match ready!(Pin::new(&mut self.rest).poll_frame(cx)) {
-                None => return Poll::Ready(None),
-                Some(Err(error)) => return Poll::Ready(Some(Err(error))),
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Poll::Ready(Some(Ok(data)));
-                    }
-                }
-            }
-        }
-    }
-
-    /// Notes that the last byte was received.
-    fn complete(&self) {
-        if self.progress.finished_at.get().is_some() {
-            return;
-        }
-        self.source.finish_request_body();
-        if let Some(in_progress) = &mut *self.in_progress.borrow_mut() {
-            in_progress.mark_received();
-        }
-        self.progress.finish(false);
-    }
-}
-
-/// An upload that is dropped before its end counts as aborted.
-impl Drop for StreamedRequestBody {
-    fn drop(&mut self) {
-        if self.progress.finished_at.get().is_none() {
-            self.progress.finish(true);
-        }
-    }
-}
-
 /// The body of a request to a server, as hyper sends it.
 pub enum OutgoingBody {
     /// Buffered whole.
--- a/crates/http/src/body/tests.rs
+++ b/crates/http/src/body/tests.rs
@@ -5,6 +5,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{advance, timeout};
 
+use super::upload::CLIENT_SEND_BUFFER_BYTES;
 use super::*;
 
 /// A connection to a listener, and the listener.
--- a/crates/http/src/pool/tests.rs
+++ b/crates/http/src/pool/tests.rs
@@ -48,7 +48,7 @@
     let endpoint = Endpoint::new(listener.local_addr().expect("bound"), 0.0);
     let pool = Pool::new(8, 60_000.0, 1000.0, Metrics::new(0));
     for second_response in [false, true] {
-        let connection = pool.connect(endpoint).await.ok().expect("the listener accepts");
+        let Ok(connection) = pool.connect(endpoint).await else { panic!("the listener accepts") };
         let (mut server, _) = listener.accept().expect("a connection is pending");
         pool.store(ServerId(0), connection);
         assert!(pool.take(ServerId(0)).is_none(), "the reuse delay has not passed");
