--- a/crates/http/src/body/upload.rs
+++ b/crates/http/src/body/upload.rs
@@ -96,8 +96,6 @@
     pub rest: Incoming,
     /// Total length in bytes, if the client declared it.
     pub length: Option<u64>,
-    /// Number of bytes forwarded so far.
-    pub forwarded_bytes: u64,
     /// The client's connection.
     pub source: Rc<WatchedStream>,
     /// The request's entry in the metrics.
@@ -128,12 +126,10 @@
         } else {
             std::mem::take(&mut self.buffered)
         };
-        self.forwarded_bytes += data.len() as u64;
-        self.progress
-            .missing_bytes
-            .set(self.length.map(|length| length.saturating_sub(self.forwarded_bytes)));
+        let missing_bytes = self.progress.missing_bytes.get().map(|n| n.saturating_sub(data.len() as u64));
+        self.progress.missing_bytes.set(missing_bytes);
         // hyper does not poll for the end of a body whose length is known.
-        if Some(self.forwarded_bytes) == self.length {
+        if missing_bytes == Some(0) {
             self.complete();
         }
         Poll::Ready(Some(Ok(Frame::data(data))))
--- a/crates/http/src/clients/request.rs
+++ b/crates/http/src/clients/request.rs
@@ -163,7 +163,6 @@
             buffered,
             rest: body,
             length,
-            forwarded_bytes: 0,
             source,
             in_progress,
             progress: progress.clone(),
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,8 +4,9 @@
 //! that the platform provides, [`run`] runs a node, and [`run_workers`] runs it on several cores. Below
 //! these the modules depend on each other in one direction: `workers` → `node` → `clients`, `management` →
 //! `http_transport` → `upstream`, `discovery` → `pool` → `watched_stream`. `body` streams bodies too large
-//! to buffer, within `memory_budget`; `write_stall` limits how long a peer may accept nothing; `request_scanner` finds the end of a client's requests;
-//! `inherited_listener` takes over the platform's socket; `signals` waits for signals.
+//! to buffer, within `memory_budget`; `write_stall` limits how long a peer may accept nothing;
+//! `request_scanner` finds the end of a client's requests; `inherited_listener` takes over the platform's
+//! socket; `signals` waits for signals.
 
 mod body;
 mod clients;
--- a/tests/large.rs
+++ b/tests/large.rs
@@ -14,11 +14,6 @@
 /// What is held of an answer in any case.
 const HELD: usize = 64 * 1024;
 
-/// Bytes that are not the same everywhere.
-fn bytes(count: usize) -> Vec<u8> {
-    (0..count).map(|n| (n / 251 + n) as u8).collect()
-}
-
 /// A body in chunks, with extensions and a trailer.
 fn chunked(body: &[u8], size: usize) -> Vec<u8> {
     let mut all = plainly_chunked(body, size);
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -142,6 +142,11 @@
     }
 }
 
+/// Bytes that are not the same everywhere.
+pub fn bytes(count: usize) -> Vec<u8> {
+    (0..count).map(|n| (n / 251 + n) as u8).collect()
+}
+
 /// Builds a response with a body.
 pub fn response(status: u16, headers: &str, body: &str) -> Vec<u8> {
     format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
--- a/tests/server_ends.rs
+++ b/tests/server_ends.rs
@@ -77,11 +77,6 @@
     let _ = out.write_all(bytes);
 }
 
-/// Bytes that are not the same everywhere.
-fn bytes(count: usize) -> Vec<u8> {
-    (0..count).map(|n| (n / 251 + n) as u8).collect()
-}
-
 fn chunk(body: &[u8]) -> Vec<u8> {
     [format!("{:x}\r\n", body.len()).as_bytes(), body, b"\r\n"].concat()
 }
@@ -280,11 +275,11 @@
     assert_eq!((heard.status(), heard.body), (200, bytes(60_000)));
 }
 
-/// A server that answers twice: the second answer comes while the next request is out, and must not pass for the answer to it.
-#[test]
-fn a_second_answer_that_comes_late_answers_nobody() {
+/// A server that answers a request once more ahead of the next answer, where the next request comes on the same connection
+/// within some milliseconds.
+fn server_that_answers_twice() -> Server {
     let answered: Mutex<std::collections::BTreeMap<usize, Instant>> = Mutex::default();
-    let server = Server::new(move |m, out| {
+    Server::new(move |m, out| {
         let last = answered.lock().expect("no panic").remove(&m.conn);
         if last.is_some_and(|at| at.elapsed() < Duration::from_millis(6)) {
             // Some milliseconds late, and right ahead of the proper one.
@@ -293,7 +288,13 @@
         write(out, &response(200, "", m.header("x-txn").expect("an id")));
         answered.lock().expect("no panic").insert(m.conn, Instant::now());
         Then::Keep
-    });
+    })
+}
+
+/// A server that answers twice: the second answer comes while the next request is out, and must not pass for the answer to it.
+#[test]
+fn a_second_answer_that_comes_late_answers_nobody() {
+    let server = server_that_answers_twice();
     let (_registry, node) = before(&[&server]);
     let mut client = Client::to(&node);
     for round in 0..12 {
@@ -320,16 +321,7 @@
     const CLIENTS: usize = 16;
     const ROUNDS: usize = 5;
     const REQUESTS: usize = 4;
-    let answered: Mutex<std::collections::BTreeMap<usize, Instant>> = Mutex::default();
-    let server = Server::new(move |m, out| {
-        let last = answered.lock().expect("no panic").remove(&m.conn);
-        if last.is_some_and(|at| at.elapsed() < Duration::from_millis(6)) {
-            write(out, &response(200, "", "the same again"));
-        }
-        write(out, &response(200, "", m.header("x-txn").expect("an id")));
-        answered.lock().expect("no panic").insert(m.conn, Instant::now());
-        Then::Keep
-    });
+    let server = server_that_answers_twice();
     let (_registry, node) = before(&[&server]);
     let start = Arc::new(Barrier::new(CLIENTS));
     let clients: Vec<_> = (0..CLIENTS)
--- a/tests/slow_peers.rs
+++ b/tests/slow_peers.rs
@@ -19,8 +19,8 @@
 const SMALL_RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 /// Length of a message that does not fit into the buffers towards a peer with a small receive buffer.
 const UNREAD_BYTES: usize = 8_000_000;
-/// The longest time for which a peer that takes nothing of [`UNREAD_BYTES`] may be kept: 12 s, 11 s for a sixteenth of the
-/// message at 48 kB/s, and 2 s for a busy machine.
+/// The longest time for which a peer that reads nothing may be kept where the kernel takes no more than [`UNREAD_BYTES`]: 12 s,
+/// 11 s for a sixteenth of these at 48 kB/s, and 2 s for a busy machine.
 const UNREAD_PEER_LIMIT: Duration = Duration::from_secs(25);
 
 /// Reads at the slow pace for `span`, and fails if the connection ends meanwhile.
@@ -60,14 +60,10 @@
     socket.into()
 }
 
-fn body_of(length: usize) -> Vec<u8> {
-    (0..length).map(|n| (n / 251 + n) as u8).collect()
-}
-
 /// A server that answers every request with a body of `length` bytes, in one chunk if `chunked`.
 fn long_response_server(length: usize, chunked: bool) -> ScriptedServer {
     ScriptedServer::new(move |_| {
-        let body = body_of(length);
+        let body = bytes(length);
         Reply::Respond(if chunked {
             let head = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{length:x}\r\n");
             [head.as_bytes(), &body, b"\r\n0\r\n\r\n"].concat()
@@ -95,7 +91,7 @@
 fn a_client_that_reads_a_long_response_slowly_receives_all_of_it() {
     let server = long_response_server(LONG_BYTES, false);
     let (_registry, node) = node_before(server.address);
-    receive_slowly(&node, &body_of(LONG_BYTES), Duration::from_secs(16));
+    receive_slowly(&node, &bytes(LONG_BYTES), Duration::from_secs(16));
 }
 
 /// Guards against the same for a response of unknown length.
@@ -103,7 +99,7 @@
 fn a_client_that_reads_a_long_chunked_response_slowly_receives_all_of_it() {
     let server = long_response_server(LONG_BYTES, true);
     let (_registry, node) = node_before(server.address);
-    receive_slowly(&node, &body_of(LONG_BYTES), Duration::from_secs(16));
+    receive_slowly(&node, &bytes(LONG_BYTES), Duration::from_secs(16));
 }
 
 /// Guards against the end of a response being lost when its connection counts as idle, because the kernel has accepted all
@@ -113,7 +109,7 @@
     const HELD_BYTES: usize = 3_000_000;
     let server = long_response_server(HELD_BYTES, false);
     let (_registry, node) = node_before(server.address);
-    receive_slowly(&node, &body_of(HELD_BYTES), Duration::from_secs(8));
+    receive_slowly(&node, &bytes(HELD_BYTES), Duration::from_secs(8));
     wait_until("the reason is logged", || node.logged("idle timeout"));
 }
 
@@ -124,12 +120,12 @@
     let server = ScriptedServer::new(|_| {
         Reply::WriteWith(Box::new(|out| {
             write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {RESPONSE_BYTES}\r\n\r\n")?;
-            write_slowly(out, &body_of(RESPONSE_BYTES))
+            write_slowly(out, &bytes(RESPONSE_BYTES))
         }))
     });
     let (_registry, node) = node_before(server.address);
     let response = Client::to(&node).exchange(&request("look", "slow", 15_000));
-    assert!(response.status() == 200 && response.body == body_of(RESPONSE_BYTES), "{}", response.head);
+    assert!(response.status() == 200 && response.body == bytes(RESPONSE_BYTES), "{}", response.head);
 }
 
 /// Guards against an upload being broken off because its client sends it at 64 kB/s.
@@ -141,9 +137,9 @@
     let mut client = Client::to(&node);
     // Little time for the response: it counts from the last byte.
     client.send(&upload_head(UPLOAD_BYTES, 1000));
-    write_slowly(&mut client.writer(), &body_of(UPLOAD_BYTES)).expect("the node reads");
+    write_slowly(&mut client.writer(), &bytes(UPLOAD_BYTES)).expect("the node reads");
     assert_eq!(client.receive().expect("a response").status(), 200);
-    assert!(server.requests()[0].body == body_of(UPLOAD_BYTES));
+    assert!(server.requests()[0].body == bytes(UPLOAD_BYTES));
 }
 
 /// Guards against a client being disconnected after 5 s because it has not yet read the responses before a short one.
@@ -172,8 +168,8 @@
     serve: impl FnOnce(BufReader<TcpStream>) + Send + 'static,
 ) -> SocketAddr {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    if let Some(bytes) = receive_buffer {
-        socket.set_recv_buffer_size(bytes).expect("an open socket");
+    if let Some(size) = receive_buffer {
+        socket.set_recv_buffer_size(size).expect("an open socket");
     }
     socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("a port");
     socket.listen(16).expect("a bound socket");
@@ -209,7 +205,7 @@
     let mut writer = client.writer();
     std::thread::spawn(move || {
         // Fails if the node answers before it has read everything.
-        let _ = writer.write_all(&body_of(length));
+        let _ = writer.write_all(&bytes(length));
     });
     std::thread::spawn(move || client.receive().map(|response| response.status()))
 }
@@ -223,7 +219,7 @@
         let mut rest = vec![0; LONG_BYTES - body.len()];
         let whole = stream.read_exact(&mut rest).is_ok();
         body.extend(rest);
-        sender.send(whole && body == body_of(LONG_BYTES)).expect("the test waits");
+        sender.send(whole && body == bytes(LONG_BYTES)).expect("the test waits");
         stream.get_mut().write_all(&response(200, "", "read")).expect("the node reads");
         std::thread::sleep(Duration::from_secs(1));
     });
@@ -242,7 +238,7 @@
         Reply::WriteWith(Box::new(move |out| {
             let start = Instant::now();
             write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {LONG_BYTES}\r\n\r\n")?;
-            let written = out.write_all(&body_of(LONG_BYTES));
+            let written = out.write_all(&bytes(LONG_BYTES));
             let _ = sender.send((written.is_err(), start.elapsed()));
             written
         }))
@@ -305,7 +301,7 @@
     let (_registry, node) = node_before(server);
     let mut client = Client::to(&node);
     client.send(&upload_head(UPLOAD_BYTES, 1000));
-    client.send_bytes(&body_of(UPLOAD_BYTES));
+    client.send_bytes(&bytes(UPLOAD_BYTES));
     let last_byte_at = Instant::now();
     let status = client.receive().expect("a response").status();
     assert!(last_byte_at.elapsed() < ANSWERED_WITHIN, "{status} after {:?}", last_byte_at.elapsed());
