Log what is known of another start of the node's own name

Cause: the log said that the name was taken, not by what that was known: the state in which the view lists the other start, or whether anything was received from it. So a stale entry and a live second node looked the same.

Change: a line for each other start at each change of the view, with its state and incarnation, and the number of datagrams received from other starts of the node.

--- a/crates/membership/src/protocol.rs
+++ b/crates/membership/src/protocol.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use foca::{
-    Config, Foca, Header, Member, Message, NoCustomBroadcast, Notification, PeriodicParams, Runtime, State,
-    Timer,
+    Codec, Config, Foca, Header, Member, Message, NoCustomBroadcast, Notification, PeriodicParams, Runtime,
+    State, Timer,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
@@ -97,6 +97,8 @@
     pub declared_dead: u64,
     /// Number of direct notices to other nodes that this node suspects them.
     pub suspects_notified: u64,
+    /// SWIM datagrams received from another start of this node: under its name, from another address.
+    pub from_other_starts: u64,
 }
 
 /// The membership protocol of one node. The caller passes in received datagrams and the time, and sends the
@@ -231,6 +233,7 @@
                 if self.leaving {
                     return;
                 }
+                self.count_if_from_other_start(swim);
                 let mut runtime = FocaRuntime::new(&mut self.output, now);
                 let result = self.foca.handle_data(swim, &mut runtime);
                 let rejoined = runtime.rejoined;
@@ -250,6 +253,15 @@
         }
     }
 
+    /// Counts a SWIM datagram whose sender has this node's name and another address.
+    fn count_if_from_other_start(&mut self, swim: &[u8]) {
+        let Ok(header) = WireCodec.decode_header(swim) else { return };
+        let me = self.foca.identity();
+        if header.src.name == me.name && header.src.addr != me.addr {
+            self.output.stats.from_other_starts += 1;
+        }
+    }
+
     /// Called after the identity was renewed. If the previous renewal was recent, advances the generation
     /// further.
     fn advance_generation(&mut self, now: Duration) {
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -111,6 +111,11 @@
         found
     }
 
+    /// Returns the entries of other starts of the node `me`: those with its name and another address.
+    pub fn other_starts<'a>(&'a self, me: &'a NodeId) -> impl Iterator<Item = &'a Entry> {
+        self.entries.iter().filter(|e| e.id.name == me.name && e.id.addr != me.addr)
+    }
+
     /// Counts the nodes in each state.
     pub fn counts(&self) -> Counts {
         let mut c = Counts::default();
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -188,11 +188,15 @@
         membership.tick(start.elapsed());
         send_outgoing(socket, membership);
         let me = membership.local_id().clone();
+        let received = membership.stats().from_other_starts;
         let view = membership.view();
         if view.version() != logged_version {
             logged_version = view.version();
             let c = view.counts();
             tracing::info!(target: "membership", "view {}: {} alive, {} suspect, {} dead, {} left", view.version(), c.alive, c.suspect, c.dead, c.left);
+            for other in view.other_starts(&me) {
+                tracing::info!(target: "membership", "another start of this node: {}, {}, incarnation {}; {received} datagrams received from other starts", other.id, other.liveness, other.incarnation);
+            }
         }
         if let Some(first) = view.name_conflict(&me) {
             // Two nodes may not share a name; the one that started first keeps it. This node still answers
