--- a/crates/membership/src/codec.rs
+++ b/crates/membership/src/codec.rs
@@ -12,6 +12,7 @@
 use foca::{Codec, Header, Member, Message, State};
 
 use crate::id::NodeId;
+use crate::name_conflict::{NameQuery, NameResponse};
 use magpietally_transport::{Name, NAME_MAX_BYTES};
 
 /// Maximum size of a datagram that a node sends or accepts. It fits into one Ethernet frame, so that no
@@ -30,6 +31,12 @@
 pub const KIND_VIEW: u8 = 0x56;
 /// Response to [`KIND_QUERY`] when more parts follow: the last identity in this part, then the text.
 pub const KIND_VIEW_PART: u8 = 0x50;
+/// A [`NameQuery`]: the sender's identity, the nonce and the time of sending. Nodes that do not know this kind
+/// count it as malformed.
+pub const KIND_NAME_QUERY: u8 = 0x4e;
+/// A [`NameResponse`]: the responder's identity, the query's nonce and time of sending, and the time since the
+/// responder's start.
+pub const KIND_NAME_RESPONSE: u8 = 0x6e;
 
 /// A decoded datagram.
 #[derive(Debug, PartialEq, Eq)]
@@ -40,6 +47,10 @@
     Leave(NodeId),
     /// The sender queries the view, or the part of it after this identity. The caller sends the response.
     Query(Option<NodeId>),
+    /// The sender asks whether this node has its name.
+    NameQuery(NameQuery),
+    /// The sender has this node's name.
+    NameResponse(NameResponse),
 }
 
 /// Why a datagram could not be decoded. The receiving node drops and counts such datagrams.
@@ -97,18 +108,43 @@
         KIND_LEAVE => Ok(Datagram::Leave(get_only_id(rest)?)),
         KIND_QUERY if rest.is_empty() => Ok(Datagram::Query(None)),
         KIND_QUERY => Ok(Datagram::Query(Some(get_only_id(rest)?))),
+        KIND_NAME_QUERY => get_name_query(rest).map(Datagram::NameQuery),
+        KIND_NAME_RESPONSE => get_name_response(rest).map(Datagram::NameResponse),
         _ => Err(DecodeError::UnknownKind),
     }
 }
 
+fn get_name_query(mut buf: &[u8]) -> Result<NameQuery, DecodeError> {
+    let query = NameQuery { from: get_id(&mut buf)?, nonce: get_u64(&mut buf)?, sent_ms: get_u64(&mut buf)? };
+    require_empty(buf)?;
+    Ok(query)
+}
+
+fn get_name_response(mut buf: &[u8]) -> Result<NameResponse, DecodeError> {
+    let response = NameResponse {
+        from: get_id(&mut buf)?,
+        nonce: get_u64(&mut buf)?,
+        sent_ms: get_u64(&mut buf)?,
+        uptime_ms: get_u64(&mut buf)?,
+    };
+    require_empty(buf)?;
+    Ok(response)
+}
+
 fn get_only_id(mut buf: &[u8]) -> Result<NodeId, DecodeError> {
     let id = get_id(&mut buf)?;
-    if buf.has_remaining() {
-        return Err(DecodeError::TrailingBytes);
-    }
+    require_empty(buf)?;
     Ok(id)
 }
 
+fn require_empty(buf: &[u8]) -> Result<(), DecodeError> {
+    if buf.is_empty() {
+        Ok(())
+    } else {
+        Err(DecodeError::TrailingBytes)
+    }
+}
+
 /// Encodes a query for the view, or for the part of it after `after`.
 pub fn encode_query(after: Option<&NodeId>) -> Vec<u8> {
     let mut out = vec![KIND_QUERY];
@@ -126,6 +162,25 @@
     out
 }
 
+/// Encodes a name query.
+pub fn encode_name_query(query: &NameQuery) -> Vec<u8> {
+    let mut out = vec![KIND_NAME_QUERY];
+    put_id(&mut out, &query.from);
+    out.put_u64(query.nonce);
+    out.put_u64(query.sent_ms);
+    out
+}
+
+/// Encodes a response to a name query.
+pub fn encode_name_response(response: &NameResponse) -> Vec<u8> {
+    let mut out = vec![KIND_NAME_RESPONSE];
+    put_id(&mut out, &response.from);
+    out.put_u64(response.nonce);
+    out.put_u64(response.sent_ms);
+    out.put_u64(response.uptime_ms);
+    out
+}
+
 /// Encodes a SWIM datagram in the layout that `foca` reads: the header, the number of updates, the updates.
 ///
 /// # Errors
@@ -346,3 +401,9 @@
     read_exact(buf, &mut b)?;
     Ok(u32::from_be_bytes(b))
 }
+
+fn get_u64(buf: &mut impl Buf) -> Result<u64, DecodeError> {
+    let mut b = [0u8; 8];
+    read_exact(buf, &mut b)?;
+    Ok(u64::from_be_bytes(b))
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -31,6 +31,7 @@
 mod budget;
 mod codec;
 mod id;
+mod name_conflict;
 mod protocol;
 pub mod sim;
 mod suspicion;
@@ -39,11 +40,13 @@
 
 pub use budget::{budget_divisor, budget_share};
 pub use codec::{
-    decode, encode_leave, encode_query, CodecError, Datagram, DecodeError, WireCodec, DATAGRAM_MAX_BYTES,
-    KIND_QUERY, KIND_VIEW, KIND_VIEW_PART,
+    decode, encode_leave, encode_name_query, encode_name_response, encode_query, CodecError, Datagram,
+    DecodeError, WireCodec, DATAGRAM_MAX_BYTES, KIND_NAME_QUERY, KIND_NAME_RESPONSE, KIND_QUERY, KIND_VIEW,
+    KIND_VIEW_PART,
 };
 pub use id::NodeId;
 pub use magpietally_transport::{Name, NameError, NAME_MAX_BYTES};
+pub use name_conflict::{NameQuery, NameResponse};
 pub use protocol::{Membership, Settings, Stats, LEAVE_NOTICES_MAX, OUTBOX_MAX, TIMERS_MAX};
 pub use suspicion::{SUSPICION_NOTICES_MAX, TRACKED_SUSPICIONS_MAX};
 pub use view::{Counts, Entry, Liveness, View};
--- /dev/null
+++ b/crates/membership/src/name_conflict/tests.rs
@@ -0,0 +1,181 @@
+use super::*;
+use magpietally_transport::Name;
+
+const S: Duration = Duration::from_secs(1);
+
+fn id(port: u16, generation: u32) -> NodeId {
+    let addr = SocketAddrV4::new(std::net::Ipv4Addr::LOCALHOST, port);
+    NodeId { addr, name: Name::new("a").expect("a literal name"), generation }
+}
+
+/// Two live nodes under one name, each with a detector. Their clocks count from their own starts.
+struct Pair {
+    nodes: [(NodeId, NameConflictDetector, Duration); 2],
+    elapsed: Duration,
+}
+
+impl Pair {
+    /// The second node starts `gap` after the first; `known_to` lists which node's view holds the other one.
+    fn new(first: NodeId, second: NodeId, gap: Duration, known_to: [bool; 2]) -> (Self, [bool; 2]) {
+        let nodes = [
+            (first, NameConflictDetector::new(1), gap),
+            (second, NameConflictDetector::new(2), Duration::ZERO),
+        ];
+        let mut pair = Self { nodes, elapsed: Duration::ZERO };
+        let (me, detector, _) = &mut pair.nodes[0];
+        let me = me.clone();
+        // The first node has been running for `gap`.
+        detector.next_round(Duration::ZERO, std::iter::empty());
+        assert_eq!(detector.live_first(gap, &me), None);
+        (pair, known_to)
+    }
+
+    /// Runs one round of both nodes and returns which of them has to stop.
+    fn round(&mut self, known_to: [bool; 2], answers: [bool; 2]) -> [bool; 2] {
+        self.elapsed += ROUND_INTERVAL;
+        for asking in [0, 1] {
+            let asked = 1 - asking;
+            let (other_id, now) = (self.nodes[asked].0.clone(), self.nodes[asking].2 + self.elapsed);
+            let (me, detector, _) = &mut self.nodes[asking];
+            let listed = known_to[asking].then_some(other_id);
+            let round = detector.next_round(now, listed.into_iter());
+            if round.targets.is_empty() {
+                continue;
+            }
+            let query = detector.query(now, me);
+            let then = self.nodes[asked].2 + self.elapsed;
+            let (responder, other, _) = &mut self.nodes[asked];
+            let response = other.on_query(then, responder, &query).filter(|_| answers[asked]);
+            if let Some(response) = response {
+                let (me, detector, _) = &mut self.nodes[asking];
+                detector.on_response(now, me, &response);
+            }
+        }
+        [0, 1].map(|i| {
+            let (me, detector, started) = &self.nodes[i];
+            detector.live_first(*started + self.elapsed, me).is_some()
+        })
+    }
+
+    /// Returns which nodes have to stop after a while, and after which time the first of them had to.
+    fn run(&mut self, known_to: [bool; 2], answers: [bool; 2]) -> ([bool; 2], Duration) {
+        for _ in 0..40 {
+            let stops = self.round(known_to, answers);
+            if stops.contains(&true) {
+                return (stops, self.elapsed);
+            }
+        }
+        ([false; 2], self.elapsed)
+    }
+}
+
+#[test]
+fn the_later_of_two_live_nodes_stops_whichever_knows_of_the_other_and_whatever_the_clock_said() {
+    for known_to in [[true, true], [true, false], [false, true]] {
+        for generations in [(1000, 2000), (2000, 1000), (1000, 1000)] {
+            let (first, second) = (id(1, generations.0), id(2, generations.1));
+            let (mut pair, known_to) = Pair::new(first, second, S * 30, known_to);
+            let (stops, after) = pair.run(known_to, [true, true]);
+            assert_eq!(stops, [false, true], "known to {known_to:?}, generations {generations:?}");
+            assert!(after <= LIVE_AFTER + 2 * ROUND_INTERVAL, "stopped only after {after:?}");
+        }
+    }
+}
+
+#[test]
+fn of_two_that_started_together_exactly_one_stops() {
+    for ports in [(1, 2), (2, 1)] {
+        let (mut pair, known_to) =
+            Pair::new(id(ports.0, 7), id(ports.1, 7), Duration::from_millis(300), [true, true]);
+        let (stops, _) = pair.run(known_to, [true, true]);
+        assert_eq!(stops, [ports.0 > ports.1, ports.1 > ports.0]);
+    }
+}
+
+#[test]
+fn an_entry_that_never_responds_is_no_conflict() {
+    let (mut pair, known_to) = Pair::new(id(1, 1000), id(2, 2000), S * 30, [false, true]);
+    assert_eq!(pair.run(known_to, [false, true]).0, [false, false]);
+}
+
+#[test]
+fn a_node_that_responds_only_until_it_exits_is_no_conflict() {
+    let (mut pair, known_to) = Pair::new(id(1, 1000), id(2, 2000), S * 30, [false, true]);
+    for _ in 0..4 {
+        assert_eq!(pair.round(known_to, [true, true]), [false, false]);
+    }
+    assert_eq!(pair.run(known_to, [false, true]).0, [false, false]);
+}
+
+/// Responses that come again, late, or to a query of an earlier start of this node prove nothing.
+#[test]
+fn a_response_to_an_old_query_is_ignored() {
+    let (me, other) = (id(2, 2000), id(1, 1000));
+    let mut detector = NameConflictDetector::new(5);
+    let listed = || std::iter::once(other.clone());
+    detector.next_round(S, listed());
+    let query = detector.query(S, &me);
+    let response =
+        |nonce| NameResponse { from: other.clone(), nonce, sent_ms: query.sent_ms, uptime_ms: 60_000 };
+    for tenth in 0..200 {
+        let now = S * 3 + S * tenth / 10;
+        detector.next_round(now, listed());
+        detector.on_response(now, &me, &response(5));
+        detector.on_response(now, &me, &NameResponse { sent_ms: millis(now), ..response(4) });
+        assert_eq!(detector.live_first(now, &me), None, "at {now:?}");
+    }
+}
+
+/// A node that answers pings alone is reached through others only, or does not know the name query.
+#[test]
+fn a_node_that_answers_pings_alone_is_ordered_by_its_identity() {
+    for (other, stops) in [(id(1, 1000), true), (id(1, 3000), false)] {
+        let me = id(2, 2000);
+        let mut detector = NameConflictDetector::new(5);
+        let mut stopped_after = None;
+        for half_second in 0..40 {
+            let now = ROUND_INTERVAL * half_second;
+            let round = detector.next_round(now, std::iter::once(other.clone()));
+            detector.on_ack(now, &other, round.number);
+            if stopped_after.is_none() && detector.live_first(now, &me).is_some() {
+                stopped_after = Some(now);
+            }
+        }
+        assert_eq!(stopped_after, stops.then_some(IDENTITY_ORDER_AFTER), "{other}");
+    }
+}
+
+#[test]
+fn acks_of_earlier_rounds_or_other_identities_prove_nothing() {
+    let (me, other) = (id(2, 2000), id(1, 1000));
+    let mut detector = NameConflictDetector::new(5);
+    for half_second in 0..40 {
+        let now = ROUND_INTERVAL * half_second;
+        let round = detector.next_round(now, std::iter::once(other.clone()));
+        detector.on_ack(now, &other, round.number.wrapping_sub(2));
+        detector.on_ack(now, &id(1, 999), round.number);
+        assert_eq!(detector.live_first(now, &me), None);
+    }
+}
+
+#[test]
+fn the_number_of_tracked_starts_is_bounded_and_old_ones_are_forgotten() {
+    let me = id(2, 2000);
+    let mut detector = NameConflictDetector::new(5);
+    let listed = (10..100).map(|port| id(port, 1));
+    assert_eq!(detector.next_round(S, listed).targets.len(), OTHER_STARTS_MAX);
+    let query = NameQuery { from: id(500, 1), nonce: 9, sent_ms: 4 };
+    assert!(detector.on_query(S, &me, &query).is_some(), "a node beyond the bound is answered");
+    let round = detector.next_round(S * 2 + FORGET_AFTER, std::iter::empty());
+    assert_eq!(round.targets, []);
+}
+
+#[test]
+fn a_query_under_another_name_is_not_answered() {
+    let me = id(2, 2000);
+    let mut detector = NameConflictDetector::new(5);
+    let mut other = id(1, 1000);
+    other.name = Name::new("b").expect("a literal name");
+    assert_eq!(detector.on_query(S, &me, &NameQuery { from: other, nonce: 9, sent_ms: 4 }), None);
+    assert_eq!(detector.on_query(S, &me, &NameQuery { from: me.clone(), nonce: 9, sent_ms: 4 }), None);
+}
--- a/crates/membership/src/protocol.rs
+++ b/crates/membership/src/protocol.rs
@@ -15,6 +15,7 @@
 
 use crate::codec::{self, Datagram, WireCodec, DATAGRAM_MAX_BYTES, KIND_SWIM};
 use crate::id::NodeId;
+use crate::name_conflict::NameConflictDetector;
 use crate::suspicion::SuspicionTracker;
 use crate::view::{Entry, Liveness, View};
 
@@ -26,6 +27,8 @@
 pub const TIMERS_MAX: usize = 16_384;
 /// Maximum number of remembered leave notices. A notice is removed together with the member it names.
 pub const LEAVE_NOTICES_MAX: usize = 4096;
+/// Number of members through which another start of the node's name is pinged in each round.
+const INDIRECT_NAME_PINGS: usize = 2;
 
 /// Timing parameters of the protocol. The defaults are those of `docs/design/membership.md`.
 #[derive(Clone, Debug, PartialEq)]
@@ -107,6 +110,7 @@
     foca: Foca<NodeId, WireCodec, Pcg64, NoCustomBroadcast>,
     output: Output,
     suspicions: SuspicionTracker,
+    names: NameConflictDetector,
     seeds: Vec<SocketAddrV4>,
     next_announce: Duration,
     reannounce_interval: Duration,
@@ -185,6 +189,7 @@
             foca: Foca::new(me, config, Pcg64::seed_from_u64(seed), WireCodec),
             output: Output::default(),
             suspicions: SuspicionTracker::new(settings),
+            names: NameConflictDetector::new(seed),
             seeds: Vec::new(),
             next_announce: Duration::ZERO,
             reannounce_interval: settings.reannounce_interval,
@@ -223,6 +228,18 @@
             Err(_) => self.output.stats.malformed += 1,
             // Queries are answered by the caller.
             Ok(Datagram::Query(_)) => {}
+            Ok(Datagram::NameQuery(query)) => {
+                if self.leaving {
+                    return;
+                }
+                if let Some(response) = self.names.on_query(now, self.foca.identity(), &query) {
+                    let bytes = codec::encode_name_response(&response);
+                    enqueue(&mut self.output.outbox, &mut self.output.stats, query.from.addr, bytes);
+                }
+            }
+            Ok(Datagram::NameResponse(response)) => {
+                self.names.on_response(now, self.foca.identity(), &response);
+            }
             Ok(Datagram::Leave(id)) => {
                 if self.leave_notices.len() < LEAVE_NOTICES_MAX {
                     self.leave_notices.insert(id);
@@ -233,7 +250,7 @@
                 if self.leaving {
                     return;
                 }
-                self.count_if_from_other_start(swim);
+                self.note_other_starts(now, swim);
                 let mut runtime = FocaRuntime::new(&mut self.output, now);
                 let result = self.foca.handle_data(swim, &mut runtime);
                 let rejoined = runtime.rejoined;
@@ -253,13 +270,52 @@
         }
     }
 
-    /// Counts a SWIM datagram whose sender has this node's name and another address.
-    fn count_if_from_other_start(&mut self, swim: &[u8]) {
+    /// Notes what a SWIM datagram says of other starts of the node's name: whether one has sent it, and whether
+    /// one has answered a ping.
+    fn note_other_starts(&mut self, now: Duration, swim: &[u8]) {
         let Ok(header) = WireCodec.decode_header(swim) else { return };
         let me = self.foca.identity();
         if header.src.name == me.name && header.src.addr != me.addr {
             self.output.stats.from_other_starts += 1;
         }
+        if header.dst != *me {
+            return;
+        }
+        match &header.message {
+            Message::Ack(number) => self.names.on_ack(now, &header.src, *number),
+            Message::ForwardedAck { origin, probe_number } => self.names.on_ack(now, origin, *probe_number),
+            _ => {}
+        }
+    }
+
+    /// Asks the other starts of the node's name whether they are live.
+    fn ask_other_starts(&mut self, now: Duration) {
+        let me = self.local_id().clone();
+        let same_name = |id: &NodeId| id.name == me.name;
+        let members = self.foca.iter_members().map(|m| m.id());
+        let round = self.names.next_round(now, members.filter(|id| same_name(id)).cloned());
+        if round.targets.is_empty() {
+            return;
+        }
+        let query = codec::encode_name_query(&self.names.query(now, &me));
+        let others: Vec<NodeId> =
+            self.foca.iter_members().map(|m| m.id()).filter(|id| !same_name(id)).cloned().collect();
+        let intermediaries: Vec<&NodeId> =
+            others.iter().cycle().skip(usize::from(round.number)).take(INDIRECT_NAME_PINGS).collect();
+        for target in &round.targets {
+            enqueue(&mut self.output.outbox, &mut self.output.stats, target.addr, query.clone());
+            self.send_swim(target, Message::Ping(round.number), &[]);
+            for intermediary in &intermediaries {
+                let target = target.clone();
+                self.send_swim(intermediary, Message::PingReq { target, probe_number: round.number }, &[]);
+            }
+        }
+    }
+
+    /// Returns the live node that has this node's name and started before it, if there is one at `now`. This
+    /// node must then stop, since two nodes must not share a name.
+    pub fn name_conflict(&self, now: Duration) -> Option<&NodeId> {
+        self.names.live_first(now, self.local_id())
     }
 
     /// Called after the identity was renewed. If the previous renewal was recent, advances the generation
@@ -297,6 +353,9 @@
         if self.suspicions.is_due(now) {
             self.process_suspicions(now);
         }
+        if self.names.is_due(now) {
+            self.ask_other_starts(now);
+        }
         if !self.seeds.is_empty() && now >= self.next_announce {
             self.next_announce = now + self.reannounce_interval;
             let members: BTreeSet<SocketAddrV4> = self.foca.iter_members().map(|m| m.id().addr).collect();
@@ -353,7 +412,7 @@
         }
         let timer = self.output.timers.keys().next().map(|k| k.0);
         let announce = (!self.seeds.is_empty()).then_some(self.next_announce);
-        [timer, announce, self.suspicions.next_due()].into_iter().flatten().min()
+        [timer, announce, self.suspicions.next_due(), Some(self.names.next_due())].into_iter().flatten().min()
     }
 
     /// Leaves the fleet on purpose: sends a notice to every active member and `foca`'s own leave message.
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -130,17 +130,6 @@
         c
     }
 
-    /// Returns another active node with `me`'s name, a different address and an earlier generation (or the
-    /// same generation and a lower address), if there is one. `me` must then stop, since two nodes must not
-    /// share a name.
-    pub fn name_conflict(&self, me: &NodeId) -> Option<&NodeId> {
-        self.entries
-            .iter()
-            .filter(|e| e.liveness.is_active() && e.id.name == me.name && e.id.addr != me.addr)
-            .map(|e| &e.id)
-            .find(|other| (other.generation, other.addr) < (me.generation, me.addr))
-    }
-
     /// Replaces the entries with `entries`, given in any order. If they differ from the current ones,
     /// increments the version and returns true.
     pub(crate) fn replace(&mut self, mut entries: Vec<Entry>) -> bool {
--- a/crates/membership/src/view/tests.rs
+++ b/crates/membership/src/view/tests.rs
@@ -25,15 +25,3 @@
     assert_eq!(v.counts(), Counts { alive: 1, suspect: 1, dead: 0, left: 0 });
     assert_eq!(v.liveness_of("b"), Some(Liveness::Suspect));
 }
-
-#[test]
-fn of_two_nodes_with_the_same_name_the_later_one_stops() {
-    let mut v = View::default();
-    v.replace(vec![entry(1, "a", 10, Liveness::Alive), entry(2, "a", 20, Liveness::Alive)]);
-    let first = v.entries()[0].id.clone();
-    let second = v.entries()[1].id.clone();
-    assert_eq!(v.name_conflict(&second), Some(&first));
-    assert_eq!(v.name_conflict(&first), None);
-    v.replace(vec![entry(1, "a", 10, Liveness::Dead), entry(2, "a", 20, Liveness::Alive)]);
-    assert_eq!(v.name_conflict(&second), None, "a dead node does not hold its name");
-}
--- a/crates/membership/tests/codec.rs
+++ b/crates/membership/tests/codec.rs
@@ -5,7 +5,10 @@
 
 use bytes::BufMut;
 use foca::{Codec, Header, Member, Message, State};
-use magpietally_membership::{decode, encode_leave, Datagram, Name, NodeId, WireCodec};
+use magpietally_membership::{
+    decode, encode_leave, encode_name_query, encode_name_response, Datagram, Name, NameQuery, NameResponse,
+    NodeId, WireCodec,
+};
 use proptest::prelude::*;
 
 fn id() -> impl Strategy<Value = NodeId> {
@@ -44,6 +47,26 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2000, ..ProptestConfig::default() })]
 
+    #[test]
+    fn encoded_name_messages_decode_to_themselves_and_truncated_or_longer_ones_are_rejected(
+        from in id(), nonce in any::<u64>(), sent_ms in any::<u64>(), uptime_ms in any::<u64>()
+    ) {
+        let query = NameQuery { from: from.clone(), nonce, sent_ms };
+        let response = NameResponse { from, nonce, sent_ms, uptime_ms };
+        let encoded = [
+            (encode_name_query(&query), Datagram::NameQuery(query)),
+            (encode_name_response(&response), Datagram::NameResponse(response)),
+        ];
+        for (mut bytes, datagram) in encoded {
+            prop_assert_eq!(decode(&bytes), Ok(datagram));
+            for n in 0..bytes.len() {
+                prop_assert!(decode(&bytes[..n]).is_err());
+            }
+            bytes.push(0);
+            prop_assert!(decode(&bytes).is_err());
+        }
+    }
+
     #[test]
     fn encoded_messages_decode_to_themselves_and_truncated_ones_are_rejected(
         src in id(), dst in id(), src_incarnation in any::<u16>(), message in message(), members in proptest::collection::vec(member(), 0..8)
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -198,13 +198,15 @@
                 tracing::info!(target: "membership", "another start of this node: {}, {}, incarnation {}; {received} datagrams received from other starts", other.id, other.liveness, other.incarnation);
             }
         }
-        if let Some(first) = view.name_conflict(&me) {
+        if let Some(first) = membership.name_conflict(start.elapsed()) {
             // Two nodes may not share a name; the one that started first keeps it. This node still answers
             // the requests it has accepted.
             let (name, at) = (&me.name, first.addr);
             let message =
                 format!("membership: the name {name} is taken by the node at {at}, which started first");
             request_shutdown("membership", &message);
+            membership.leave(start.elapsed());
+            send_outgoing(socket, membership);
             return Err(message);
         }
     }
