A node's earlier starts no longer count as nodes of their own in the fleet's budgets

What users saw: a fleet of three in which one node had come back three times at other ports divided its budgets by 6, first as the earlier starts were still members, later as 3 of 6 known nodes are no majority.

Cause: View::counts counted entries, and a node that restarts at another address has one for each start until it is forgotten (120 s).

Change: a node counts once, in the state of an active start, else of the latest; liveness_of goes by the same order.

--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -1,6 +1,7 @@
 //! A node's view of the fleet: which nodes it considers alive, suspect, dead or left, with a version that is
 //! incremented at each change.
 
+use std::collections::BTreeMap;
 use std::fmt;
 
 use crate::id::NodeId;
@@ -53,7 +54,15 @@
     pub liveness: Liveness,
 }
 
-/// Number of nodes in each state.
+impl Entry {
+    /// Orders the starts of one node by how well they describe it: an alive start describes it better than a
+    /// suspect one, an active one better than one that is dead or left, and otherwise a later one better.
+    fn precedence(&self) -> (bool, bool, u32) {
+        (self.liveness.is_active(), self.liveness == Liveness::Alive, self.id.generation)
+    }
+}
+
+/// Number of nodes in each state. A node that is listed with several starts counts once.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
     /// Alive, including the node itself.
@@ -97,18 +106,11 @@
         &self.entries
     }
 
-    /// Returns the state of the node named `name`, or `None` if the view has no such node.
+    /// Returns the state of the node named `name`, or `None` if the view has no such node. Of several starts of
+    /// the node an active one takes precedence, then the latest.
     pub fn liveness_of(&self, name: &str) -> Option<Liveness> {
-        // While the news of a restart spreads, several entries can have the same name; the active one takes
-        // precedence.
-        let mut found = None;
-        for e in self.entries.iter().filter(|e| e.id.name.as_str() == name) {
-            if e.liveness.is_active() {
-                return Some(e.liveness);
-            }
-            found = Some(e.liveness);
-        }
-        found
+        let starts = self.entries.iter().filter(|e| e.id.name.as_str() == name);
+        starts.max_by_key(|e| e.precedence()).map(|e| e.liveness)
     }
 
     /// Returns the entries of other starts of the node `me`: those with its name and another address.
@@ -116,10 +118,18 @@
         self.entries.iter().filter(|e| e.id.name == me.name && e.id.addr != me.addr)
     }
 
-    /// Counts the nodes in each state.
+    /// Counts the nodes in each state. A view lists several starts of a node that was restarted at another
+    /// address; the node counts once, in the state of [`View::liveness_of`].
     pub fn counts(&self) -> Counts {
-        let mut c = Counts::default();
+        let mut nodes = BTreeMap::new();
         for e in &self.entries {
+            let start = nodes.entry(&e.id.name).or_insert(e);
+            if e.precedence() >= start.precedence() {
+                *start = e;
+            }
+        }
+        let mut c = Counts::default();
+        for e in nodes.values() {
             match e.liveness {
                 Liveness::Alive => c.alive += 1,
                 Liveness::Suspect => c.suspect += 1,
--- a/crates/membership/src/view/tests.rs
+++ b/crates/membership/src/view/tests.rs
@@ -25,3 +25,29 @@
     assert_eq!(v.counts(), Counts { alive: 1, suspect: 1, dead: 0, left: 0 });
     assert_eq!(v.liveness_of("b"), Some(Liveness::Suspect));
 }
+
+#[test]
+fn a_node_listed_with_several_starts_counts_once() {
+    let mut v = View::default();
+    let restarted = |first, second, third| {
+        vec![
+            entry(1, "a", 10, first),
+            entry(2, "a", 20, second),
+            entry(3, "a", 30, third),
+            entry(4, "b", 5, Liveness::Alive),
+        ]
+    };
+    let counts = |alive, suspect, dead, left| Counts { alive, suspect, dead, left };
+    v.replace(restarted(Liveness::Alive, Liveness::Suspect, Liveness::Alive));
+    assert_eq!(v.counts(), counts(2, 0, 0, 0));
+    v.replace(restarted(Liveness::Dead, Liveness::Dead, Liveness::Suspect));
+    assert_eq!((v.counts(), v.liveness_of("a")), (counts(1, 1, 0, 0), Some(Liveness::Suspect)));
+    v.replace(restarted(Liveness::Alive, Liveness::Dead, Liveness::Dead));
+    assert_eq!((v.counts(), v.liveness_of("a")), (counts(2, 0, 0, 0), Some(Liveness::Alive)));
+    v.replace(restarted(Liveness::Dead, Liveness::Dead, Liveness::Dead));
+    assert_eq!(v.counts(), counts(1, 0, 1, 0));
+    v.replace(restarted(Liveness::Dead, Liveness::Dead, Liveness::Left));
+    assert_eq!((v.counts(), v.liveness_of("a")), (counts(1, 0, 0, 1), Some(Liveness::Left)));
+    v.replace(restarted(Liveness::Left, Liveness::Dead, Liveness::Dead));
+    assert_eq!((v.counts(), v.liveness_of("a")), (counts(1, 0, 1, 0), Some(Liveness::Dead)));
+}
--- a/tests/node_names.rs
+++ b/tests/node_names.rs
@@ -94,6 +94,28 @@
     wait_seen_alive(&fleet, &[0, 1, 5], "m2", 5);
 }
 
+/// Guards against earlier starts that count as nodes of their own: a fleet of three divided its budgets by up to
+/// six, first as the starts were still members, then as the fleet took itself for a minority of the known nodes.
+#[test]
+fn earlier_starts_do_not_count_in_the_division_of_budgets() {
+    let mut fleet = MemberFleet::new(29, 3, 3);
+    fleet.wait_agree("the start", &[0, 1, 2], &[], "dead");
+    for i in 3..6 {
+        wait_seen_alive(&fleet, &[0, 1], "m2", i - 1);
+        fleet.kill(i - 1);
+        fleet.start(i, "m2");
+    }
+    wait_seen_alive(&fleet, &[0, 1, 5], "m2", 5);
+    let start = Instant::now();
+    while start.elapsed() < RESTART_WATCHED {
+        for i in [0, 1, 5] {
+            let divisor = fleet.budget_divisor(i).expect("it answers");
+            assert_eq!(divisor, 3, "{:?} after the last start: {}", start.elapsed(), fleet.views(&[i]));
+        }
+        std::thread::sleep(REQUEST_INTERVAL);
+    }
+}
+
 /// Guards against the same where a third of the fleet comes back together, each node at the address that
 /// another one of them had before.
 #[test]
