A node leaves the fleet as it begins to stop, not when it has finished

What users saw: the next process under a node's name, started while the old one was finishing its requests after SIGTERM (up to 3.5 s), ended 2.0 s later: the old one was still a member and answered for the name.

Cause: the membership thread was told to leave after the node had ended its last request. docs/design/membership.md said that the node leaves on SIGTERM and is counted out at once; nothing did so.

Change: the node sets a flag when it begins to stop (OperatorOptions::stop_notice), upon which the membership thread leaves.

--- a/crates/http/src/node.rs
+++ b/crates/http/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -66,6 +67,8 @@
     pub server_list: Option<ServerListFile>,
     /// Admission decisions of the fleet.
     pub admission: Option<Arc<dyn AdmissionControl>>,
+    /// Set to true as soon as the node begins to stop, before it finishes its requests.
+    pub stop_notice: Option<Arc<AtomicBool>>,
 }
 
 /// Runs one node until a signal ends it. `lost_lines` returns the number of lines that the log has dropped so
@@ -191,6 +194,7 @@
     let management = setup.management.map(Listener::new).transpose();
     let management = management.map_err(|e| format!("management: {e}"))?;
     let process = setup.process;
+    let stop_notice = setup.options.stop_notice.clone();
     let node = start_node(config, process.clone(), setup.label, setup.options)
         .map_err(|e| format!("settings: {e}"))?;
     on_started();
@@ -222,6 +226,9 @@
             () = process.stopped() => {}
         }
         process.stop();
+        if let Some(notice) = stop_notice {
+            notice.store(true, Ordering::SeqCst);
+        }
         log_stage("stop requested", &node, &clients);
         stop_node(&node, &clients, listener).await;
     };
--- a/src/main.rs
+++ b/src/main.rs
@@ -143,7 +143,8 @@
     let fleet =
         fleet_options.map(|options| fleet::start(&config.name, options, base_settings())).transpose()?;
     let admission = fleet.as_ref().map(|fleet| fleet.shared.clone() as Arc<dyn AdmissionControl>);
-    let extras = OperatorOptions { ledger, server_list, admission };
+    let stop_notice = membership.as_ref().map(membership::MembershipThread::stop_notice);
+    let extras = OperatorOptions { ledger, server_list, admission, stop_notice };
     let result = match usize::from(args.workers) {
         1 => magpietally_http::run(config, extras, log.dropped_lines()),
         workers => magpietally_http::run_workers(config, workers, extras, log.dropped_lines()),
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -126,7 +126,13 @@
 }
 
 impl MembershipThread {
-    /// Announces that the node leaves the fleet and stops the thread.
+    /// The flag that makes the thread announce that the node leaves the fleet, and end. A node sets it when it
+    /// begins to stop: it only finishes its work then, and the next process may run under its name.
+    pub fn stop_notice(&self) -> Arc<AtomicBool> {
+        self.stop.clone()
+    }
+
+    /// Announces that the node leaves the fleet, if it has not been announced yet, and stops the thread.
     ///
     /// # Errors
     /// The reason for which the thread had shut the node down, if it had.
--- a/tests/node_names.rs
+++ b/tests/node_names.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use peers::member_fleet::MemberFleet;
+use peers::member_fleet::{MemberFleet, SLOW_REQUEST};
 use peers::*;
 
 /// How long a restarted node is watched: longer than the 16 s in which its earlier start is declared dead.
@@ -212,3 +212,25 @@
     assert_eq!(fleet.node(3).exit_code(), Some(0));
     assert_serves(&mut fleet, &[2, 5], RESTART_WATCHED);
 }
+
+/// Guards against a node that holds its name while it finishes its last requests after SIGTERM: the next process
+/// under the name took it for a second live node. It leaves the fleet at once.
+#[test]
+fn a_node_that_is_stopping_does_not_end_the_next_one() {
+    let mut fleet = MemberFleet::new(30, 3, 1);
+    fleet.wait_agree("the start", &[0, 1, 2], &[], "dead");
+    let mut client = Client::to(fleet.node(2));
+    client.send(&request("look", SLOW_REQUEST, 60_000));
+    let_connection_idle();
+    fleet.node(2).terminate();
+    fleet.node(2).wait_stopping();
+    fleet.start(3, "m2");
+    let first = fleet.relay.frontend(2).to_string();
+    assert_serves(&mut fleet, &[3], Duration::from_secs(1));
+    assert!(fleet.node(2).running(), "the first process does not finish its requests");
+    let listed = fleet.view(0).expect("it answers");
+    let state = listed.iter().find(|e| e.address == first).map(|e| e.state.as_str());
+    assert_serves(&mut fleet, &[3], RESTART_WATCHED);
+    assert_eq!(state, Some("left"), "while the first process was stopping: {listed:?}");
+    assert_eq!(fleet.node(2).exit_code(), Some(0));
+}
--- a/tests/peers/member_fleet.rs
+++ b/tests/peers/member_fleet.rs
@@ -7,13 +7,18 @@
 use serde_json::Value;
 
 use super::faults::Faults;
-use super::{config, host, wait_until, Node, Registry, ScriptedServer};
+use super::{config, host, response, wait_until, Node, Registry, Reply, ScriptedServer};
 
 /// The time after a fault within which the views of all live nodes agree: a probe period, a suspicion of 9 s
 /// at most, the rejoin of nodes declared dead, a few periods of dissemination, and an allowance for a busy
 /// machine.
 pub const AGREE_WITHIN: Duration = Duration::from_secs(40);
 
+/// The id of a request that the server answers after [`SLOW_RESPONSE_AFTER`].
+pub const SLOW_REQUEST: &str = "slow";
+/// Longer than a node that was sent SIGTERM goes on.
+const SLOW_RESPONSE_AFTER: Duration = Duration::from_secs(20);
+
 /// A node in a view.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listed {
@@ -39,7 +44,10 @@
 impl MemberFleet {
     /// Starts `size` nodes; `spare` more frontends are left.
     pub fn new(seed: u64, size: usize, spare: usize) -> Self {
-        let server = ScriptedServer::healthy("a");
+        let server = ScriptedServer::new(|request| match request.header("x-txn") {
+            Some(SLOW_REQUEST) => Reply::RespondAfter(SLOW_RESPONSE_AFTER, response(200, "", "a")),
+            _ => Reply::Respond(response(200, "", "a")),
+        });
         let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
         let frontends = size + spare;
         let mut fleet = Self {
