A hand-over does not end one of its own two processes over the node's name

Cause: the rule for two live nodes of a name knew nothing of the hand-over, in which both are meant to run.

Change: a node that inherited its listening socket tells the socket's identity (boot id and inode) in its response to a name query. Two processes with the same one are no conflict; two with a socket each still are. The order of starts is taken from the times since the start down to the round trip, in place of 1 s.

The unit tests that set starts 30 s apart now do so 10 ms apart too.

--- a/crates/membership/src/codec.rs
+++ b/crates/membership/src/codec.rs
@@ -12,7 +12,7 @@
 use foca::{Codec, Header, Member, Message, State};
 
 use crate::id::NodeId;
-use crate::name_conflict::{NameQuery, NameResponse};
+use crate::name_conflict::{ListenerId, NameQuery, NameResponse};
 use magpietally_transport::{Name, NAME_MAX_BYTES};
 
 /// Maximum size of a datagram that a node sends or accepts. It fits into one Ethernet frame, so that no
@@ -34,8 +34,8 @@
 /// A [`NameQuery`]: the sender's identity, the nonce and the time of sending. Nodes that do not know this kind
 /// count it as malformed.
 pub const KIND_NAME_QUERY: u8 = 0x4e;
-/// A [`NameResponse`]: the responder's identity, the query's nonce and time of sending, and the time since the
-/// responder's start.
+/// A [`NameResponse`]: the responder's identity, the query's nonce and time of sending, the time since the
+/// responder's start, and a byte that says whether a [`ListenerId`] follows.
 pub const KIND_NAME_RESPONSE: u8 = 0x6e;
 
 /// A decoded datagram.
@@ -126,11 +126,20 @@
         nonce: get_u64(&mut buf)?,
         sent_ms: get_u64(&mut buf)?,
         uptime_ms: get_u64(&mut buf)?,
+        listener: get_listener(&mut buf)?,
     };
     require_empty(buf)?;
     Ok(response)
 }
 
+fn get_listener(buf: &mut &[u8]) -> Result<Option<ListenerId>, DecodeError> {
+    match get_u8(buf)? {
+        0 => Ok(None),
+        1 => Ok(Some(ListenerId { boot: get_u128(buf)?, inode: get_u64(buf)? })),
+        _ => Err(DecodeError::InvalidField),
+    }
+}
+
 fn get_only_id(mut buf: &[u8]) -> Result<NodeId, DecodeError> {
     let id = get_id(&mut buf)?;
     require_empty(buf)?;
@@ -178,6 +187,11 @@
     out.put_u64(response.nonce);
     out.put_u64(response.sent_ms);
     out.put_u64(response.uptime_ms);
+    out.put_u8(u8::from(response.listener.is_some()));
+    if let Some(listener) = response.listener {
+        out.put_u128(listener.boot);
+        out.put_u64(listener.inode);
+    }
     out
 }
 
@@ -407,3 +421,9 @@
     read_exact(buf, &mut b)?;
     Ok(u64::from_be_bytes(b))
 }
+
+fn get_u128(buf: &mut impl Buf) -> Result<u128, DecodeError> {
+    let mut b = [0u8; 16];
+    read_exact(buf, &mut b)?;
+    Ok(u128::from_be_bytes(b))
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -46,7 +46,7 @@
 };
 pub use id::NodeId;
 pub use magpietally_transport::{Name, NameError, NAME_MAX_BYTES};
-pub use name_conflict::{NameQuery, NameResponse};
+pub use name_conflict::{ListenerId, NameQuery, NameResponse};
 pub use protocol::{Membership, Settings, Stats, LEAVE_NOTICES_MAX, OUTBOX_MAX, TIMERS_MAX};
 pub use suspicion::{SUSPICION_NOTICES_MAX, TRACKED_SUSPICIONS_MAX};
 pub use view::{Counts, Entry, Liveness, View};
--- a/crates/membership/src/name_conflict.rs
+++ b/crates/membership/src/name_conflict.rs
@@ -6,6 +6,8 @@
 //! query, which returns how long the responder has been running, and to a SWIM ping, direct or through another
 //! member. The ping reaches nodes that can't be reached directly and those that do not know the name query.
 //!
+//! The two processes of a hand-over are no conflict: they share the clients' listening socket.
+//!
 //! The times since the start decide which node started later. The wall clock, from which the generations are
 //! derived, may have been set back between the two starts; it is used only where the times say nothing.
 
@@ -26,9 +28,8 @@
 /// How long a node must have been responding without telling its time since the start, before the order of
 /// starts is taken from the identities.
 const IDENTITY_ORDER_AFTER: Duration = Duration::from_secs(6);
-/// Starts that differ by less than this are ordered by the identities: the measured difference is uncertain by
-/// half a round trip.
-const SIMULTANEOUS_START: Duration = Duration::from_secs(1);
+/// How much two times since the start may differ by rounding to milliseconds alone.
+const UPTIME_RESOLUTION: Duration = Duration::from_millis(2);
 /// How long a start that is no longer listed is asked after its last query.
 const FORGET_AFTER: Duration = Duration::from_secs(10);
 /// The most other starts that are tracked at the same time.
@@ -56,6 +57,17 @@
     pub sent_ms: u64,
     /// How long the responder has been running, in milliseconds.
     pub uptime_ms: u64,
+    /// The responder's listening socket for clients, if it was inherited and may be shared.
+    pub listener: Option<ListenerId>,
+}
+
+/// Identifies an inherited listening socket: the processes of a hand-over share it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ListenerId {
+    /// The boot id of the machine.
+    pub boot: u128,
+    /// The socket's inode, which is unique on the machine while the socket is open.
+    pub inode: u64,
 }
 
 /// The requests that are due to the other starts.
@@ -67,11 +79,13 @@
     pub number: u8,
 }
 
-/// Which of two starts was first.
+/// What another start of the name is to this one, by its own response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum StartOrder {
-    OtherFirst,
-    OtherLater,
+enum Relation {
+    StartedFirst,
+    StartedLater,
+    /// The two processes share the clients' listening socket: one hands over to the other.
+    SharesListener,
 }
 
 /// Another start of the name.
@@ -82,13 +96,13 @@
     last_seen: Duration,
     /// The first and the last response without a gap between them.
     responding: Option<(Duration, Duration)>,
-    /// The order by the times since the start, once the other has told its own.
-    order: Option<StartOrder>,
+    /// Known once it has responded to a query.
+    relation: Option<Relation>,
 }
 
 impl OtherStart {
     fn new(id: NodeId, now: Duration) -> Self {
-        Self { id, last_seen: now, responding: None, order: None }
+        Self { id, last_seen: now, responding: None, relation: None }
     }
 
     fn responded(&mut self, now: Duration) {
@@ -106,8 +120,8 @@
         if responding_for < LIVE_AFTER || now.saturating_sub(last) > RESPONSE_MAX_AGE {
             return false;
         }
-        match self.order {
-            Some(order) => order == StartOrder::OtherFirst,
+        match self.relation {
+            Some(relation) => relation == Relation::StartedFirst,
             None => responding_for >= IDENTITY_ORDER_AFTER && is_first_by_identity(&self.id, me),
         }
     }
@@ -121,6 +135,7 @@
 /// Tracks the other starts of a node's name.
 pub(crate) struct NameConflictDetector {
     nonce: u64,
+    listener: Option<ListenerId>,
     /// When the node started, by the caller's clock; set by the first call of
     /// [`NameConflictDetector::next_round`].
     started: Option<Duration>,
@@ -132,7 +147,19 @@
 impl NameConflictDetector {
     /// Creates the detector; `nonce` should differ from that of the node's earlier starts.
     pub fn new(nonce: u64) -> Self {
-        Self { nonce, started: None, next_round: Duration::ZERO, round: 0, others: BTreeMap::new() }
+        Self {
+            nonce,
+            listener: None,
+            started: None,
+            next_round: Duration::ZERO,
+            round: 0,
+            others: BTreeMap::new(),
+        }
+    }
+
+    /// Sets the node's listening socket, which it has inherited.
+    pub fn set_listener(&mut self, listener: ListenerId) {
+        self.listener = Some(listener);
     }
 
     /// Returns when [`NameConflictDetector::next_round`] is to be called next.
@@ -184,6 +211,7 @@
             nonce: query.nonce,
             sent_ms: query.sent_ms,
             uptime_ms: millis(uptime),
+            listener: self.listener,
         })
     }
 
@@ -199,14 +227,23 @@
         let Some(other) = self.others.get_mut(&response.from.addr) else { return };
         other.id = response.from.clone();
         other.responded(now);
-        let own_uptime = (sent + round_trip / 2).saturating_sub(self.started.unwrap_or(now));
-        let other_uptime = Duration::from_millis(response.uptime_ms);
-        let other_first = if own_uptime.abs_diff(other_uptime) < SIMULTANEOUS_START {
-            is_first_by_identity(&other.id, me)
+        other.relation = Some(if response.listener.is_some() && response.listener == self.listener {
+            Relation::SharesListener
         } else {
-            other_uptime > own_uptime
-        };
-        other.order = Some(if other_first { StartOrder::OtherFirst } else { StartOrder::OtherLater });
+            let own_uptime = (sent + round_trip / 2).saturating_sub(self.started.unwrap_or(now));
+            let other_uptime = Duration::from_millis(response.uptime_ms);
+            // The difference is uncertain by half a round trip.
+            let other_first = if own_uptime.abs_diff(other_uptime) <= round_trip + UPTIME_RESOLUTION {
+                is_first_by_identity(&other.id, me)
+            } else {
+                other_uptime > own_uptime
+            };
+            if other_first {
+                Relation::StartedFirst
+            } else {
+                Relation::StartedLater
+            }
+        });
     }
 
     /// Handles an ack of the node `from`, received directly or through another member at `now`. It counts if
--- a/crates/membership/src/name_conflict/tests.rs
+++ b/crates/membership/src/name_conflict/tests.rs
@@ -15,22 +15,21 @@
 }
 
 impl Pair {
-    /// The second node starts `gap` after the first; `known_to` lists which node's view holds the other one.
-    fn new(first: NodeId, second: NodeId, gap: Duration, known_to: [bool; 2]) -> (Self, [bool; 2]) {
+    /// The second node starts when the first one has been running for `gap`.
+    fn new(first: NodeId, second: NodeId, gap: Duration) -> Self {
         let nodes = [
             (first, NameConflictDetector::new(1), gap),
             (second, NameConflictDetector::new(2), Duration::ZERO),
         ];
         let mut pair = Self { nodes, elapsed: Duration::ZERO };
-        let (me, detector, _) = &mut pair.nodes[0];
-        let me = me.clone();
-        // The first node has been running for `gap`.
-        detector.next_round(Duration::ZERO, std::iter::empty());
-        assert_eq!(detector.live_first(gap, &me), None);
-        (pair, known_to)
+        for (_, detector, _) in &mut pair.nodes {
+            detector.next_round(Duration::ZERO, std::iter::empty());
+        }
+        pair
     }
 
-    /// Runs one round of both nodes and returns which of them has to stop.
+    /// Runs one round of both nodes; `known_to` says whose view lists the other one, `answers` whose responses arrive.
+    /// Returns which of them has to stop.
     fn round(&mut self, known_to: [bool; 2], answers: [bool; 2]) -> [bool; 2] {
         self.elapsed += ROUND_INTERVAL;
         for asking in [0, 1] {
@@ -71,22 +70,23 @@
 
 #[test]
 fn the_later_of_two_live_nodes_stops_whichever_knows_of_the_other_and_whatever_the_clock_said() {
-    for known_to in [[true, true], [true, false], [false, true]] {
-        for generations in [(1000, 2000), (2000, 1000), (1000, 1000)] {
-            let (first, second) = (id(1, generations.0), id(2, generations.1));
-            let (mut pair, known_to) = Pair::new(first, second, S * 30, known_to);
-            let (stops, after) = pair.run(known_to, [true, true]);
-            assert_eq!(stops, [false, true], "known to {known_to:?}, generations {generations:?}");
-            assert!(after <= LIVE_AFTER + 2 * ROUND_INTERVAL, "stopped only after {after:?}");
-        }
+    let known_to = [[true, true], [true, false], [false, true]];
+    let generations = [(1000, 2000), (2000, 1000), (1000, 1000)];
+    let gaps = [Duration::from_millis(10), S * 30];
+    let cases = known_to.into_iter().flat_map(|k| generations.map(|g| gaps.map(|gap| (k, g, gap)))).flatten();
+    for (known_to, generations, gap) in cases {
+        let (first, second) = (id(2, generations.0), id(1, generations.1));
+        let mut pair = Pair::new(first, second, gap);
+        let (stops, after) = pair.run(known_to, [true, true]);
+        assert_eq!(stops, [false, true], "known to {known_to:?}, generations {generations:?}, {gap:?} apart");
+        assert!(after <= LIVE_AFTER + 2 * ROUND_INTERVAL, "stopped only after {after:?}");
     }
 }
 
 #[test]
 fn of_two_that_started_together_exactly_one_stops() {
     for ports in [(1, 2), (2, 1)] {
-        let (mut pair, known_to) =
-            Pair::new(id(ports.0, 7), id(ports.1, 7), Duration::from_millis(300), [true, true]);
+        let (mut pair, known_to) = (Pair::new(id(ports.0, 7), id(ports.1, 7), Duration::ZERO), [true, true]);
         let (stops, _) = pair.run(known_to, [true, true]);
         assert_eq!(stops, [ports.0 > ports.1, ports.1 > ports.0]);
     }
@@ -94,13 +94,13 @@
 
 #[test]
 fn an_entry_that_never_responds_is_no_conflict() {
-    let (mut pair, known_to) = Pair::new(id(1, 1000), id(2, 2000), S * 30, [false, true]);
+    let (mut pair, known_to) = (Pair::new(id(1, 1000), id(2, 2000), S * 30), [false, true]);
     assert_eq!(pair.run(known_to, [false, true]).0, [false, false]);
 }
 
 #[test]
 fn a_node_that_responds_only_until_it_exits_is_no_conflict() {
-    let (mut pair, known_to) = Pair::new(id(1, 1000), id(2, 2000), S * 30, [false, true]);
+    let (mut pair, known_to) = (Pair::new(id(1, 1000), id(2, 2000), S * 30), [false, true]);
     for _ in 0..4 {
         assert_eq!(pair.round(known_to, [true, true]), [false, false]);
     }
@@ -115,8 +115,13 @@
     let listed = || std::iter::once(other.clone());
     detector.next_round(S, listed());
     let query = detector.query(S, &me);
-    let response =
-        |nonce| NameResponse { from: other.clone(), nonce, sent_ms: query.sent_ms, uptime_ms: 60_000 };
+    let response = |nonce| NameResponse {
+        from: other.clone(),
+        nonce,
+        sent_ms: query.sent_ms,
+        uptime_ms: 60_000,
+        listener: None,
+    };
     for tenth in 0..200 {
         let now = S * 3 + S * tenth / 10;
         detector.next_round(now, listed());
@@ -179,3 +184,21 @@
     assert_eq!(detector.on_query(S, &me, &NameQuery { from: other, nonce: 9, sent_ms: 4 }), None);
     assert_eq!(detector.on_query(S, &me, &NameQuery { from: me.clone(), nonce: 9, sent_ms: 4 }), None);
 }
+
+#[test]
+fn processes_that_share_the_listening_socket_are_no_conflict() {
+    let shared = ListenerId { boot: 1, inode: 2 };
+    let cases = [
+        (Some(shared), Some(shared), [false, false]),
+        (Some(shared), Some(ListenerId { boot: 3, ..shared }), [false, true]),
+        (Some(shared), Some(ListenerId { inode: 3, ..shared }), [false, true]),
+        (Some(shared), None, [false, true]),
+        (None, Some(shared), [false, true]),
+        (None, None, [false, true]),
+    ];
+    for (first, second, expected) in cases {
+        let (mut pair, known_to) = (Pair::new(id(1, 1000), id(2, 2000), S * 30), [true, true]);
+        (pair.nodes[0].1.listener, pair.nodes[1].1.listener) = (first, second);
+        assert_eq!(pair.run(known_to, [true, true]).0, expected, "{first:?} and {second:?}");
+    }
+}
--- a/crates/membership/src/protocol.rs
+++ b/crates/membership/src/protocol.rs
@@ -15,7 +15,7 @@
 
 use crate::codec::{self, Datagram, WireCodec, DATAGRAM_MAX_BYTES, KIND_SWIM};
 use crate::id::NodeId;
-use crate::name_conflict::NameConflictDetector;
+use crate::name_conflict::{ListenerId, NameConflictDetector};
 use crate::suspicion::SuspicionTracker;
 use crate::view::{Entry, Liveness, View};
 
@@ -203,6 +203,12 @@
         membership
     }
 
+    /// Sets the node's listening socket for clients, which it has inherited. Another process under the node's name
+    /// that has the same one is no name conflict.
+    pub fn set_inherited_listener(&mut self, listener: ListenerId) {
+        self.names.set_listener(listener);
+    }
+
     /// Returns the node's current identity. Its generation grows when the node rejoins after being declared
     /// dead.
     pub fn local_id(&self) -> &NodeId {
--- a/crates/membership/tests/codec.rs
+++ b/crates/membership/tests/codec.rs
@@ -6,8 +6,8 @@
 use bytes::BufMut;
 use foca::{Codec, Header, Member, Message, State};
 use magpietally_membership::{
-    decode, encode_leave, encode_name_query, encode_name_response, Datagram, Name, NameQuery, NameResponse,
-    NodeId, WireCodec,
+    decode, encode_leave, encode_name_query, encode_name_response, Datagram, ListenerId, Name, NameQuery,
+    NameResponse, NodeId, WireCodec,
 };
 use proptest::prelude::*;
 
@@ -49,10 +49,12 @@
 
     #[test]
     fn encoded_name_messages_decode_to_themselves_and_truncated_or_longer_ones_are_rejected(
-        from in id(), nonce in any::<u64>(), sent_ms in any::<u64>(), uptime_ms in any::<u64>()
+        from in id(), nonce in any::<u64>(), sent_ms in any::<u64>(), uptime_ms in any::<u64>(),
+        listener in proptest::option::of((any::<u128>(), any::<u64>()))
     ) {
         let query = NameQuery { from: from.clone(), nonce, sent_ms };
-        let response = NameResponse { from, nonce, sent_ms, uptime_ms };
+        let listener = listener.map(|(boot, inode)| ListenerId { boot, inode });
+        let response = NameResponse { from, nonce, sent_ms, uptime_ms, listener };
         let encoded = [
             (encode_name_query(&query), Datagram::NameQuery(query)),
             (encode_name_response(&response), Datagram::NameResponse(response)),
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod fleet;
+mod listener_id;
 mod logging;
 mod membership;
 mod operators;
@@ -133,8 +134,9 @@
         Some(options) => operators::start_ledger(&config.name, options)?,
         None => (None, None),
     };
-    let membership =
-        membership_options.map(|options| membership::start(&config.name, options)).transpose()?;
+    let membership = membership_options
+        .map(|options| membership::start(&config.name, options, config.inherited_fd))
+        .transpose()?;
     let base_settings = || BaseSettings {
         settings: config.received.settings.clone(),
         classes: config.received.classes.clone(),
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -16,6 +16,7 @@
 use serde::Deserialize;
 
 use crate::commands::{invalid_input, read_toml_file, CommandError};
+use crate::listener_id;
 use crate::shutdown::request_shutdown;
 
 /// The largest file that is read.
@@ -99,11 +100,16 @@
     thread: JoinHandle<Result<(), String>>,
 }
 
-/// Binds the socket and starts the membership thread for the node named `name`.
+/// Binds the socket and starts the membership thread for the node named `name`. `inherited_fd` is the descriptor of
+/// its listening socket for clients, if that was inherited.
 ///
 /// # Errors
 /// The name is not a valid node name, the socket can't be bound or the thread can't be started.
-pub fn start(name: &str, options: Options) -> Result<MembershipThread, CommandError> {
+pub fn start(
+    name: &str,
+    options: Options,
+    inherited_fd: Option<u32>,
+) -> Result<MembershipThread, CommandError> {
     let name =
         Name::new(name).map_err(|e| CommandError::InvalidInput(format!("membership: name {name:?}: {e}")))?;
     let socket = retry::at_start(Call::Create, "membership", || UdpSocket::bind(options.listen))
@@ -117,6 +123,14 @@
     tracing::info!(target: "membership", "membership listens at {bound} as {me}");
     let seed = u64::from(me.generation) ^ u64::from(bound.port()) << 32;
     let mut membership = Membership::new(me, &options.settings, seed);
+    match inherited_fd.map(listener_id::of_descriptor) {
+        Some(Ok(listener)) => membership.set_inherited_listener(listener),
+        // A descriptor that is not open ends the start when the listener is taken over.
+        Some(Err(error)) => {
+            tracing::warn!(target: "membership", "the processes of a hand-over can't be recognized: {error}")
+        }
+        None => {}
+    }
     let stop = Arc::new(AtomicBool::new(false));
     let stop_requested = stop.clone();
     let seeds = options.seeds;
--- a/tests/node_names.rs
+++ b/tests/node_names.rs
@@ -4,6 +4,7 @@
 
 mod peers;
 
+use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
 use peers::member_fleet::{MemberFleet, SLOW_REQUEST};
@@ -234,3 +235,24 @@
     assert_eq!(state, Some("left"), "while the first process was stopping: {listed:?}");
     assert_eq!(fleet.node(2).exit_code(), Some(0));
 }
+
+/// Guards against a hand-over that ends its own next process: the two share the clients' listening socket, and
+/// run side by side until the first one is sent SIGTERM. Two processes under one name with a socket each are no
+/// hand-over.
+#[test]
+fn the_next_process_of_a_handover_serves_on_and_one_with_another_socket_ends() {
+    let mut fleet = MemberFleet::new(31, 2, 4);
+    fleet.wait_agree("the start", &[0, 1], &[], "dead");
+    let shared = TcpListener::bind("127.0.0.1:0").expect("a port");
+    fleet.start_inheriting(2, "m2", &shared);
+    fleet.start_inheriting(3, "m2", &shared);
+    assert_serves(&mut fleet, &[2, 3], RESTART_WATCHED);
+    fleet.node(2).terminate();
+    assert_eq!(fleet.node(2).exit_code(), Some(0));
+    assert_serves(&mut fleet, &[3], Duration::from_secs(5));
+    let own = TcpListener::bind("127.0.0.1:0").expect("a port");
+    fleet.start_inheriting(4, "m2", &own);
+    assert_later_ends(&mut fleet, "m2", 3, 4, DUPLICATE_ENDS_WITHIN);
+    fleet.start(5, "m2");
+    assert_later_ends(&mut fleet, "m2", 3, 5, DUPLICATE_ENDS_WITHIN);
+}
--- a/tests/peers/member_fleet.rs
+++ b/tests/peers/member_fleet.rs
@@ -1,6 +1,6 @@
 //! A fleet of nodes with membership, as processes on loopback with a fault-injecting relay between them.
 
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::time::{Duration, Instant};
 
 use magpietally_contracts::relay::DatagramRelay;
@@ -109,6 +109,17 @@
         self.attach(i, node);
     }
 
+    /// Like [`MemberFleet::start`], with a listening socket that the node inherits and may share with others. A fifth of
+    /// its reads of files fail.
+    pub fn start_inheriting(&mut self, i: usize, name: &str, listener: &TcpListener) {
+        let mut config = self.config(name);
+        config["listen"] = Value::from(listener.local_addr().expect("bound").to_string());
+        let faults = Faults::new("read:EIO:0.2:on=file", i as u64);
+        let node = Node::inheriting_with_args(&config, listener, &faults, &["--membership", &self.file(i)]);
+        self.attach(i, node);
+        faults.assert_injected();
+    }
+
     /// Puts a running node behind frontend `i`.
     pub fn attach(&mut self, i: usize, node: Node) {
         let mut own = None;
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -466,7 +466,8 @@
 pub fn inheriting_command(config: &Value, socket: &TcpListener, fd: &str) -> (Command, String) {
     let (mut node, file) = command(config, None);
     let mut shell = Command::new("sh");
-    shell.args(["-c", "exec \"$0\" node 3<&0 0</dev/null", env!("CARGO_BIN_EXE_magpietally")]);
+    // Arguments that are appended to this command go to the node.
+    shell.args(["-c", "exec \"$0\" node \"$@\" 3<&0 0</dev/null", env!("CARGO_BIN_EXE_magpietally")]);
     shell.envs(node.get_envs().filter_map(|(name, value)| Some((name, value?)))).env("BALANCER_FD", fd);
     let socket = socket.try_clone().expect("a descriptor");
     shell.stdin(std::os::fd::OwnedFd::from(socket)).stdout(Stdio::null()).stderr(Stdio::piped());
@@ -524,13 +525,23 @@
         Self::start(inheriting_command(config, listener, fd))
     }
 
-    /// Like [`Node::with_inherited_socket`], under fault injection.
-    pub fn inheriting_with_faults(config: &Value, listener: &TcpListener, faults: &faults::Faults) -> Self {
+    /// Like [`Node::with_inherited_socket`], with the descriptor 3, under fault injection and with these arguments.
+    pub fn inheriting_with_args(
+        config: &Value,
+        listener: &TcpListener,
+        faults: &faults::Faults,
+        args: &[&str],
+    ) -> Self {
         let (mut command, file) = inheriting_command(config, listener, "3");
-        command.envs(faults.environment());
+        command.envs(faults.environment()).args(args);
         Self::start((command, file))
     }
 
+    /// Like [`Node::with_inherited_socket`], under fault injection.
+    pub fn inheriting_with_faults(config: &Value, listener: &TcpListener, faults: &faults::Faults) -> Self {
+        Self::inheriting_with_args(config, listener, faults, &[])
+    }
+
     /// Sends a request to the management address on a connection of its own.
     pub fn management_call(&self, method: &str, path: &str) -> Message {
         self.management_exchange(&format!("{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n")).expect("an answer")
