--- a/crates/core/src/epochs.rs
+++ b/crates/core/src/epochs.rs
@@ -23,15 +23,12 @@
     modules: Vec<(u64, Balancer)>,
     /// The version under which new requests are decided. Versions with the same settings share a module.
     epoch: u64,
-    /// Whether a call to the list's source is in progress that also serves the newest module, which has not
-    /// subscribed to the list yet.
-    call_in_progress: bool,
 }
 
 impl Epochs {
     /// Starts with the module of the initial settings.
     pub(crate) fn new(balancer: Balancer) -> Self {
-        Self { modules: vec![(0, balancer)], epoch: 0, call_in_progress: false }
+        Self { modules: vec![(0, balancer)], epoch: 0 }
     }
 
     /// The version under which new requests are decided.
@@ -56,13 +53,13 @@
         self.epoch = epoch;
     }
 
-    /// Decides new requests under `epoch` and with `balancer` from now on. `call_in_progress` tells whether a
-    /// call to the list's source is in progress.
-    pub(crate) fn add(&mut self, epoch: u64, balancer: Balancer, call_in_progress: bool) {
+    /// Decides new requests under `epoch` and with `balancer` from now on. It also takes over the calls to the list's
+    /// source.
+    pub(crate) fn add(&mut self, epoch: u64, mut balancer: Balancer) {
+        balancer.continue_list_calls(self.newest());
         let number = self.newest_number() + 1;
         self.modules.push((number, balancer));
         self.epoch = epoch;
-        self.call_in_progress = call_in_progress;
     }
 
     /// Drops the older modules that have no requests left.
@@ -113,11 +110,5 @@
                 }
             }
         }
-        if self.call_in_progress {
-            if let Some(first) = actions.iter().position(|action| *action == Action::Subscribe) {
-                self.call_in_progress = false;
-                actions.remove(first);
-            }
-        }
     }
 }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -373,7 +373,7 @@
                 Ok(balancer) => {
                     self.rights.replace(rights);
                     state.fleet_settings = settings;
-                    state.epochs.add(epoch, balancer, state.list_call.is_some());
+                    state.epochs.add(epoch, balancer);
                     let requests = &state.requests;
                     state.epochs.drop_unused(|module| requests.has_requests_of(module));
                 }
@@ -387,8 +387,9 @@
         }
         tracing::info!(target: "fleet", "requests are decided under version {epoch}, by settings of its own");
         let entries = self.state.borrow().servers.entries();
-        let saved = !self.source_responded.get();
-        self.state.borrow_mut().events.push_back((Recipient::Newest, Event::List { entries, saved }));
+        // This list is no response to a call: the new module has taken over the calls as they are.
+        let list = Event::List { entries, saved: true };
+        self.state.borrow_mut().events.push_back((Recipient::Newest, list));
         self.handle_event(Event::Timer);
     }
 
--- a/crates/policy/src/polling.rs
+++ b/crates/policy/src/polling.rs
@@ -113,7 +113,7 @@
 }
 
 /// The state of the call.
-#[derive(Default)]
+#[derive(Clone, Copy, Default)]
 enum Call {
     /// No call is needed, or a watch is open.
     #[default]
@@ -145,6 +145,18 @@
         }
     }
 
+    /// Goes on where the calls of `previous` are, which makes no more: with the call in progress or scheduled, the
+    /// rejections so far, and what is known of the list's age.
+    pub(crate) fn continue_from(&mut self, previous: &Self) {
+        self.call = previous.call;
+        self.rejected = previous.rejected;
+        self.last_response = previous.last_response;
+        self.max_wait = previous.max_wait;
+        self.valid_until = previous.valid_until;
+        self.reload_valid_until = previous.reload_valid_until;
+        self.reached = previous.reached;
+    }
+
     /// Handles the response to a call, or a change over the watch.
     pub(crate) fn answered(&mut self, now: Millis) {
         if let Call::Pending(at) = self.call {
@@ -254,6 +266,12 @@
 }
 
 impl Balancer {
+    /// Takes over the calls to discovery from `previous`, whose own are to be ignored from now on. The list itself is
+    /// to be passed on as a saved one.
+    pub fn continue_list_calls(&mut self, previous: &Self) {
+        self.polling.continue_from(&previous.polling);
+    }
+
     /// How long the response to the last call for the list may take to begin.
     pub fn list_response_timeout(&self) -> Millis {
         self.polling.response_timeout()
