--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -414,6 +414,9 @@
         || closes_readiness_check
         || (first && clients.has_many_idle())
     {
+        stream.close_after_received_requests();
+    }
+    if stream.closes_with_this_response() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     stream.begin_message(if is_head { Some(0) } else { body_len(&response) });
--- a/crates/http/src/watched_stream.rs
+++ b/crates/http/src/watched_stream.rs
@@ -83,6 +83,8 @@
     last_received_at: Cell<Instant>,
     /// Whether a request was taken since the client last had to be waited for.
     has_had_turn: Cell<bool>,
+    /// Whether the connection is to be closed once all received requests are answered.
+    closing: Cell<bool>,
     /// Whether the peer is a client whose requests are tracked.
     is_client: bool,
     /// Whether any bytes were ever received.
@@ -126,6 +128,7 @@
             body_wait: Cell::new(Duration::ZERO),
             last_received_at: Cell::new(now),
             has_had_turn: Cell::new(false),
+            closing: Cell::new(false),
             is_client,
             received_any: Cell::new(false),
             responses: Cell::new(0),
@@ -335,6 +338,17 @@
         self.inner.unread_since().unwrap_or_else(Instant::now)
     }
 
+    /// Notes that the connection is to be closed with a response, once no further request has been received.
+    pub fn close_after_received_requests(&self) {
+        self.closing.set(true);
+    }
+
+    /// Returns whether the response about to begin is the connection's last one: it is to be closed, and nothing
+    /// of another request has arrived. A request that has arrived and is never answered would be lost.
+    pub fn closes_with_this_response(&self) -> bool {
+        self.closing.get() && !self.scanner.borrow().has_next_request() && self.has_no_unread_bytes()
+    }
+
     /// Returns whether there is nothing to read and the peer has not closed the connection. Asks the kernel,
     /// as the runtime's readiness may be one iteration of its event loop old.
     pub fn is_quiet(&self) -> bool {
