--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -125,6 +125,8 @@
     overlap_until: Cell<Option<Instant>>,
     /// Temporary reduction of `max` after descriptors have run out.
     reduction: Reduction,
+    /// Since when connections may have been waiting in the backlog for a place.
+    backlog_waiting_since: Cell<Option<Instant>>,
     /// Number of accepted connections that could not be registered with the poller yet.
     registering: Cell<usize>,
     freed: Notify,
@@ -140,6 +142,7 @@
             max,
             overlap_until: Cell::default(),
             reduction: Reduction::default(),
+            backlog_waiting_since: Cell::default(),
             registering: Cell::new(0),
             freed: Notify::new(),
         })
--- a/crates/http/src/clients/accept.rs
+++ b/crates/http/src/clients/accept.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use magpietally_net::{Accepted, Listener, RegisterError, Shortage, Stream};
+use magpietally_net::{Accepted, Listener, RegisterError, Shortage, Stream, BACKLOG};
 use magpietally_os_error::retry::Backoff;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -16,6 +16,15 @@
 
 /// Age from which a connection with an incomplete request may be evicted.
 const SLOW_REQUEST_EVICTABLE_AFTER: Duration = Duration::from_millis(250);
+/// The least such age, below which a request in several segments would hardly arrive.
+const SLOW_REQUEST_EVICTABLE_AFTER_MIN: Duration = Duration::from_millis(20);
+/// How long connections must have been waiting in the backlog before the age is reduced.
+const CROWD_AFTER: Duration = Duration::from_millis(100);
+/// Time in which a full backlog of incomplete requests is to be passed through the places for connections: a
+/// final answer may be late by this time, and nothing counts what a request has waited there.
+const BACKLOG_PASSED_WITHIN: Duration = Duration::from_millis(400);
+/// An accepted connection for which the node had to wait this long was not in the backlog before.
+const BACKLOG_EMPTY_AFTER: Duration = Duration::from_millis(2);
 /// How long a connection counts as recently used after its last response, or as new after it was accepted.
 const RECENTLY_USED: Duration = Duration::from_millis(250);
 /// How long a new connection has to send its first bytes before it is evicted ahead of those that were used.
@@ -105,8 +114,12 @@
         let mut state = ShortageState::default();
         loop {
             self.wait_for_capacity().await;
+            let waiting_since = Instant::now();
             match listener.accept().await {
                 Ok(accepted) => {
+                    if waiting_since.elapsed() >= BACKLOG_EMPTY_AFTER {
+                        self.backlog_waiting_since.set(None);
+                    }
                     state.clear();
                     self.add_accepted(accepted);
                 }
@@ -139,6 +152,9 @@
     /// when its task has ended; accepting earlier would admit a burst that waits in the backlog all at once.
     async fn wait_for_capacity(&self) {
         while self.count() >= self.limit() {
+            if self.backlog_waiting_since.get().is_none() {
+                self.backlog_waiting_since.set(Some(Instant::now()));
+            }
             if !self.is_evicting() {
                 self.evict();
             }
@@ -172,11 +188,24 @@
         self.open.borrow().values().any(|client| client.evicted.get())
     }
 
+    /// The age from which a connection with an incomplete request may be evicted. Where a crowd of them keeps
+    /// others waiting in the backlog, they are passed through the places for connections fast enough.
+    fn slow_request_evictable_after(&self) -> Duration {
+        let crowded = self.backlog_waiting_since.get().is_some_and(|since| since.elapsed() >= CROWD_AFTER);
+        if !crowded {
+            return SLOW_REQUEST_EVICTABLE_AFTER;
+        }
+        let places = u32::try_from(self.limit()).unwrap_or(u32::MAX);
+        let passes_backlog = BACKLOG_PASSED_WITHIN * places / BACKLOG.unsigned_abs();
+        passes_backlog.clamp(SLOW_REQUEST_EVICTABLE_AFTER_MIN, SLOW_REQUEST_EVICTABLE_AFTER)
+    }
+
     /// Requests that one connection be closed: first one that never sent anything, then the one that has been
     /// idle for longest, then the one whose request has been arriving for longest, and last one that was used a
     /// moment ago, whose client is likely to use it again; none if all are busy.
     pub(super) fn evict(&self) {
         let open = self.open.borrow();
+        let slow_after = self.slow_request_evictable_after();
         let rank = |c: &ClientConnection| match c.stream.phase() {
             _ if c.lingering.get() => None,
             (ConnectionPhase::Idle, since) => {
@@ -189,7 +218,7 @@
                 };
                 Some((rank, since))
             }
-            (ConnectionPhase::Reading, since) if since.elapsed() >= SLOW_REQUEST_EVICTABLE_AFTER => {
+            (ConnectionPhase::Reading, since) if since.elapsed() >= slow_after => {
                 Some((EvictionRank::SlowRequest, since))
             }
             _ => None,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -16,7 +16,7 @@
 mod stream;
 
 pub use connect::{connect, ConnectError};
-pub use listener::{listen, Accepted, Listener, Shortage};
+pub use listener::{listen, Accepted, Listener, Shortage, BACKLOG};
 pub use register::{register, RegisterError};
 pub use stream::Stream;
 
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -13,7 +13,7 @@
 use crate::register::register;
 
 /// The maximum number of connections that the kernel holds until they are accepted.
-const BACKLOG: i32 = 1024;
+pub const BACKLOG: i32 = 1024;
 /// Accepting pauses after this number of successive connections that ended before they were accepted.
 const FAILED_ACCEPTS_MAX: usize = 16;
 /// The length of that pause.
