Split the membership file's settings and the members command from the thread

src/membership.rs held the thread, the operators' file and the client of magpietally members. Moved as they were to src/membership/options.rs and src/commands/members.rs (moves, paths and field visibility only).

--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub mod demo;
 pub mod experiment;
 pub mod ledger;
+pub mod members;
 pub mod site;
 
 use magpietally_config::file::{read_regular_within, read_text};
--- a/src/main.rs
+++ b/src/main.rs
@@ -97,7 +97,7 @@
         Command::Boxes(command) => commands::boxes::run(&command),
         Command::Ledger(command) => commands::ledger::run(&command),
         Command::Experiment(args) => commands::experiment::run(&args),
-        Command::Members(args) => membership::print_members(args.at),
+        Command::Members(args) => commands::members::run(args.at),
     };
     let (message, code) = match result {
         Ok(()) => return ExitCode::SUCCESS,
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -1,6 +1,7 @@
-//! Membership over UDP: the thread that runs a node's [`Membership`] on its own socket, and `magpietally
-//! members`, which queries a node for its view. Off unless `node --membership FILE` names a file like
-//! `deploy/membership.toml`.
+//! Membership over UDP: the thread that runs a node's [`Membership`] on its own socket. Off unless `node --membership
+//! FILE` names a file like `deploy/membership.toml`.
+
+mod options;
 
 use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -9,90 +10,19 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use magpietally_membership::{
-    decode, decode_view_part, encode_query, encode_view_part, Datagram, Membership, Name, NodeId, Settings,
-    DATAGRAM_MAX_BYTES, VIEW_PART_MAX_BYTES,
+    decode, encode_view_part, Datagram, Membership, Name, NodeId, DATAGRAM_MAX_BYTES,
 };
 use magpietally_os_error::{classify, retry, Call, Class};
-use serde::Deserialize;
 
-use crate::commands::{invalid_input, read_toml_file, CommandError};
+use crate::commands::CommandError;
 use crate::listener_id;
 use crate::shutdown::request_shutdown;
+pub use options::{read, Options};
 
-/// The largest file that is read.
-const FILE_MAX_BYTES: usize = 1 << 16;
-/// The most seeds a file may name.
-const SEEDS_MAX: usize = 1024;
-/// The most parts of a view that `members` requests. Each holds hundreds of nodes, so the limit only ends an
-/// exchange with a program that is not a node.
-const VIEW_PARTS_MAX: usize = 1024;
 /// The longest wait on the socket before the stop flag and the timers are checked again.
 const SOCKET_WAIT_MAX: Duration = Duration::from_millis(50);
 /// Pause after a read error that may repeat at once.
 const READ_ERROR_PAUSE: Duration = Duration::from_millis(10);
-/// How long `members` waits for each part of the response.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
-
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct File {
-    listen: String,
-    advertise: Option<String>,
-    #[serde(default)]
-    seeds: Vec<String>,
-    fleet_size: Option<u32>,
-    probe_period_ms: Option<u64>,
-    suspect_for_ms: Option<u64>,
-}
-
-/// The settings of the operators' membership file.
-pub struct Options {
-    listen: SocketAddrV4,
-    advertise: Option<SocketAddrV4>,
-    seeds: Vec<SocketAddrV4>,
-    settings: Settings,
-}
-
-/// Reads and checks the file.
-///
-/// # Errors
-/// A line that names the file, and the line or the field.
-pub fn read(file: &str) -> Result<Options, CommandError> {
-    let parsed: File = read_toml_file(file, FILE_MAX_BYTES)?;
-    let address = |field: &str, value: &str| {
-        value
-            .parse::<SocketAddrV4>()
-            .map_err(|_| invalid_input(file, &[format!("{field}: {value:?} is no IPv4 address with a port")]))
-    };
-    let listen = address("listen", &parsed.listen)?;
-    let advertise = parsed.advertise.as_deref().map(|a| address("advertise", a)).transpose()?;
-    if advertise.is_some_and(|a| a.port() == 0 || a.ip().is_unspecified()) {
-        return Err(invalid_input(
-            file,
-            &["advertise: peers must be able to send to it: a port and an address".into()],
-        ));
-    }
-    if parsed.seeds.len() > SEEDS_MAX {
-        return Err(invalid_input(
-            file,
-            &[format!("seeds: {} named, at most {SEEDS_MAX}", parsed.seeds.len())],
-        ));
-    }
-    let seeds = parsed.seeds.iter().map(|s| address("seeds", s)).collect::<Result<Vec<_>, _>>()?;
-    let mut settings = Settings::default();
-    if let Some(n) = parsed.fleet_size {
-        settings.fleet_size = n.clamp(1, 100_000);
-    }
-    let millis = |field: &str, value: Option<u64>, min: u64, default: Duration| match value {
-        None => Ok(default),
-        Some(ms) if (min..=600_000).contains(&ms) => Ok(Duration::from_millis(ms)),
-        Some(ms) => Err(invalid_input(file, &[format!("{field}: {ms} is out of {min} to 600000")])),
-    };
-    settings.probe_period = millis("probe_period_ms", parsed.probe_period_ms, 100, settings.probe_period)?;
-    settings.probe_rtt = settings.probe_rtt.min(settings.probe_period / 2);
-    settings.suspicion_min = millis("suspect_for_ms", parsed.suspect_for_ms, 500, settings.suspicion_min)?;
-    Ok(Options { listen, advertise, seeds, settings })
-}
 
 /// The running membership thread.
 pub struct MembershipThread {
@@ -251,60 +181,3 @@
         let _ = retry::interrupted(|| socket.send_to(&bytes, to));
     }
 }
-
-/// `magpietally members --at ADDR`: queries the node whose membership listens there for its view and prints
-/// it.
-///
-/// # Errors
-/// No response within [`RESPONSE_TIMEOUT`], or a view of more than [`VIEW_PARTS_MAX`] parts.
-pub fn print_members(at: SocketAddr) -> Result<(), CommandError> {
-    let local: SocketAddr = if at.ip().is_loopback() { "127.0.0.1:0" } else { "0.0.0.0:0" }
-        .parse()
-        .map_err(|_| CommandError::Failed("members: no local address".into()))?;
-    let failed = |e: std::io::Error| CommandError::Failed(format!("members: {at}: {e}"));
-    let socket = retry::at_start(Call::Create, "members", || UdpSocket::bind(local))
-        .map_err(|e| CommandError::Failed(format!("members: a socket: {e}")))?;
-    socket.set_read_timeout(Some(RESPONSE_TIMEOUT)).map_err(failed)?;
-    let mut buf = vec![0; VIEW_PART_MAX_BYTES];
-    let mut after: Option<NodeId> = None;
-    for _ in 0..VIEW_PARTS_MAX {
-        let query = encode_query(after.as_ref());
-        retry::within(RESPONSE_TIMEOUT, Call::Datagram, "members", || socket.send_to(&query, at))
-            .map_err(failed)?;
-        after = print_part(&socket, at, after, &mut buf)?;
-        if after.is_none() {
-            return Ok(());
-        }
-    }
-    Err(CommandError::Failed(format!("members: {at} does not come to an end")))
-}
-
-/// Prints the part of the view after `after`. Returns the identity after which the next part starts, if there
-/// is one.
-fn print_part(
-    socket: &UdpSocket,
-    at: SocketAddr,
-    after: Option<NodeId>,
-    buf: &mut [u8],
-) -> Result<Option<NodeId>, CommandError> {
-    let deadline = Instant::now() + RESPONSE_TIMEOUT;
-    while Instant::now() < deadline {
-        match retry::interrupted(|| socket.recv_from(buf)) {
-            Ok((n, from)) if from == at => match decode_view_part(&buf[..n]) {
-                // A part that does not advance is a duplicate of an earlier one.
-                Some((next, text)) if next.is_none() || next > after => {
-                    print!("{}", String::from_utf8_lossy(text));
-                    return Ok(next);
-                }
-                _ => {}
-            },
-            Ok(_) => {}
-            Err(e) if classify(Call::Datagram, &e) == Class::WaitForReadiness => break,
-            Err(e) => return Err(CommandError::Failed(format!("members: {at}: {e}"))),
-        }
-    }
-    Err(CommandError::Failed(format!("members: {at} did not answer within 2 s")))
-}
-
-#[cfg(test)]
-mod tests;
