--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -1,6 +1,8 @@
 //! Membership of five nodes on loopback with a fault-injecting relay between them, under kill -9, SIGSTOP and
 //! restarts. Every bound below is stated in docs/operate/membership.md.
 
+#[path = "membership/node_names.rs"]
+mod node_names;
 mod peers;
 
 use std::net::UdpSocket;
