Say once in membership what another start of a node is, and how a number is read

A reading of the change since found, in the membership crate: - the test for another start of a node (its name at another address) stood in the view, the protocol and the detector: NodeId::is_other_start_of; - get_u64 and get_u128 were the fourth and fifth copy of one reader: get_array reads any number, and an address; - the time since the start was computed in two places, and the relation to a responder was nested in the handling of its response: uptime and relation; - a round of questions copied the identities of all members to use two of them; it copies those two; - the detector's tests handled their nodes as tuples: LiveNode. Their assertions are as before.

No change of behaviour.

--- a/crates/membership/src/codec.rs
+++ b/crates/membership/src/codec.rs
@@ -314,8 +314,7 @@
 }
 
 pub(crate) fn get_id(buf: &mut impl Buf) -> Result<NodeId, DecodeError> {
-    let mut ip = [0u8; 4];
-    read_exact(buf, &mut ip)?;
+    let ip: [u8; 4] = get_array(buf)?;
     let port = get_u16(buf)?;
     let generation = get_u32(buf)?;
     let len = usize::from(get_u8(buf)?);
@@ -398,32 +397,28 @@
     Ok(())
 }
 
+fn get_array<const N: usize>(buf: &mut impl Buf) -> Result<[u8; N], DecodeError> {
+    let mut bytes = [0; N];
+    read_exact(buf, &mut bytes)?;
+    Ok(bytes)
+}
+
 fn get_u8(buf: &mut impl Buf) -> Result<u8, DecodeError> {
-    let mut b = [0u8; 1];
-    read_exact(buf, &mut b)?;
-    Ok(b[0])
+    get_array(buf).map(u8::from_be_bytes)
 }
 
 fn get_u16(buf: &mut impl Buf) -> Result<u16, DecodeError> {
-    let mut b = [0u8; 2];
-    read_exact(buf, &mut b)?;
-    Ok(u16::from_be_bytes(b))
+    get_array(buf).map(u16::from_be_bytes)
 }
 
 fn get_u32(buf: &mut impl Buf) -> Result<u32, DecodeError> {
-    let mut b = [0u8; 4];
-    read_exact(buf, &mut b)?;
-    Ok(u32::from_be_bytes(b))
+    get_array(buf).map(u32::from_be_bytes)
 }
 
 fn get_u64(buf: &mut impl Buf) -> Result<u64, DecodeError> {
-    let mut b = [0u8; 8];
-    read_exact(buf, &mut b)?;
-    Ok(u64::from_be_bytes(b))
+    get_array(buf).map(u64::from_be_bytes)
 }
 
 fn get_u128(buf: &mut impl Buf) -> Result<u128, DecodeError> {
-    let mut b = [0u8; 16];
-    read_exact(buf, &mut b)?;
-    Ok(u128::from_be_bytes(b))
+    get_array(buf).map(u128::from_be_bytes)
 }
--- a/crates/membership/src/id.rs
+++ b/crates/membership/src/id.rs
@@ -26,6 +26,11 @@
     pub fn unknown_at(addr: SocketAddrV4) -> Self {
         Self { addr, name: Name::default(), generation: 0 }
     }
+
+    /// Returns whether this is another start of the node `me`: its name at another address.
+    pub fn is_other_start_of(&self, me: &Self) -> bool {
+        self.name == me.name && self.addr != me.addr
+    }
 }
 
 impl Identity for NodeId {
--- a/crates/membership/src/name_conflict.rs
+++ b/crates/membership/src/name_conflict.rs
@@ -201,16 +201,15 @@
     /// Handles a query received at `now`. Returns the response if the sender has the name of `me`; the sender
     /// is then asked too.
     pub fn on_query(&mut self, now: Duration, me: &NodeId, query: &NameQuery) -> Option<NameResponse> {
-        if query.from.name != me.name || query.from.addr == me.addr {
+        if !query.from.is_other_start_of(me) {
             return None;
         }
         self.track(now, query.from.clone());
-        let uptime = now.saturating_sub(self.started.unwrap_or(now));
         Some(NameResponse {
             from: me.clone(),
             nonce: query.nonce,
             sent_ms: query.sent_ms,
-            uptime_ms: millis(uptime),
+            uptime_ms: millis(self.uptime(now)),
             listener: self.listener,
         })
     }
@@ -224,26 +223,40 @@
         if response.nonce != self.nonce || response.from.name != me.name {
             return;
         }
+        let relation = self.relation(me, response, sent, round_trip);
         let Some(other) = self.others.get_mut(&response.from.addr) else { return };
         other.id = response.from.clone();
         other.responded(now);
-        other.relation = Some(if response.listener.is_some() && response.listener == self.listener {
-            Relation::SharesListener
+        other.relation = Some(relation);
+    }
+
+    /// What the responder is to `me`. The response arrived `round_trip` after the query, which left at `sent`.
+    fn relation(
+        &self,
+        me: &NodeId,
+        response: &NameResponse,
+        sent: Duration,
+        round_trip: Duration,
+    ) -> Relation {
+        if response.listener.is_some() && response.listener == self.listener {
+            return Relation::SharesListener;
+        }
+        let own_uptime = self.uptime(sent + round_trip / 2);
+        let other_uptime = Duration::from_millis(response.uptime_ms);
+        // The difference is uncertain by half a round trip.
+        let is_uncertain = own_uptime.abs_diff(other_uptime) <= round_trip + UPTIME_RESOLUTION;
+        let other_first =
+            if is_uncertain { is_first_by_identity(&response.from, me) } else { other_uptime > own_uptime };
+        if other_first {
+            Relation::StartedFirst
         } else {
-            let own_uptime = (sent + round_trip / 2).saturating_sub(self.started.unwrap_or(now));
-            let other_uptime = Duration::from_millis(response.uptime_ms);
-            // The difference is uncertain by half a round trip.
-            let other_first = if own_uptime.abs_diff(other_uptime) <= round_trip + UPTIME_RESOLUTION {
-                is_first_by_identity(&other.id, me)
-            } else {
-                other_uptime > own_uptime
-            };
-            if other_first {
-                Relation::StartedFirst
-            } else {
-                Relation::StartedLater
-            }
-        });
+            Relation::StartedLater
+        }
+    }
+
+    /// How long the node has been running at `now`.
+    fn uptime(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.started.unwrap_or(now))
     }
 
     /// Handles an ack of the node `from`, received directly or through another member at `now`. It counts if
--- a/crates/membership/src/name_conflict/tests.rs
+++ b/crates/membership/src/name_conflict/tests.rs
@@ -8,51 +8,46 @@
     NodeId { addr, name: Name::new("a").expect("a literal name"), generation }
 }
 
-/// Two live nodes under one name, each with a detector. Their clocks count from their own starts.
+/// A live node. Its clock counts from its own start.
+struct LiveNode {
+    id: NodeId,
+    detector: NameConflictDetector,
+    /// How long it had been running when the second of a pair started.
+    head_start: Duration,
+}
+
+impl LiveNode {
+    fn new(id: NodeId, nonce: u64, head_start: Duration) -> Self {
+        let mut detector = NameConflictDetector::new(nonce);
+        detector.next_round(Duration::ZERO, std::iter::empty());
+        Self { id, detector, head_start }
+    }
+}
+
+/// Two live nodes under one name.
 struct Pair {
-    nodes: [(NodeId, NameConflictDetector, Duration); 2],
+    nodes: [LiveNode; 2],
+    /// The time since the start of the second.
     elapsed: Duration,
 }
 
 impl Pair {
     /// The second node starts when the first one has been running for `gap`.
     fn new(first: NodeId, second: NodeId, gap: Duration) -> Self {
-        let nodes = [
-            (first, NameConflictDetector::new(1), gap),
-            (second, NameConflictDetector::new(2), Duration::ZERO),
-        ];
-        let mut pair = Self { nodes, elapsed: Duration::ZERO };
-        for (_, detector, _) in &mut pair.nodes {
-            detector.next_round(Duration::ZERO, std::iter::empty());
-        }
-        pair
+        let nodes = [LiveNode::new(first, 1, gap), LiveNode::new(second, 2, Duration::ZERO)];
+        Self { nodes, elapsed: Duration::ZERO }
     }
 
-    /// Runs one round of both nodes; `known_to` says whose view lists the other one, `answers` whose responses arrive.
-    /// Returns which of them has to stop.
+    /// Runs one round of both nodes; `known_to` says whose view lists the other one, `answers` whose responses
+    /// arrive. Returns which of them has to stop.
     fn round(&mut self, known_to: [bool; 2], answers: [bool; 2]) -> [bool; 2] {
         self.elapsed += ROUND_INTERVAL;
-        for asking in [0, 1] {
-            let asked = 1 - asking;
-            let (other_id, now) = (self.nodes[asked].0.clone(), self.nodes[asking].2 + self.elapsed);
-            let (me, detector, _) = &mut self.nodes[asking];
-            let listed = known_to[asking].then_some(other_id);
-            let round = detector.next_round(now, listed.into_iter());
-            if round.targets.is_empty() {
-                continue;
-            }
-            let query = detector.query(now, me);
-            let then = self.nodes[asked].2 + self.elapsed;
-            let (responder, other, _) = &mut self.nodes[asked];
-            let response = other.on_query(then, responder, &query).filter(|_| answers[asked]);
-            if let Some(response) = response {
-                let (me, detector, _) = &mut self.nodes[asking];
-                detector.on_response(now, me, &response);
-            }
-        }
+        let [first, second] = &mut self.nodes;
+        ask(first, second, self.elapsed, known_to[0], answers[1]);
+        ask(second, first, self.elapsed, known_to[1], answers[0]);
         [0, 1].map(|i| {
-            let (me, detector, started) = &self.nodes[i];
-            detector.live_first(*started + self.elapsed, me).is_some()
+            let LiveNode { id, detector, head_start } = &self.nodes[i];
+            detector.live_first(*head_start + self.elapsed, id).is_some()
         })
     }
 
@@ -68,6 +63,20 @@
     }
 }
 
+/// Runs a round of `asking`, whose view lists `asked` if it is `known`; a response arrives if `asked` `answers`.
+fn ask(asking: &mut LiveNode, asked: &mut LiveNode, elapsed: Duration, known: bool, answers: bool) {
+    let now = asking.head_start + elapsed;
+    let listed = known.then(|| asked.id.clone());
+    if asking.detector.next_round(now, listed.into_iter()).targets.is_empty() {
+        return;
+    }
+    let query = asking.detector.query(now, &asking.id);
+    let response = asked.detector.on_query(asked.head_start + elapsed, &asked.id, &query);
+    if let Some(response) = response.filter(|_| answers) {
+        asking.detector.on_response(now, &asking.id, &response);
+    }
+}
+
 #[test]
 fn the_later_of_two_live_nodes_stops_whichever_knows_of_the_other_and_whatever_the_clock_said() {
     let known_to = [[true, true], [true, false], [false, true]];
@@ -198,7 +207,7 @@
     ];
     for (first, second, expected) in cases {
         let (mut pair, known_to) = (Pair::new(id(1, 1000), id(2, 2000), S * 30), [true, true]);
-        (pair.nodes[0].1.listener, pair.nodes[1].1.listener) = (first, second);
+        (pair.nodes[0].detector.listener, pair.nodes[1].detector.listener) = (first, second);
         assert_eq!(pair.run(known_to, [true, true]).0, expected, "{first:?} and {second:?}");
     }
 }
--- a/crates/membership/src/protocol.rs
+++ b/crates/membership/src/protocol.rs
@@ -281,7 +281,7 @@
     fn note_other_starts(&mut self, now: Duration, swim: &[u8]) {
         let Ok(header) = WireCodec.decode_header(swim) else { return };
         let me = self.foca.identity();
-        if header.src.name == me.name && header.src.addr != me.addr {
+        if header.src.is_other_start_of(me) {
             self.output.stats.from_other_starts += 1;
         }
         if header.dst != *me {
@@ -297,17 +297,21 @@
     /// Asks the other starts of the node's name whether they are live.
     fn ask_other_starts(&mut self, now: Duration) {
         let me = self.local_id().clone();
-        let same_name = |id: &NodeId| id.name == me.name;
-        let members = self.foca.iter_members().map(|m| m.id());
-        let round = self.names.next_round(now, members.filter(|id| same_name(id)).cloned());
+        let members = || self.foca.iter_members().map(Member::id);
+        let listed = members().filter(|id| id.is_other_start_of(&me)).cloned();
+        let round = self.names.next_round(now, listed);
         if round.targets.is_empty() {
             return;
         }
         let query = codec::encode_name_query(&self.names.query(now, &me));
-        let others: Vec<NodeId> =
-            self.foca.iter_members().map(|m| m.id()).filter(|id| !same_name(id)).cloned().collect();
-        let intermediaries: Vec<&NodeId> =
-            others.iter().cycle().skip(usize::from(round.number)).take(INDIRECT_NAME_PINGS).collect();
+        let others: Vec<&NodeId> = members().filter(|id| id.name != me.name).collect();
+        let intermediaries: Vec<NodeId> = others
+            .into_iter()
+            .cycle()
+            .skip(usize::from(round.number))
+            .take(INDIRECT_NAME_PINGS)
+            .cloned()
+            .collect();
         for target in &round.targets {
             enqueue(&mut self.output.outbox, &mut self.output.stats, target.addr, query.clone());
             self.send_swim(target, Message::Ping(round.number), &[]);
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -115,7 +115,7 @@
 
     /// Returns the entries of other starts of the node `me`: those with its name and another address.
     pub fn other_starts<'a>(&'a self, me: &'a NodeId) -> impl Iterator<Item = &'a Entry> {
-        self.entries.iter().filter(|e| e.id.name == me.name && e.id.addr != me.addr)
+        self.entries.iter().filter(|e| e.id.is_other_start_of(me))
     }
 
     /// Counts the nodes in each state. A view lists several starts of a node that was restarted at another
