--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -8,6 +8,7 @@
 pub mod member_fleet;
 pub mod queue;
 pub mod three_nodes;
+pub mod uploads;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
