An upload that the node has read whole is answered in its client's time

Cause: hyper reads on when it has read the request's last byte. The node took that wait for one for the rest of the upload, in which the client's time does not run, for as long as the server kept it from forwarding what it had read. And the time began when the last byte was forwarded, not when it was read.

Change: a wait counts only while the request is not complete, and the time begins with the read of the last byte.

--- a/crates/http/src/body/upload.rs
+++ b/crates/http/src/body/upload.rs
@@ -57,7 +57,7 @@
             sleep(UPLOAD_CHECK_INTERVAL).await;
             let missing_bytes = self.missing_bytes.get();
             let may_be_written = missing_bytes.is_none_or(|count| count <= CLIENT_SEND_BUFFER_BYTES);
-            if !may_be_written || source.is_waiting_for_peer() {
+            if !may_be_written || source.is_waiting_for_request() {
                 self.client_waiting_since.set(None);
                 continue;
             }
--- a/crates/http/src/clients/response.rs
+++ b/crates/http/src/clients/response.rs
@@ -133,7 +133,8 @@
                 biased;
                 answer = &mut answer_receiver => answer.ok(),
                 () = upload.finished() => {
-                    let last_byte_at = stream.last_read_arrived_at();
+                    // The last byte may have been read long before it could be forwarded.
+                    let last_byte_at = stream.last_received_at();
                     let waiting_since = upload.client_waiting_since().map(|since| since.into_std());
                     deadline = waiting_since.map_or(last_byte_at, |since| since.min(last_byte_at)) + remaining;
                     answer_before(deadline - guard, answer_receiver).await
--- a/crates/http/src/watched_stream.rs
+++ b/crates/http/src/watched_stream.rs
@@ -306,9 +306,10 @@
         })
     }
 
-    /// Returns whether a read is waiting for the peer to send more.
-    pub fn is_waiting_for_peer(&self) -> bool {
-        self.waiting_since.get().is_some()
+    /// Returns whether a read is waiting for the client to send more of its current request. hyper also reads
+    /// on when it has read the request's last byte, for the end of the connection.
+    pub fn is_waiting_for_request(&self) -> bool {
+        self.waiting_since.get().is_some() && !self.scanner.borrow().is_request_complete()
     }
 
     /// Returns whether any bytes were ever received on the connection.
@@ -333,8 +334,13 @@
         }
     }
 
-    /// The earliest time at which the bytes that were read last may have arrived.
-    pub fn last_read_arrived_at(&self) -> Instant {
+    /// The earliest time at which the latest bytes from the client may have arrived.
+    pub fn last_received_at(&self) -> Instant {
+        self.last_received_at.get()
+    }
+
+    /// The earliest time at which the bytes that are being read may have arrived.
+    fn last_read_arrived_at(&self) -> Instant {
         self.inner.unread_since().unwrap_or_else(Instant::now)
     }
 
