The time of an upload's client runs unless it certainly has more to write

What callers saw: no answer, or one 0.5 s to seconds late, for uploads of 0.6 to 4.9 MB whose server reads nothing or little.

Cause: at the end of the client's time a look at the kernel's unread bytes decided. Under 16 KiB with no end among them counted as proof that the client had written no more, and its time began anew, at each look. But a receive buffer can be full with few bytes in it, while the rest lies in the client's kernel. Each short wait for the client, as where the server has just taken a little and the rest is on its way, began the time anew as well.

Change: a pure module, last_byte, says what is known in each state. Only a read that finds nothing where nothing was held back, or more missing than both kernels hold, shows that the client has more to write. The look at the bytes is gone, with the scanner's and the socket's functions for it. A chunk's length now counts like a declared one, and what is read beyond the buffers was written later, so that a long upload in chunks which its server reads is not given up.

--- a/crates/http/src/body/tests.rs
+++ b/crates/http/src/body/tests.rs
@@ -6,7 +6,6 @@
 use tokio::time::{advance, timeout};
 
 use super::*;
-use crate::watched_stream::CLIENT_SEND_BUFFER_BYTES;
 
 /// A connection to a listener, and the listener.
 async fn connection() -> (Rc<WatchedStream>, TcpListener) {
@@ -70,24 +69,6 @@
     assert!(progress_interval(usize::MAX) <= STALL_TIMEOUT);
 }
 
-/// Guards against a client that has written its whole request waiting without limit while a server that hangs
-/// keeps the node from reading the rest, with a length and without. Where more is missing than may be on its way,
-/// the client is not done.
-#[tokio::test(start_paused = true)]
-async fn the_time_of_a_client_begins_when_it_may_have_written_its_last_byte() {
-    let span = Duration::from_secs(1);
-    let (connection, _listener) = connection().await;
-    for length in [Some(CLIENT_SEND_BUFFER_BYTES), None] {
-        let (start, upload) = (Instant::now(), UploadProgress::new(length));
-        upload.client_waiting_for(&connection, span).await;
-        assert!((span..span * 11 / 10).contains(&start.elapsed()), "{length:?}: {:?}", start.elapsed());
-        assert!(upload.client_waiting_since().is_some_and(|since| since - start <= span / 10));
-    }
-    let upload = UploadProgress::new(Some(CLIENT_SEND_BUFFER_BYTES + 1));
-    let waited = timeout(span * 100, upload.client_waiting_for(&connection, span)).await;
-    assert!(waited.is_err() && upload.client_waiting_since().is_none());
-}
-
 /// A streamed request continues past its deadline as long as its server accepts some of it now and then; it
 /// is given up once the server accepts nothing for [`STALL_TIMEOUT`].
 #[tokio::test(start_paused = true)]
--- a/crates/http/src/body/upload.rs
+++ b/crates/http/src/body/upload.rs
@@ -13,8 +13,9 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, Instant};
 
+use crate::last_byte::RestOfRequest;
 use crate::memory_budget::{Reservation, STREAMED_MESSAGE_BYTES};
-use crate::watched_stream::{WatchedStream, CLIENT_SEND_BUFFER_BYTES};
+use crate::watched_stream::WatchedStream;
 
 /// Interval in which it is checked whether an upload waits for its client or for its server.
 const UPLOAD_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -24,7 +25,6 @@
 pub struct UploadProgress {
     /// Bytes that have not been received; `None` if the client declared no length.
     missing_bytes: Cell<Option<u64>>,
-    client_waiting_since: Cell<Option<Instant>>,
     finished_at: Cell<Option<Instant>>,
     aborted: Cell<bool>,
     finish_notify: Notify,
@@ -43,34 +43,14 @@
         }
     }
 
-    /// Since when the client may have been waiting for its response, because it may have written its last
-    /// byte: all that is missing may be on its way, and the node has not waited for the client since, but for
-    /// the server. Without a declared length, anything may be missing. Kept up to date by
-    /// [`Self::client_waiting_for`].
-    pub fn client_waiting_since(&self) -> Option<Instant> {
-        self.client_waiting_since.get()
-    }
-
     /// Waits until the client may have been waiting for its response for `span`.
-    pub async fn client_waiting_for(&self, source: &WatchedStream, span: Duration) {
+    pub async fn client_waiting_for(source: &WatchedStream, span: Duration) {
         loop {
             sleep(UPLOAD_CHECK_INTERVAL).await;
-            let missing_bytes = self.missing_bytes.get();
-            let may_be_written = missing_bytes.is_none_or(|count| count <= CLIENT_SEND_BUFFER_BYTES);
-            if !may_be_written || source.is_waiting_for_request() {
-                self.client_waiting_since.set(None);
-                continue;
-            }
-            let since = self.client_waiting_since.get().unwrap_or_else(Instant::now);
-            self.client_waiting_since.set(Some(since));
-            if since.elapsed() < span {
-                continue;
-            }
-            // The closer look takes a system call and a copy, so it comes last.
-            if source.may_request_be_written(missing_bytes) {
+            let may_be_written = source.rest_of_request() != RestOfRequest::Unwritten;
+            if may_be_written && Instant::now().into_std() >= source.request_written_at() + span {
                 return;
             }
-            self.client_waiting_since.set(None);
         }
     }
 
--- a/crates/http/src/clients/response.rs
+++ b/crates/http/src/clients/response.rs
@@ -12,7 +12,7 @@
 use tokio::sync::oneshot;
 
 use super::{Asked, Node};
-use crate::body::{ResponseBody, StreamedResponse};
+use crate::body::{ResponseBody, StreamedResponse, UploadProgress};
 use crate::message::UpstreamResponse;
 use crate::watched_stream::WatchedStream;
 
@@ -133,13 +133,11 @@
                 biased;
                 answer = &mut answer_receiver => answer.ok(),
                 () = upload.finished() => {
-                    // The last byte may have been read long before it could be forwarded.
-                    let last_byte_at = stream.last_received_at();
-                    let waiting_since = upload.client_waiting_since().map(|since| since.into_std());
-                    deadline = waiting_since.map_or(last_byte_at, |since| since.min(last_byte_at)) + remaining;
+                    // The last byte may have been written long before it could be forwarded.
+                    deadline = stream.request_written_at() + remaining;
                     answer_before(deadline - guard, answer_receiver).await
                 }
-                () = upload.client_waiting_for(stream, remaining - guard) => None,
+                () = UploadProgress::client_waiting_for(stream, remaining - guard) => None,
             }
         }
     };
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,6 +15,7 @@
 mod handover_ids;
 mod http_transport;
 mod inherited_listener;
+mod last_byte;
 mod management;
 mod memory_budget;
 mod message;
--- a/crates/http/src/request_scanner.rs
+++ b/crates/http/src/request_scanner.rs
@@ -9,8 +9,8 @@
 /// The part of an incomplete line that is kept: more than any header that defines a request's end needs.
 const LINE_KEPT_BYTES: usize = 256;
 
-/// The last bytes of a chunked body, with trailers or without.
-const REQUEST_END: &[u8] = b"\r\n\r\n";
+/// What follows the data of the last chunk at least: its line end, and the line of size 0 with the blank one.
+const CHUNKED_END_MIN_BYTES: u64 = b"\r\n0\r\n\r\n".len() as u64;
 
 /// What the scanner expects next.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -95,15 +95,19 @@
         self.has_next_request() || (self.state == State::Head && !self.request_started)
     }
 
-    /// Returns whether the last taken request is complete with these bytes, which follow those scanned so far.
-    pub fn is_completed_by(&self, unread: &[u8]) -> bool {
+    /// Returns whether all requests that have begun to arrive are complete.
+    pub fn is_between_requests(&self) -> bool {
+        self.state == State::Head && !self.request_started
+    }
+
+    /// Bytes that are missing at least of the request that is arriving.
+    pub fn missing_bytes_min(&self) -> u64 {
         match self.state {
-            State::Body(left) => unread.len() as u64 >= left,
-            State::ChunkSize | State::Chunk(_) | State::ChunkEnd | State::Trailer => {
-                unread.ends_with(REQUEST_END)
-            }
-            State::Head => self.is_request_complete(),
-            State::Invalid => true,
+            State::Body(left) => left,
+            State::Chunk(left) => left + CHUNKED_END_MIN_BYTES,
+            State::Head if self.is_between_requests() => 0,
+            State::Head | State::ChunkSize | State::ChunkEnd | State::Trailer => 1,
+            State::Invalid => 0,
         }
     }
 
--- a/crates/http/src/request_scanner/tests.rs
+++ b/crates/http/src/request_scanner/tests.rs
@@ -94,15 +94,28 @@
 /// Guards against a client that is still writing its request being taken for one that waits for its response,
 /// and the other way round.
 #[test]
-fn unread_bytes_complete_a_request_only_if_they_reach_its_end() {
+fn a_request_misses_no_bytes_only_once_its_end_has_arrived() {
     for text in [WITH_LENGTH, CHUNKED] {
         let head = text.find("\r\n\r\n").expect("a head") + 4;
-        for at in head..text.len() {
+        for at in head..=text.len() {
             let mut scanner = RequestScanner::default();
             scanner.scan(&text.as_bytes()[..at]);
             scanner.next_is_unambiguous();
-            assert!(scanner.is_completed_by(&text.as_bytes()[at..]) || at + 4 > text.len(), "{text:?} {at}");
-            assert!(!scanner.is_completed_by(&text.as_bytes()[at..text.len() - 1]), "{text:?} {at}");
+            let (missing, missing_min) = ((text.len() - at) as u64, scanner.missing_bytes_min());
+            assert!(missing_min <= missing, "{text:?} {at}: {missing_min}");
+            assert!(text == CHUNKED || missing_min == missing, "{text:?} {at}: {missing_min}");
+            let complete = missing == 0;
+            assert_eq!(missing_min == 0, complete, "{text:?} {at}");
+            assert_eq!(scanner.is_between_requests(), complete, "{text:?} {at}");
+            assert_eq!(scanner.is_request_complete(), complete, "{text:?} {at}");
         }
     }
 }
+
+/// Guards against the length of a chunk that is arriving counting for nothing.
+#[test]
+fn the_rest_of_a_chunk_is_missing() {
+    let mut scanner = RequestScanner::default();
+    scanner.scan(b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n100000\r\nab");
+    assert_eq!(scanner.missing_bytes_min(), 0x10_0000 - 2 + 7);
+}
--- a/crates/http/src/watched_stream.rs
+++ b/crates/http/src/watched_stream.rs
@@ -14,6 +14,7 @@
 use magpietally_net::Stream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::last_byte::{LastByteClock, RestOfRequest, UnreadPart};
 use crate::message::BUFFERED_BODY_MAX_BYTES;
 use crate::request_scanner::RequestScanner;
 use crate::write_stall::{write_stall_limit, MIN_PEER_BYTES_PER_SECOND};
@@ -27,8 +28,6 @@
 /// Bytes of an upload that may be on their way from a client that has written them: the default maximum of a
 /// send buffer on Linux (`tcp_wmem`).
 pub const CLIENT_SEND_BUFFER_BYTES: u64 = 4 << 20;
-/// Unread bytes that may fill a receive buffer: Linux begins with 64 KiB, less what small segments waste.
-const RECEIVE_BUFFER_MIN_BYTES: usize = 16 * 1024;
 
 /// Time limit for a request's head, from its first byte, or from the start of the connection for the first
 /// request. Slow clients take 2 s; a client that sends no valid request must be disconnected within 3 s.
@@ -95,6 +94,8 @@
     bytes_received: Cell<usize>,
     /// Finds where a client's requests begin and end.
     scanner: RefCell<RequestScanner>,
+    /// When the client may have written the last byte of its request.
+    last_byte: RefCell<LastByteClock>,
     /// The id of the client's latest request, as sent.
     request_id: RefCell<Option<HeaderValue>>,
 }
@@ -134,6 +135,7 @@
             responses: Cell::new(0),
             bytes_received: Cell::new(0),
             scanner: RefCell::default(),
+            last_byte: RefCell::default(),
             request_id: RefCell::default(),
         })
     }
@@ -243,7 +245,9 @@
         self.bytes_at_head_end.set(Some(self.bytes_received.get()));
         self.request_due.set(self.request_due.get().max(Instant::now() + BODY_WAIT_BASE));
         self.body_wait.set(Duration::ZERO);
-        self.scanner.borrow_mut().next_is_unambiguous()
+        let is_unambiguous = self.scanner.borrow_mut().next_is_unambiguous();
+        self.note_request_end();
+        is_unambiguous
     }
 
     /// Gives other tasks and the poller a turn before each request that arrived together with the one before
@@ -293,23 +297,19 @@
         wait >= BODY_PAUSE_MAX || (slow && now >= self.request_due.get())
     }
 
-    /// Returns whether the client may have written the last byte of its request, of which `missing_bytes` have
-    /// not been read, if a length was declared. Looks at what the kernel has received; if that may fill its
-    /// receive buffer, the rest may be in the client's send buffer.
-    pub fn may_request_be_written(&self, missing_bytes: Option<u64>) -> bool {
-        self.inner.inspect_unread(|unread| {
-            if unread.len() < RECEIVE_BUFFER_MIN_BYTES {
-                self.scanner.borrow().is_completed_by(unread)
-            } else {
-                missing_bytes.is_none_or(|count| count <= CLIENT_SEND_BUFFER_BYTES)
-            }
-        })
+    /// What is known of the part of the client's request that the node has not read. Asks the kernel.
+    pub fn rest_of_request(&self) -> RestOfRequest {
+        let unread = UnreadPart {
+            any: !self.is_quiet(),
+            missing_bytes_min: self.scanner.borrow().missing_bytes_min(),
+            buffered_bytes_max: CLIENT_SEND_BUFFER_BYTES + self.inner.receive_buffer_bytes() as u64,
+        };
+        self.last_byte.borrow_mut().update(tokio::time::Instant::now().into_std(), unread)
     }
 
-    /// Returns whether a read is waiting for the client to send more of its current request. hyper also reads
-    /// on when it has read the request's last byte, for the end of the connection.
-    pub fn is_waiting_for_request(&self) -> bool {
-        self.waiting_since.get().is_some() && !self.scanner.borrow().is_request_complete()
+    /// When the client may have written the last byte of its request, which is not known to have more.
+    pub fn request_written_at(&self) -> Instant {
+        self.last_byte.borrow().may_be_written_since().unwrap_or_else(|| self.last_received_at.get())
     }
 
     /// Returns whether any bytes were ever received on the connection.
@@ -322,23 +322,18 @@
         self.responses.get()
     }
 
-    /// When the last bytes of the current request arrived, which is when its time begins, however slowly it
-    /// was sent. Where a failed system call delayed reading them, this is the earliest time at which they may
-    /// have arrived. A pipelined request was read together with the one before it, so its time counts from
-    /// now.
+    /// When the time of the current request, which is complete, begins: when its client may have written the last
+    /// byte, however slowly it was sent. Where a failed system call delayed reading, this is the earliest time at
+    /// which the bytes may have arrived. A pipelined request was read together with the one before it, so its time
+    /// counts from now.
     pub fn request_arrived_at(&self) -> Instant {
         if self.phase.get() == ConnectionPhase::Reading {
-            self.last_received_at.get().max(self.phase_since.get())
+            self.request_written_at().max(self.phase_since.get())
         } else {
             Instant::now()
         }
     }
 
-    /// The earliest time at which the latest bytes from the client may have arrived.
-    pub fn last_received_at(&self) -> Instant {
-        self.last_received_at.get()
-    }
-
     /// The earliest time at which the bytes that are being read may have arrived.
     fn last_read_arrived_at(&self) -> Instant {
         self.inner.unread_since().unwrap_or_else(Instant::now)
@@ -424,12 +419,24 @@
             self.phase_since.set(received_at);
         }
         self.bytes_received.set(self.bytes_received.get().wrapping_add(bytes.len()));
+        self.last_byte.borrow_mut().read(received_at, bytes.len());
         self.scanner.borrow_mut().scan(bytes);
+        self.note_request_end();
+    }
+
+    /// Notes whether the last byte of the request has been read.
+    fn note_request_end(&self) {
+        let scanner = self.scanner.borrow();
+        let head_taken = self.bytes_at_head_end.get().is_some();
+        if scanner.is_between_requests() || (head_taken && scanner.is_request_complete()) {
+            self.last_byte.borrow_mut().finish();
+        }
     }
 
     /// Notes that a request begins to arrive. `later` tells whether it follows another on the connection.
     fn begin_request(&self, later: bool) {
         self.enter_phase(ConnectionPhase::Reading);
+        self.last_byte.borrow_mut().begin();
         self.bytes_at_head_end.set(None);
         if later {
             self.request_due.set(self.phase_since.get() + HEAD_TIMEOUT);
@@ -484,6 +491,10 @@
         let before = buf.filled().len();
         let polled = stream.inner.poll_recv(cx, buf);
         if polled.is_pending() && stream.is_client {
+            // A call that failed, or a task that has used up its turn, says nothing about what is there.
+            if stream.inner.is_drained() {
+                stream.last_byte.borrow_mut().found_nothing(Instant::now());
+            }
             if stream.waiting_since.get().is_none() {
                 stream.waiting_since.set(Some(Instant::now()));
             }
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -144,20 +144,10 @@
         self.read_max_bytes.set(bytes.clamp(1, READ_MAX_BYTES));
     }
 
-    /// Passes the bytes that are ready to be read to `inspect`, up to 64 KiB of them, and leaves them unread.
-    pub fn inspect_unread<T>(&self, inspect: impl FnOnce(&[u8]) -> T) -> T {
-        SCRATCH.with_borrow_mut(|scratch| {
-            let mut interruptions = Interruptions::default();
-            loop {
-                let error = match self.socket().peek(&mut scratch[..]) {
-                    Ok(count) => return inspect(&scratch[..count]),
-                    Err(error) => error,
-                };
-                if interruptions.limit(classify(Call::Stream, &error)) != Class::TryAgain {
-                    return inspect(&[]);
-                }
-            }
-        })
+    /// The size of the receive buffer in bytes, as the kernel has grown it so far: more can't lie in it unread. 0
+    /// if the kernel does not tell.
+    pub fn receive_buffer_bytes(&self) -> usize {
+        SockRef::from(self.socket()).recv_buffer_size().unwrap_or(0)
     }
 
     /// Returns the address of the peer.
