The tests of slow answers and uploads share their scripted peers

Change: peers/uploads.rs and peers/long_responses.rs serve both. The cases, bounds and buffer sizes are as before.

--- a/tests/late_answers.rs
+++ b/tests/late_answers.rs
@@ -3,11 +3,12 @@
 
 mod peers;
 
-use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::mpsc;
+use std::io::Write;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use peers::long_responses::{Framing, Pace, FRAMINGS, LONG_RESPONSE_BYTES};
+use peers::uploads::{ReadStep, ReadingServer, Upload, UploadFraming};
 use peers::*;
 use serde_json::{json, Value};
 
@@ -15,73 +16,11 @@
 const LATENCY_TARGET_MS: f64 = 400.0;
 /// How late a final answer may come, and the measurement.
 const ANSWER_SLACK: Duration = Duration::from_millis(500 + 100);
-/// Length of a long response.
-const LONG_RESPONSE_BYTES: usize = 200_000;
-
-/// How a response marks its end.
-#[derive(Clone, Copy, Debug)]
-enum Framing {
-    Length,
-    Chunks,
-    Close,
-}
-
-const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Close];
-
-impl Framing {
-    fn head(self, length: usize) -> String {
-        let framing = match self {
-            Self::Length => format!("Content-Length: {length}"),
-            Self::Chunks => "Transfer-Encoding: chunked".to_string(),
-            Self::Close => "Connection: close".to_string(),
-        };
-        format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n")
-    }
-
-    fn write(self, out: &mut TcpStream, piece: &[u8]) -> std::io::Result<()> {
-        match self {
-            Self::Chunks => {
-                out.write_all(&[format!("{:x}\r\n", piece.len()).as_bytes(), piece, b"\r\n"].concat())
-            }
-            Self::Length | Self::Close => out.write_all(piece),
-        }
-    }
-
-    /// Ends the response; an error makes the server close its connection.
-    fn end(self, out: &mut TcpStream) -> std::io::Result<()> {
-        match self {
-            Self::Length => Ok(()),
-            Self::Chunks => out.write_all(b"0\r\n\r\n"),
-            Self::Close => Err(std::io::ErrorKind::Other.into()),
-        }
-    }
-}
-
-/// When a server writes the parts of a long response.
-#[derive(Clone, Copy, Debug)]
-struct Pace {
-    /// The time from the head to the first bytes of the body.
-    before_body: Duration,
-    piece_bytes: usize,
-    between_pieces: Duration,
-}
-
 /// A server that answers each request at this pace, in the framing that the request's path names.
 fn paced_server(pace: Pace) -> ScriptedServer {
-    ScriptedServer::new(move |message| {
-        let named = |framing: &Framing| message.path().contains(&format!("{framing:?}"));
-        let Some(framing) = FRAMINGS.into_iter().find(named) else {
-            return Reply::Respond(response(200, "", "probed"));
-        };
-        Reply::WriteWith(Box::new(move |out| {
-            out.write_all(framing.head(LONG_RESPONSE_BYTES).as_bytes())?;
-            std::thread::sleep(pace.before_body);
-            for piece in bytes(LONG_RESPONSE_BYTES).chunks(pace.piece_bytes) {
-                framing.write(out, piece)?;
-                std::thread::sleep(pace.between_pieces);
-            }
-            framing.end(out)
-        }))
+    ScriptedServer::new(move |message| match Framing::named_by(message) {
+        None => Reply::Respond(response(200, "", "probed")),
+        Some(framing) => Reply::WriteWith(Box::new(move |out| pace.respond(framing, out))),
     })
 }
 
@@ -113,7 +52,7 @@
             for class in ["look", "slip"] {
                 scope.spawn(move || {
                     let id = format!("{class}-{framing:?}");
-                    let words = request(class, &id, remaining_ms).replace("/7?", &format!("/{framing:?}?"));
+                    let words = framing.name_in(&request(class, &id, remaining_ms));
                     let response = Client::at(address).try_exchange(&words);
                     let response = response.unwrap_or_else(|| panic!("{id}: cut off"));
                     let whole = response.status() == 200 && response.body == bytes(LONG_RESPONSE_BYTES);
@@ -144,71 +83,15 @@
 /// Length of an upload of which the kernel holds a part on both sides of the node, so that the node blocks.
 const HELD_UPLOAD_BYTES: usize = 6_000_000;
 
-/// How a server reads a large request.
-#[derive(Clone, Copy, Debug)]
-enum Reading {
-    /// Not at all after this number of bytes.
-    StopAfter(usize),
-    /// This number of bytes every 50 ms.
-    Slowly(usize),
-}
+/// A script of a server that reads 80 kB/s.
+const READ_SLOWLY: [ReadStep; 1] =
+    [ReadStep::ReadPaced { bytes: usize::MAX, piece: 4096, interval: Duration::from_millis(50) }];
+/// A script of a server that stops reading.
+const STOP_READING: [ReadStep; 2] = [ReadStep::Read(20_000), ReadStep::Hold];
 
-impl Reading {
-    fn run(self, mut stream: impl Read) {
-        let mut piece = vec![0; 4096];
-        let (mut left, pause) = match self {
-            Self::StopAfter(count) => (count, Duration::ZERO),
-            Self::Slowly(count) => {
-                piece.resize(count, 0);
-                (usize::MAX, Duration::from_millis(50))
-            }
-        };
-        while left > 0 {
-            let Ok(count @ 1..) = stream.read(&mut piece[..left.min(4096)]) else { return };
-            left -= count;
-            std::thread::sleep(pause);
-        }
-    }
-}
-
-/// Listens as a server with a small receive buffer that reads each connection in this way and never answers;
-/// it ends with the returned sender.
-fn reading_server(reading: Reading) -> (SocketAddr, mpsc::Sender<()>) {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.set_recv_buffer_size(16 * 1024).expect("an open socket");
-    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("a port");
-    socket.listen(16).expect("a bound socket");
-    let listener: TcpListener = socket.into();
-    let address = listener.local_addr().expect("bound");
-    let (test, ended) = mpsc::channel();
-    std::thread::spawn(move || {
-        let mut open = Vec::new();
-        for stream in listener.incoming().flatten() {
-            let Ok(kept) = stream.try_clone() else { return };
-            open.push(kept);
-            std::thread::spawn(move || reading.run(BufReader::new(stream)));
-        }
-    });
-    std::thread::spawn(move || ended.recv());
-    (address, test)
-}
-
-/// The head and the body of an upload.
-fn upload(class: &str, id: &str, remaining_ms: u64, chunked: bool, length: usize) -> Vec<u8> {
-    let framing =
-        if chunked { "Transfer-Encoding: chunked".to_string() } else { format!("Content-Length: {length}") };
-    let head = request(class, id, remaining_ms)
-        .replace("Content-Length: 4\r\n\r\nwork", &format!("{framing}\r\n\r\n"));
-    let body = bytes(length);
-    if !chunked {
-        return [head.as_bytes(), &body].concat();
-    }
-    let mut all = head.into_bytes();
-    for piece in body.chunks(8000) {
-        all.extend([format!("{:x}\r\n", piece.len()).as_bytes(), piece, b"\r\n"].concat());
-    }
-    all.extend(b"0\r\n\r\n");
-    all
+/// An upload with 600 ms left.
+fn upload(class: &'static str, id: &str, framing: UploadFraming, length: usize) -> Upload {
+    Upload { class, id: id.to_string(), remaining: Duration::from_millis(600), framing, length }
 }
 
 /// Guards against a client that has written its whole upload waiting for seconds because its server reads it
@@ -216,27 +99,29 @@
 #[test]
 fn an_upload_whose_server_reads_slowly_or_stops_is_answered_in_the_time_of_its_client() {
     let cases = [
-        (Reading::StopAfter(20_000), "pay", 600_000),
-        (Reading::StopAfter(20_000), "slip", HELD_UPLOAD_BYTES),
-        (Reading::Slowly(4096), "slip", 900_000),
-        (Reading::Slowly(4096), "pay", HELD_UPLOAD_BYTES),
+        (&STOP_READING[..], "pay", 600_000),
+        (&STOP_READING[..], "slip", HELD_UPLOAD_BYTES),
+        (&READ_SLOWLY[..], "slip", 900_000),
+        (&READ_SLOWLY[..], "pay", HELD_UPLOAD_BYTES),
     ];
     std::thread::scope(|scope| {
-        for (reading, class, length) in cases {
-            for chunked in [true, false] {
+        for (script, class, length) in cases {
+            for framing in [UploadFraming::Chunks(8000), UploadFraming::Length] {
                 scope.spawn(move || {
-                    let (server, _open) = reading_server(reading);
-                    let (_registry, node) = node_before(server);
-                    let remaining = Duration::from_millis(600);
+                    let server = ReadingServer::with_segments(script, None);
+                    let (_registry, node) = node_before(server.address);
+                    let upload = upload(class, "upload", framing, length);
                     let mut client = Client::to(&node);
-                    client.send_bytes(&upload(class, "upload", 600, chunked, length));
+                    client.send_bytes(&upload.encode());
                     let last_byte_at = Instant::now();
                     let status = client.receive().map(|response| response.status());
                     let took = last_byte_at.elapsed();
-                    let case =
-                        format!("{reading:?}, {length} bytes, chunked {chunked}: {status:?} after {took:?}");
+                    let case = format!("{script:?}, {length} bytes, {framing:?}: {status:?} after {took:?}");
                     println!("{case}");
-                    assert!(took < remaining + ANSWER_SLACK && status.is_some_and(|s| s >= 500), "{case}");
+                    assert!(
+                        took < upload.remaining + ANSWER_SLACK && status.is_some_and(|s| s >= 500),
+                        "{case}"
+                    );
                 });
             }
         }
@@ -252,7 +137,7 @@
     let (_registry, node) = node_before(server.address);
     let mut client = Client::to(&node);
     let mut writer = client.writer();
-    for piece in upload("slip", "slow", 600, true, UPLOAD_BYTES).chunks(9600) {
+    for piece in upload("slip", "slow", UploadFraming::Chunks(8000), UPLOAD_BYTES).encode().chunks(9600) {
         writer.write_all(piece).expect("the node reads");
         std::thread::sleep(Duration::from_millis(50));
     }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -5,6 +5,7 @@
 pub mod faults;
 pub mod host_delay;
 pub mod load;
+pub mod long_responses;
 pub mod member_fleet;
 pub mod queue;
 pub mod three_nodes;
--- a/tests/peers/uploads.rs
+++ b/tests/peers/uploads.rs
@@ -89,9 +89,14 @@
 }
 
 impl ReadingServer {
-    /// Starts a server with a receive buffer of [`SERVER_RECEIVE_BUFFER_BYTES`].
+    /// Starts a server with a receive buffer of [`SERVER_RECEIVE_BUFFER_BYTES`] and segments of [`SEGMENT_BYTES`].
     pub fn new(script: &[ReadStep]) -> Self {
-        let listener = listener_with_buffer(SERVER_RECEIVE_BUFFER_BYTES);
+        Self::with_segments(script, Some(SEGMENT_BYTES))
+    }
+
+    /// Like [`ReadingServer::new`], with segments of this size, or those of loopback.
+    pub fn with_segments(script: &[ReadStep], segment_bytes: Option<u32>) -> Self {
+        let listener = listener_with(SERVER_RECEIVE_BUFFER_BYTES, segment_bytes);
         let address = listener.local_addr().expect("bound");
         let received: Arc<Mutex<Vec<Message>>> = Arc::default();
         let (seen, script) = (received.clone(), script.to_vec());
@@ -122,9 +127,15 @@
 
 /// Listens with a receive buffer of this size and the segments of [`SEGMENT_BYTES`], which accepted connections inherit.
 pub fn listener_with_buffer(receive_buffer_bytes: usize) -> TcpListener {
+    listener_with(receive_buffer_bytes, Some(SEGMENT_BYTES))
+}
+
+fn listener_with(receive_buffer_bytes: usize, segment_bytes: Option<u32>) -> TcpListener {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     socket.set_recv_buffer_size(receive_buffer_bytes).expect("an open socket");
-    socket.set_tcp_mss(SEGMENT_BYTES).expect("an open socket");
+    if let Some(size) = segment_bytes {
+        socket.set_tcp_mss(size).expect("an open socket");
+    }
     socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("a port");
     socket.listen(64).expect("a bound socket");
     socket.into()
