A crowd does not take the connection of an upload that has been read whole

What callers saw: beside a crowd of half-written requests, a client that had written its whole upload lost its connection, without an answer.

A connection whose request is being received may be evicted once nothing lies unread on it, as its client then seems to be writing still. An upload whose last byte has been read, and that can't be forwarded, looks the same. So does a request that waits for memory. A stopping node did not wait for them either.

Change: one function tells whether the request's last byte has been read; eviction, the overdue check and the shutdown ask it.

--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -240,7 +240,8 @@
         let is_pending = |c: &Rc<ClientConnection>| match c.stream.phase().0 {
             ConnectionPhase::Busy => true,
             ConnectionPhase::Answering => !c.stream.is_streaming(),
-            ConnectionPhase::Idle | ConnectionPhase::Reading => false,
+            ConnectionPhase::Reading => c.stream.has_received_request(),
+            ConnectionPhase::Idle => false,
         };
         self.open.borrow().values().any(is_pending)
     }
--- a/crates/http/src/clients/accept.rs
+++ b/crates/http/src/clients/accept.rs
@@ -218,7 +218,9 @@
                 };
                 Some((rank, since))
             }
-            (ConnectionPhase::Reading, since) if since.elapsed() >= slow_after => {
+            (ConnectionPhase::Reading, since)
+                if since.elapsed() >= slow_after && !c.stream.has_received_request() =>
+            {
                 Some((EvictionRank::SlowRequest, since))
             }
             _ => None,
--- a/crates/http/src/watched_stream.rs
+++ b/crates/http/src/watched_stream.rs
@@ -277,6 +277,12 @@
         }
     }
 
+    /// Returns whether the last byte of the current request has been read. It may still have to be consumed, while
+    /// the request waits for memory or its server reads nothing.
+    pub fn has_received_request(&self) -> bool {
+        self.bytes_at_head_end.get().is_some() && self.scanner.borrow().is_request_complete()
+    }
+
     /// Returns whether the request that is being received has exceeded its time limits.
     pub fn is_request_overdue(&self) -> bool {
         let now = Instant::now();
@@ -284,8 +290,7 @@
             return false;
         }
         let Some(head_end) = self.bytes_at_head_end.get() else { return now >= self.request_due.get() };
-        // A streamed request may be complete before its last bytes are consumed, while it waits for a server.
-        if self.scanner.borrow().is_request_complete() {
+        if self.has_received_request() {
             return false;
         }
         // A server that reads an upload slowly throttles the client, so only the node's own waits for the
@@ -426,9 +431,7 @@
 
     /// Notes whether the last byte of the request has been read.
     fn note_request_end(&self) {
-        let scanner = self.scanner.borrow();
-        let head_taken = self.bytes_at_head_end.get().is_some();
-        if scanner.is_between_requests() || (head_taken && scanner.is_request_complete()) {
+        if self.scanner.borrow().is_between_requests() || self.has_received_request() {
             self.last_byte.borrow_mut().finish();
         }
     }
--- a/tests/late_answers.rs
+++ b/tests/late_answers.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use peers::long_responses::{Framing, Pace, FRAMINGS, LONG_RESPONSE_BYTES};
-use peers::uploads::{ReadStep, ReadingServer, Upload, UploadFraming};
+use peers::uploads::{ReadStep, ReadingServer, ServerPlan, Upload, UploadFraming};
 use peers::*;
 use serde_json::{json, Value};
 
@@ -108,7 +108,10 @@
         for (script, class, length) in cases {
             for framing in [UploadFraming::Chunks(8000), UploadFraming::Length] {
                 scope.spawn(move || {
-                    let server = ReadingServer::with_segments(script, None);
+                    let server = ReadingServer::with_plan(ServerPlan {
+                        segment_bytes: None,
+                        ..ServerPlan::reading(script)
+                    });
                     let (_registry, node) = node_before(server.address);
                     let upload = upload(class, "upload", framing, length);
                     let mut client = Client::to(&node);
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -509,6 +509,16 @@
     (out.status.code(), text(&out.stderr))
 }
 
+/// Starts a node with a management address under fault injection, and waits until it is ready: on the socket that it inherits, or on one of its own.
+pub fn listener_node(config: &Value, shared: Option<&TcpListener>, faults: &faults::Faults) -> Node {
+    let node = match shared {
+        Some(socket) => Node::inheriting_with_faults(config, socket, faults),
+        None => Node::listening_with_faults(config, faults, &[]),
+    };
+    wait_until("the node is ready", || node.management_call("GET", "/v1/readyz").status() == 200);
+    node
+}
+
 /// Runs a node whose start is expected to fail; returns its exit code and standard error.
 pub fn run(config: &Value) -> (Option<i32>, String) {
     run_with_args(config, &[])
--- a/tests/peers/uploads.rs
+++ b/tests/peers/uploads.rs
@@ -6,12 +6,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use super::long_responses::{Framing, Pace};
 use super::{bytes, read_message, request, response, Message};
 
 /// Receive buffer of a server, so that the node's own send buffer holds most of what a server leaves unread.
 pub const SERVER_RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
 /// Segment size of an Ethernet path. The default of loopback, 64 KiB, gives a sender a buffer of megabytes from the start.
-const SEGMENT_BYTES: u32 = 1460;
+pub const SEGMENT_BYTES: u32 = 1460;
+/// Backlog of a listener.
+const BACKLOG: i32 = 128;
 /// How long a server that holds its connection keeps it; longer than any test waits.
 const HOLD_TIME: Duration = Duration::from_secs(60);
 
@@ -82,7 +85,33 @@
     }
 }
 
-/// A server that reads each connection by a script, answers each whole request, and records it.
+/// How a server treats its connections.
+#[derive(Clone, Debug)]
+pub struct ServerPlan {
+    /// How it reads each connection.
+    pub script: Vec<ReadStep>,
+    /// How it writes the long responses that requests name by their path.
+    pub pace: Pace,
+    /// Until when new connections stay pending, from its start.
+    pub opens_after: Duration,
+    /// Its segment size; `None` for that of loopback.
+    pub segment_bytes: Option<u32>,
+}
+
+impl ServerPlan {
+    /// A plan with these steps of reading.
+    pub fn reading(script: &[ReadStep]) -> Self {
+        let pace = Pace {
+            before_body: Duration::ZERO,
+            piece_bytes: 10_000,
+            between_pieces: Duration::from_millis(5),
+        };
+        let segment_bytes = Some(SEGMENT_BYTES);
+        Self { script: script.to_vec(), pace, opens_after: Duration::ZERO, segment_bytes }
+    }
+}
+
+/// A server that reads each connection by a plan, answers each whole request, and records it.
 pub struct ReadingServer {
     pub address: SocketAddr,
     received: Arc<Mutex<Vec<Message>>>,
@@ -91,19 +120,21 @@
 impl ReadingServer {
     /// Starts a server with a receive buffer of [`SERVER_RECEIVE_BUFFER_BYTES`] and segments of [`SEGMENT_BYTES`].
     pub fn new(script: &[ReadStep]) -> Self {
-        Self::with_segments(script, Some(SEGMENT_BYTES))
+        Self::with_plan(ServerPlan::reading(script))
     }
 
-    /// Like [`ReadingServer::new`], with segments of this size, or those of loopback.
-    pub fn with_segments(script: &[ReadStep], segment_bytes: Option<u32>) -> Self {
-        let listener = listener_with(SERVER_RECEIVE_BUFFER_BYTES, segment_bytes);
+    /// Starts a server with this plan and a receive buffer of [`SERVER_RECEIVE_BUFFER_BYTES`].
+    pub fn with_plan(plan: ServerPlan) -> Self {
+        let backlog = if plan.opens_after.is_zero() { BACKLOG } else { 0 };
+        let listener = listener_with(SERVER_RECEIVE_BUFFER_BYTES, plan.segment_bytes, backlog);
         let address = listener.local_addr().expect("bound");
         let received: Arc<Mutex<Vec<Message>>> = Arc::default();
-        let (seen, script) = (received.clone(), script.to_vec());
+        let seen = received.clone();
         std::thread::spawn(move || {
+            keep_pending(&listener, plan.opens_after);
             for stream in listener.incoming().flatten() {
-                let (seen, script) = (seen.clone(), script.clone());
-                std::thread::spawn(move || serve(stream, &script, &seen));
+                let (seen, plan) = (seen.clone(), plan.clone());
+                std::thread::spawn(move || serve(stream, &plan, &seen));
             }
         });
         Self { address, received }
@@ -115,29 +146,44 @@
     }
 }
 
-fn serve(stream: TcpStream, script: &[ReadStep], seen: &Mutex<Vec<Message>>) -> Option<()> {
+/// Fills the backlog of a listener for a while, so that new connections stay pending.
+fn keep_pending(listener: &TcpListener, span: Duration) {
+    const FILLERS: usize = 2;
+    if span.is_zero() {
+        return;
+    }
+    let address = listener.local_addr().expect("bound");
+    let _fillers: Vec<_> = (0..FILLERS).map(|_| TcpStream::connect_timeout(&address, span)).collect();
+    std::thread::sleep(span);
+}
+
+fn serve(stream: TcpStream, plan: &ServerPlan, seen: &Mutex<Vec<Message>>) -> Option<()> {
     let mut out = stream.try_clone().ok()?;
-    let mut from = BufReader::new(ScriptedReader::new(stream, script));
+    let mut from = BufReader::new(ScriptedReader::new(stream, &plan.script));
     while let Some(message) = read_message(&mut from, 0) {
+        let framing = Framing::named_by(&message);
         seen.lock().expect("no panic").push(message);
-        out.write_all(&response(200, "", "read")).ok()?;
+        match framing {
+            Some(framing) => plan.pace.respond(framing, &mut out).ok()?,
+            None => out.write_all(&response(200, "", "read")).ok()?,
+        }
     }
     Some(())
 }
 
 /// Listens with a receive buffer of this size and the segments of [`SEGMENT_BYTES`], which accepted connections inherit.
 pub fn listener_with_buffer(receive_buffer_bytes: usize) -> TcpListener {
-    listener_with(receive_buffer_bytes, Some(SEGMENT_BYTES))
+    listener_with(receive_buffer_bytes, Some(SEGMENT_BYTES), BACKLOG)
 }
 
-fn listener_with(receive_buffer_bytes: usize, segment_bytes: Option<u32>) -> TcpListener {
+fn listener_with(receive_buffer_bytes: usize, segment_bytes: Option<u32>, backlog: i32) -> TcpListener {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     socket.set_recv_buffer_size(receive_buffer_bytes).expect("an open socket");
     if let Some(size) = segment_bytes {
         socket.set_tcp_mss(size).expect("an open socket");
     }
     socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("a port");
-    socket.listen(64).expect("a bound socket");
+    socket.listen(backlog).expect("a bound socket");
     socket.into()
 }
 
@@ -206,23 +252,46 @@
     Leave,
 }
 
-/// What a client saw of its upload.
+/// How a request ended for its client.
 #[derive(Debug)]
 pub struct UploadEnd {
     /// When the kernel had accepted the last byte, if it did.
     pub written_at: Option<Instant>,
-    /// The status of the response, and when it had come; `None` if there was none.
-    pub answer: Option<(u16, Instant)>,
+    /// The response, and when it had come; `None` if there was none.
+    pub answer: Option<(Message, Instant)>,
+    /// When the connection ended, where it did before a response.
+    pub ended_at: Option<Instant>,
 }
 
 impl UploadEnd {
     /// The time from the last byte to the response.
     pub fn waited(&self) -> Option<Duration> {
-        Some(self.answer?.1.saturating_duration_since(self.written_at?))
+        Some(self.answer.as_ref()?.1.saturating_duration_since(self.written_at?))
+    }
+
+    /// The status of the response.
+    pub fn status(&self) -> Option<u16> {
+        Some(self.answer.as_ref()?.0.status())
     }
 }
 
-/// Sends an upload by a script and waits for its response, for `patience` at most after the end of its time.
+/// Connects to a node, with a send buffer of this size.
+///
+/// # Errors
+/// The error of the connect.
+pub fn connect(node: SocketAddr, send_buffer_bytes: Option<usize>) -> std::io::Result<TcpStream> {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
+    if let Some(size) = send_buffer_bytes {
+        socket.set_send_buffer_size(size)?;
+    }
+    socket.connect(&node.into())?;
+    let stream: TcpStream = socket.into();
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// Sends an upload by a script on a connection of its own, and waits for its response, for `patience` at most after the
+/// end of its time.
 pub fn send_upload(
     node: SocketAddr,
     upload: &Upload,
@@ -230,49 +299,54 @@
     send_buffer_bytes: Option<usize>,
     patience: Duration,
 ) -> UploadEnd {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    if let Some(size) = send_buffer_bytes {
-        socket.set_send_buffer_size(size).expect("an open socket");
-    }
-    socket.connect(&node.into()).expect("the node listens");
-    let stream: TcpStream = socket.into();
-    stream.set_nodelay(true).expect("a socket");
+    let stream = connect(node, send_buffer_bytes).expect("the node listens");
+    send_on(&stream, &upload.encode(), script, upload.remaining + patience)
+}
+
+/// Sends a request by a script, and waits for its response until `limit` after its last byte at most. Closes the connection
+/// where the request could not be written whole.
+pub fn send_on(stream: &TcpStream, request: &[u8], script: &[WriteStep], limit: Duration) -> UploadEnd {
     let written_at = Mutex::new(None);
-    let answer = std::thread::scope(|scope| {
-        scope.spawn(|| {
-            if write_by_script(&stream, &upload.encode(), script).is_ok() {
+    let (answer, ended_at) = std::thread::scope(|scope| {
+        let writer = scope.spawn(|| {
+            if write_by_script(stream, request, script).is_ok() {
                 *written_at.lock().expect("no panic") = Some(Instant::now());
             }
         });
-        let answer = receive(&stream, &written_at, upload.remaining + patience);
-        // Ends a write that is still blocked.
-        let _ = stream.shutdown(Shutdown::Both);
-        answer
+        let received = receive(stream, &written_at, limit);
+        if !writer.is_finished() {
+            // Ends a write that is still blocked.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        received
     });
-    UploadEnd { written_at: written_at.into_inner().expect("no panic"), answer }
+    UploadEnd { written_at: written_at.into_inner().expect("no panic"), answer, ended_at }
 }
 
-/// Waits for the response until `limit` after the last byte was written.
+/// Waits for the response until `limit` after the last byte was written. Returns it, or when the connection ended
+/// without one.
 fn receive(
     mut stream: &TcpStream,
     written_at: &Mutex<Option<Instant>>,
     limit: Duration,
-) -> Option<(u16, Instant)> {
+) -> (Option<(Message, Instant)>, Option<Instant>) {
     const POLL_INTERVAL: Duration = Duration::from_millis(20);
     stream.set_read_timeout(Some(POLL_INTERVAL)).expect("a socket");
-    let start = Instant::now();
-    let mut first = [0; 1];
-    while stream.peek(&mut first).is_err_and(|error| {
+    let (start, mut first) = (Instant::now(), [0; 1]);
+    let waits = |error: std::io::Error| {
         matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut)
-    }) {
+    };
+    while stream.peek(&mut first).is_err_and(waits) {
         let written = *written_at.lock().expect("no panic");
         if written.is_some_and(|at| at.elapsed() > limit) || start.elapsed() > HOLD_TIME {
-            return None;
+            return (None, None);
         }
     }
-    stream.set_read_timeout(Some(limit)).expect("a socket");
-    let response = read_message(&mut BufReader::new(&mut stream), 0)?;
-    Some((response.status(), Instant::now()))
+    stream.set_read_timeout(Some(HOLD_TIME)).expect("a socket");
+    match read_message(&mut BufReader::new(&mut stream), 0) {
+        Some(message) => (Some((message, Instant::now())), None),
+        None => (None, Some(Instant::now())),
+    }
 }
 
 fn write_by_script(mut stream: &TcpStream, all: &[u8], script: &[WriteStep]) -> std::io::Result<()> {
--- a/tests/upload_deadlines.rs
+++ b/tests/upload_deadlines.rs
@@ -3,7 +3,8 @@
 
 mod peers;
 
-use std::net::SocketAddr;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 use peers::uploads::*;
@@ -50,7 +51,7 @@
     let end = send_upload(node, &upload, &[], Some(CLIENT_SEND_BUFFER_BYTES), LATE_ANSWER_WAIT);
     let in_time = end.waited().is_some_and(|waited| waited < REMAINING + ANSWER_SLACK + MEASUREMENT_SLACK);
     let written = end.written_at.is_some();
-    let line = format!("{id}: {:?} after {:?}, written {written}", end.answer, end.waited());
+    let line = format!("{id}: {:?} after {:?}, written {written}", end.status(), end.waited());
     println!("{line}");
     (!in_time).then_some(line)
 }
@@ -99,3 +100,82 @@
         node
     });
 }
+
+/// Asserts that a client that has written its whole upload is answered in its time.
+fn assert_in_time(case: &str, upload: &Upload, end: &UploadEnd) {
+    let in_time =
+        end.waited().is_some_and(|waited| waited < upload.remaining + ANSWER_SLACK + MEASUREMENT_SLACK);
+    assert!(in_time, "{case}: {:?} after {:?}", end.status(), end.waited());
+}
+
+/// Guards against the time that a request waits for memory not counting as its client's.
+#[test]
+fn the_time_of_a_client_runs_while_its_request_waits_for_memory() {
+    /// Requests that are buffered whole: together they take the budget of 3.2 MiB but for 26 kB.
+    const FILLERS: usize = 52;
+    const FILLER_BYTES: usize = 64_000;
+    let server = ReadingServer::new(&[ReadStep::Hold]);
+    let registry = registry_of(server.address);
+    let mut node_config = node_config(&registry);
+    node_config["limits"] = json!({"cores": 1.0, "memory_mb": 32, "sockets": 256});
+    let node = Node::ready(&node_config);
+    let upload = |id: String, remaining_ms, length| Upload {
+        class: "slip",
+        id,
+        remaining: Duration::from_millis(remaining_ms),
+        framing: UploadFraming::Length,
+        length,
+    };
+    std::thread::scope(|scope| {
+        for n in 0..FILLERS {
+            let address = node.address;
+            scope.spawn(move || {
+                let filler = upload(format!("filler-{n}"), 3000, FILLER_BYTES);
+                let script = [
+                    WriteStep::WriteAllBut(1000),
+                    WriteStep::Pause(Duration::from_millis(1000)),
+                    WriteStep::Leave,
+                ];
+                send_upload(address, &filler, &script, None, Duration::ZERO)
+            });
+        }
+        std::thread::sleep(Duration::from_millis(200));
+        let waiting = upload("waiting".to_string(), 1000, 60_000);
+        let end = send_upload(node.address, &waiting, &[], None, LATE_ANSWER_WAIT);
+        println!("{:?} after {:?}", end.status(), end.waited());
+        assert_in_time("waited for memory", &waiting, &end);
+    });
+}
+
+/// Guards against a crowd taking the connection of a client whose whole upload has been read and can't be forwarded.
+#[test]
+fn a_crowd_does_not_take_the_connection_of_an_upload_that_has_been_read() {
+    const CROWD: usize = 400;
+    let server = ReadingServer::new(&[ReadStep::Read(10_000), ReadStep::Hold]);
+    let registry = registry_of(server.address);
+    let node = Node::ready(&node_config(&registry));
+    let upload = Upload {
+        class: "slip",
+        id: "read".to_string(),
+        remaining: Duration::from_millis(1500),
+        framing: UploadFraming::Chunks(8000),
+        length: BUFFERED_REQUEST_MAX_BYTES + 500,
+    };
+    std::thread::scope(|scope| {
+        let address = node.address;
+        let sent = upload.clone();
+        let client = scope.spawn(move || {
+            send_upload(address, &sent, &[], Some(CLIENT_SEND_BUFFER_BYTES), LATE_ANSWER_WAIT)
+        });
+        std::thread::sleep(Duration::from_millis(300));
+        let begin = |_| {
+            let mut stream = TcpStream::connect(address).ok()?;
+            stream.write_all(b"POST /slip/7 HTTP/1.1\r\n").ok()?;
+            Some(stream)
+        };
+        let _crowd: Vec<_> = (0..CROWD).filter_map(begin).collect();
+        let end = client.join().expect("no panic");
+        println!("{:?} after {:?}", end.status(), end.waited());
+        assert_in_time("beside a crowd", &upload, &end);
+    });
+}
