The node reads on where the server of an upload takes nothing

What callers saw: an upload that its client writes at 64 kB/s, and its server reads at 66 kB/s, was answered 504 while the client was still writing.

Cause: the node first buffers 512 KiB, and the server is behind by as much. While it reads that, the node does not read its client, whose bytes pile up in the kernel; by them it can't be told from a client that has written everything.

Change: where the server has taken nothing for 20 ms, the node reads on, up to 512 KiB for each upload, in the budget for requests and owned by the bytes until they are written. So it finds nothing where the client is slow, and the end where it is done.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -20,8 +20,10 @@
 use crate::pool::{Pool, PooledConnection};
 use crate::watched_stream::WatchedStream;
 pub use upload::{StreamedRequestBody, UploadProgress};
+pub use upload_rest::UploadRest;
 
 mod upload;
+mod upload_rest;
 
 /// How long a server may send nothing of a response that it has begun while the client could accept more, and,
 /// with the allowance of [`WatchedStream::write_stall_limit`], how long it may accept nothing of a streamed
--- a/crates/http/src/body/upload.rs
+++ b/crates/http/src/body/upload.rs
@@ -2,17 +2,18 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::Frame;
 use magpietally_core::InProgress;
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 use tokio::time::{sleep, Instant};
 
+use super::upload_rest::UploadRest;
 use crate::last_byte::RestOfRequest;
 use crate::memory_budget::{Reservation, STREAMED_MESSAGE_BYTES};
 use crate::watched_stream::WatchedStream;
@@ -28,12 +29,14 @@
     finished_at: Cell<Option<Instant>>,
     aborted: Cell<bool>,
     finish_notify: Notify,
+    /// What is still to be forwarded; `None` once the body has been dropped.
+    rest: RefCell<Option<UploadRest>>,
 }
 
 impl UploadProgress {
-    /// The progress of an upload of `length` bytes, if the client declared it.
-    pub fn new(length: Option<u64>) -> Self {
-        Self { missing_bytes: Cell::new(length), ..Self::default() }
+    /// The progress of an upload of `length` bytes, if the client declared it, of which `rest` is to be received.
+    pub fn new(length: Option<u64>, rest: UploadRest) -> Self {
+        Self { missing_bytes: Cell::new(length), rest: RefCell::new(Some(rest)), ..Self::default() }
     }
 
     /// Waits until the last byte has been forwarded, or it is certain that it never will be.
@@ -43,10 +46,15 @@
         }
     }
 
-    /// Waits until the client may have been waiting for its response for `span`.
-    pub async fn client_waiting_for(source: &WatchedStream, span: Duration) {
+    /// Waits until the client may have been waiting for its response for `span`. Reads on meanwhile, so that this is
+    /// known, where the server takes nothing.
+    pub async fn client_waiting_for(&self, source: &WatchedStream, span: Duration) {
         loop {
             sleep(UPLOAD_CHECK_INTERVAL).await;
+            while self.read_ahead() {
+                // The client's connection has to read before there can be more.
+                yield_now().await;
+            }
             let may_be_written = source.rest_of_request() != RestOfRequest::Unwritten;
             if may_be_written && Instant::now().into_std() >= source.request_written_at() + span {
                 return;
@@ -54,6 +62,11 @@
         }
     }
 
+    /// Reads a piece ahead of the server; returns whether there may be more.
+    fn read_ahead(&self) -> bool {
+        self.rest.borrow_mut().as_mut().is_some_and(UploadRest::read_ahead)
+    }
+
     /// When the upload finished or was aborted.
     pub fn finished_at(&self) -> Option<Instant> {
         self.finished_at.get()
@@ -76,8 +89,6 @@
 pub struct StreamedRequestBody {
     /// What was received before the decision to stream.
     pub buffered: Bytes,
-    /// The part that is still to be received.
-    pub rest: Incoming,
     /// Total length in bytes, if the client declared it.
     pub length: Option<u64>,
     /// The client's connection.
@@ -119,19 +130,9 @@
         Poll::Ready(Some(Ok(Frame::data(data))))
     }
 
-    /// Polls for the next data; trailers are dropped.
-    fn poll_rest(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, hyper::Error>>> {
-        loop {
-            match ready!(Pin::new(&mut self.rest).poll_frame(cx)) {
-                None => return Poll::Ready(None),
-                Some(Err(error)) => return Poll::Ready(Some(Err(error))),
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Poll::Ready(Some(Ok(data)));
-                    }
-                }
-            }
-        }
+    /// Polls for the next data of the rest.
+    fn poll_rest(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, hyper::Error>>> {
+        self.progress.rest.borrow_mut().as_mut().map_or(Poll::Ready(None), |rest| rest.poll(cx))
     }
 
     /// Notes that the last byte was received.
@@ -150,6 +151,7 @@
 /// An upload that is dropped before its end counts as aborted.
 impl Drop for StreamedRequestBody {
     fn drop(&mut self) {
+        self.progress.rest.take();
         if self.progress.finished_at.get().is_none() {
             self.progress.finish(true);
         }
--- a/crates/http/src/clients/request.rs
+++ b/crates/http/src/clients/request.rs
@@ -12,7 +12,7 @@
 
 use super::response::empty_response;
 use super::{Asked, Node, X_TXN};
-use crate::body::{BufferedBody, ResponseBody, StreamedRequestBody, UploadProgress};
+use crate::body::{BufferedBody, ResponseBody, StreamedRequestBody, UploadProgress, UploadRest};
 use crate::memory_budget::{required_bytes, STREAMED_MESSAGE_BYTES, UNRESERVED_BYTES};
 use crate::message::{
     detach_from_buffer, remove_hop_by_hop_headers, RequestBody, UpstreamRequest, BUFFERED_BODY_MAX_BYTES,
@@ -161,13 +161,12 @@
             continue;
         }
         let in_progress = Rc::new(RefCell::new(Some(node.process().metrics.start_request(class))));
-        let (progress, buffered, source) =
-            (Rc::new(UploadProgress::new(length)), buffered.into_bytes(), stream.clone());
+        let rest = UploadRest::new(body, reservation.empty());
+        let progress = Rc::new(UploadProgress::new(length, rest));
         let upload = StreamedRequestBody {
-            buffered,
-            rest: body,
+            buffered: buffered.into_bytes(),
             length,
-            source,
+            source: stream.clone(),
             in_progress,
             progress: progress.clone(),
             reservation,
--- a/crates/http/src/clients/response.rs
+++ b/crates/http/src/clients/response.rs
@@ -12,7 +12,7 @@
 use tokio::sync::oneshot;
 
 use super::{Asked, Node};
-use crate::body::{ResponseBody, StreamedResponse, UploadProgress};
+use crate::body::{ResponseBody, StreamedResponse};
 use crate::message::UpstreamResponse;
 use crate::watched_stream::WatchedStream;
 
@@ -137,7 +137,7 @@
                     deadline = stream.request_written_at() + remaining;
                     answer_before(deadline - guard, answer_receiver).await
                 }
-                () = UploadProgress::client_waiting_for(stream, remaining - guard) => None,
+                () = upload.client_waiting_for(stream, remaining - guard) => None,
             }
         }
     };
--- a/crates/http/src/memory_budget.rs
+++ b/crates/http/src/memory_budget.rs
@@ -68,6 +68,11 @@
         self.bytes
     }
 
+    /// An empty reservation of the same budget.
+    pub fn empty(&self) -> Self {
+        self.budget.reservation()
+    }
+
     /// Reserves what a message needs, and waits while the budget lacks it, for at most `limit`. Returns false
     /// if it still does. To be called once for a message, as one that held some bytes and waited for more
     /// would block others that do the same.
--- a/tests/upload_deadlines.rs
+++ b/tests/upload_deadlines.rs
@@ -5,7 +5,7 @@
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use peers::uploads::*;
 use peers::*;
@@ -48,10 +48,14 @@
 ) -> Option<String> {
     let id = format!("{class}-{framing:?}-{length}");
     let upload = Upload { class, id: id.clone(), remaining: REMAINING, framing, length };
+    let began = Instant::now();
     let end = send_upload(node, &upload, &[], Some(CLIENT_SEND_BUFFER_BYTES), LATE_ANSWER_WAIT);
-    let in_time = end.waited().is_some_and(|waited| waited < REMAINING + ANSWER_SLACK + MEASUREMENT_SLACK);
+    // One that is refused before it is written has no last byte.
+    let counted_from = end.written_at.unwrap_or(began);
+    let waited = end.answer.as_ref().map(|(_, at)| at.saturating_duration_since(counted_from));
+    let in_time = waited.is_some_and(|waited| waited < REMAINING + ANSWER_SLACK + MEASUREMENT_SLACK);
     let written = end.written_at.is_some();
-    let line = format!("{id}: {:?} after {:?}, written {written}", end.status(), end.waited());
+    let line = format!("{id}: {:?} after {waited:?}, written {written}", end.status());
     println!("{line}");
     (!in_time).then_some(line)
 }
@@ -101,6 +105,33 @@
     });
 }
 
+/// Guards against the same where the node has no memory left to read on, so that it can't know.
+#[test]
+fn uploads_that_the_node_has_no_memory_to_read_are_answered_in_the_time_of_their_clients() {
+    let lengths: Vec<_> = (0..24).map(|n| 380_000 + n * 1000).collect();
+    let server = ReadingServer::new(&[ReadStep::Read(10_000), ReadStep::Hold]);
+    let registry = registry_of(server.address);
+    let late: Vec<_> = std::thread::scope(|scope| {
+        let play = |framing| {
+            let socket = listener_with_buffer(SMALL_RECEIVE_BUFFER_BYTES);
+            let mut node_config = node_config(&registry);
+            node_config["listen"] = json!(socket.local_addr().expect("bound").to_string());
+            node_config["limits"] = json!({"cores": 1.0, "memory_mb": 32, "sockets": 256});
+            let node = Node::with_inherited_socket(&node_config, &socket, "3");
+            node.wait_ready();
+            std::thread::scope(|scope| {
+                let send = |length| move || late_answer(node.address, length, framing, "slip");
+                let threads: Vec<_> = lengths.iter().map(|length| scope.spawn(send(*length))).collect();
+                threads.into_iter().filter_map(|thread| thread.join().expect("no panic")).collect::<Vec<_>>()
+            })
+        };
+        let threads: Vec<_> =
+            FRAMINGS.map(|framing| scope.spawn(move || play(framing))).into_iter().collect();
+        threads.into_iter().flat_map(|thread| thread.join().expect("no panic")).collect()
+    });
+    assert!(late.is_empty(), "{} late: {late:#?}", late.len());
+}
+
 /// Asserts that a client that has written its whole upload is answered in its time.
 fn assert_in_time(case: &str, upload: &Upload, end: &UploadEnd) {
     let in_time =
@@ -179,3 +210,45 @@
         assert_in_time("beside a crowd", &upload, &end);
     });
 }
+
+/// Guards against an upload being cut off while its client writes it at a pace and its server reads it at the same pace,
+/// behind what the node had buffered before.
+#[test]
+fn a_paced_upload_whose_server_reads_at_its_pace_is_not_cut_off() {
+    const UPLOAD_BYTES: usize = 720_000;
+    const INTERVAL: Duration = Duration::from_millis(50);
+    let write_paced = WriteStep::WritePaced { bytes: usize::MAX, piece: 3200, interval: INTERVAL };
+    let read_paced = ReadStep::ReadPaced { bytes: usize::MAX, piece: 3300, interval: INTERVAL };
+    let play = |framing, remaining, memory_mb| {
+        let server = ReadingServer::new(&[read_paced]);
+        let registry = registry_of(server.address);
+        let mut node_config = node_config(&registry);
+        node_config["limits"]["memory_mb"] = json!(memory_mb);
+        let node = Node::ready(&node_config);
+        let id = format!("{framing:?}, {remaining:?} left, {memory_mb} MB");
+        let upload =
+            Upload { class: "slip", id: "paced".to_string(), remaining, framing, length: UPLOAD_BYTES };
+        let sent = send_upload(
+            node.address,
+            &upload,
+            &[write_paced],
+            Some(CLIENT_SEND_BUFFER_BYTES),
+            LATE_ANSWER_WAIT,
+        );
+        println!("{id}: {:?} after {:?}", sent.status(), sent.waited());
+        assert!(sent.written_at.is_some(), "{id}: cut off with {:?}", sent.status());
+        assert_in_time(&id, &upload, &sent);
+        let is_whole = server.received().iter().any(|message| message.body == bytes(UPLOAD_BYTES));
+        // The server is behind by what the node had buffered, which takes it 8 s.
+        assert!(remaining < Duration::from_secs(5) || (sent.status() == Some(200) && is_whole), "{id}");
+    };
+    std::thread::scope(|scope| {
+        for framing in FRAMINGS {
+            for remaining in [REMAINING, Duration::from_secs(15)] {
+                for memory_mb in [32, 192] {
+                    scope.spawn(move || play(framing, remaining, memory_mb));
+                }
+            }
+        }
+    });
+}
