--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -21,9 +21,11 @@
 use crate::watched_stream::WatchedStream;
 pub use upload::{StreamedRequestBody, UploadProgress};
 pub use upload_rest::UploadRest;
+pub use upload_states::UploadStates;
 
 mod upload;
 mod upload_rest;
+mod upload_states;
 
 /// How long a server may send nothing of a response that it has begun while the client could accept more, and,
 /// with the allowance of [`WatchedStream::write_stall_limit`], how long it may accept nothing of a streamed
--- a/crates/http/src/body/upload.rs
+++ b/crates/http/src/body/upload.rs
@@ -13,7 +13,7 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep, Instant};
 
-use super::upload_rest::UploadRest;
+use super::{UploadRest, UploadStates};
 use crate::last_byte::RestOfRequest;
 use crate::memory_budget::{Reservation, STREAMED_MESSAGE_BYTES};
 use crate::watched_stream::WatchedStream;
@@ -48,15 +48,19 @@
 
     /// Waits until the client may have been waiting for its response for `span`. Reads on meanwhile, so that this is
     /// known, where the server takes nothing.
-    pub async fn client_waiting_for(&self, source: &WatchedStream, span: Duration) {
+    pub async fn client_waiting_for(&self, source: &WatchedStream, span: Duration, states: &UploadStates) {
+        let state = states.add();
         loop {
             sleep(UPLOAD_CHECK_INTERVAL).await;
             while self.read_ahead() {
                 // The client's connection has to read before there can be more.
                 yield_now().await;
             }
-            let may_be_written = source.rest_of_request() != RestOfRequest::Unwritten;
-            if may_be_written && Instant::now().into_std() >= source.request_written_at() + span {
+            let rest = source.rest_of_request();
+            state.set(rest);
+            if rest != RestOfRequest::Unwritten
+                && Instant::now().into_std() >= source.request_written_at() + span
+            {
                 return;
             }
         }
--- a/crates/http/src/clients/response.rs
+++ b/crates/http/src/clients/response.rs
@@ -122,6 +122,7 @@
             return response;
         }
     };
+    let is_upload = upload.is_some();
     let mut cancel_on_drop = CancelOnDrop { node: node.clone(), id, answered: false };
     let answer = match upload {
         None => answer_before(deadline - guard, answer_receiver).await,
@@ -137,12 +138,14 @@
                     deadline = stream.request_written_at() + remaining;
                     answer_before(deadline - guard, answer_receiver).await
                 }
-                () = upload.client_waiting_for(stream, remaining - guard) => None,
+                () = upload.client_waiting_for(stream, remaining - guard, &node.transport().uploads) => None,
             }
         }
     };
     let Some(answer) = answer else {
-        log_refusal(node, stream, "no answer before the deadline");
+        let what_was_read =
+            if is_upload { format!("; {}", stream.describe_request()) } else { String::new() };
+        log_refusal(node, stream, &format!("no answer before the deadline{what_was_read}"));
         return empty_response(StatusCode::GATEWAY_TIMEOUT);
     };
     cancel_on_drop.answered = true;
--- a/crates/http/src/http_transport.rs
+++ b/crates/http/src/http_transport.rs
@@ -11,6 +11,7 @@
 };
 use magpietally_policy::{ListFailure, ListedState, Outcome, ServerId};
 
+use crate::body::UploadStates;
 use crate::config::Config;
 use crate::discovery;
 use crate::memory_budget::MemoryBudget;
@@ -31,6 +32,8 @@
     pub request_memory: MemoryBudget,
     /// The number of connections of clients, for the log.
     pub client_connections: Cell<usize>,
+    /// The uploads that have no response yet, for the log.
+    pub uploads: UploadStates,
     /// The file with the server list, if it replaces discovery.
     pub list_file: Option<ServerListFile>,
 }
@@ -45,7 +48,15 @@
         let pool = Rc::new(Pool::new(limits, config.received.keepalive, connect, response_memory, figures));
         let request_memory = MemoryBudget::new(config.memory_mb);
         let discovery_addr = Cell::new(config.discovery);
-        Self { discovery_addr, config, pool, request_memory, client_connections: Cell::new(0), list_file }
+        Self {
+            discovery_addr,
+            config,
+            pool,
+            request_memory,
+            client_connections: Cell::new(0),
+            uploads: UploadStates::default(),
+            list_file,
+        }
     }
 }
 
@@ -111,8 +122,8 @@
             format!("{} of {} KiB", used >> 10, total >> 10)
         };
         let (requests, responses) = (share(&self.request_memory), share(&self.pool.response_memory));
-        let clients = self.client_connections.get();
-        format!("; clients {clients}; reserved for requests {requests}, for responses {responses}")
+        let (clients, uploads) = (self.client_connections.get(), &self.uploads);
+        format!("; clients {clients}; {uploads}; reserved for requests {requests}, for responses {responses}")
     }
 }
 
--- a/crates/http/src/watched_stream.rs
+++ b/crates/http/src/watched_stream.rs
@@ -317,6 +317,18 @@
         self.last_byte.borrow().may_be_written_since().unwrap_or_else(|| self.last_received_at.get())
     }
 
+    /// How much of the current request has been read, and what is known of the rest, for a log line.
+    pub fn describe_request(&self) -> String {
+        let rest = self.rest_of_request();
+        let (missing, waited) =
+            (self.scanner.borrow().missing_bytes_min(), self.request_written_at().elapsed().as_millis());
+        let body_bytes = self
+            .bytes_at_head_end
+            .get()
+            .map_or(0, |head_end| self.bytes_received.get().wrapping_sub(head_end));
+        format!("{body_bytes} bytes read behind the head, {missing} or more missing, rest {rest:?}, client may be waiting for {waited} ms")
+    }
+
     /// Returns whether any bytes were ever received on the connection.
     pub fn has_received_any(&self) -> bool {
         self.received_any.get()
--- a/tests/upload_deadlines.rs
+++ b/tests/upload_deadlines.rs
@@ -252,3 +252,24 @@
         }
     });
 }
+
+/// Guards against an upload that waits leaving no trace in the log, as in the incident of 2026-12-07.
+#[test]
+fn the_log_tells_what_is_known_of_an_upload_that_waits() {
+    let server = ReadingServer::new(&[ReadStep::Read(10_000), ReadStep::Hold]);
+    let registry = registry_of(server.address);
+    let node = Node::ready(&node_config(&registry));
+    let upload = Upload {
+        class: "slip",
+        id: "logged".to_string(),
+        remaining: Duration::from_secs(3),
+        framing: UploadFraming::Chunks(8000),
+        length: BUFFERED_REQUEST_MAX_BYTES + 500,
+    };
+    let end = send_upload(node.address, &upload, &[], Some(CLIENT_SEND_BUFFER_BYTES), LATE_ANSWER_WAIT);
+    assert_in_time("logged", &upload, &end);
+    assert!(node.logged("uploads 0 being written 0 may be written 1 received"), "on a status line");
+    let refusal = || node.logged_after("request logged: no answer before the deadline");
+    wait_until("the refusal is logged", || refusal().is_some());
+    assert!(refusal().is_some_and(|words| words.contains("rest Received")), "{:?}", refusal());
+}
