A long response to an upload that was read slowly is passed on, not given up

Cause: the exchange waits for the body until the client's time is over and then passes the response on, but it counted that time from the last byte that it forwarded. The client's own time, counted from the last byte that was written, was over before, and its end drops what has not been passed on.

Change: both go by one deadline, which the response's task sets when the upload has finished.

--- a/crates/http/src/body/upload.rs
+++ b/crates/http/src/body/upload.rs
@@ -28,6 +28,8 @@
     missing_bytes: Cell<Option<u64>>,
     finished_at: Cell<Option<Instant>>,
     aborted: Cell<bool>,
+    /// When the client must be answered, once that is known.
+    client_deadline: Cell<Option<Instant>>,
     finish_notify: Notify,
     /// What is still to be forwarded; `None` once the body has been dropped.
     rest: RefCell<Option<UploadRest>>,
@@ -71,6 +73,16 @@
         self.rest.borrow_mut().as_mut().is_some_and(UploadRest::read_ahead)
     }
 
+    /// Notes when the client must be answered: its time may have begun before the last byte was forwarded.
+    pub fn set_client_deadline(&self, deadline: std::time::Instant) {
+        self.client_deadline.set(Some(deadline.into()));
+    }
+
+    /// When the client must be answered; `None` while the upload is not finished.
+    pub fn client_deadline(&self) -> Option<std::time::Instant> {
+        self.client_deadline.get().map(Instant::into_std)
+    }
+
     /// When the upload finished or was aborted.
     pub fn finished_at(&self) -> Option<Instant> {
         self.finished_at.get()
--- a/crates/http/src/clients/response.rs
+++ b/crates/http/src/clients/response.rs
@@ -136,6 +136,7 @@
                 () = upload.finished() => {
                     // The last byte may have been written long before it could be forwarded.
                     deadline = stream.request_written_at() + remaining;
+                    upload.set_client_deadline(deadline - margin);
                     answer_before(deadline - guard, answer_receiver).await
                 }
                 () = upload.client_waiting_for(stream, remaining - guard, &node.transport().uploads) => None,
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -78,11 +78,11 @@
 }
 
 impl ExchangeState<'_> {
-    /// When the client must be answered; for an upload, its time begins with its last byte.
+    /// When the client must be answered; for an upload that is not finished, as if it were now.
     fn client_deadline(&self) -> Instant {
         let Some(upload) = self.upload else { return self.times.client_deadline };
-        let uploaded_at = upload.finished_at().map_or_else(Instant::now, |at| at.into_std());
-        uploaded_at + self.times.client_deadline.saturating_duration_since(self.sent)
+        let span = self.times.client_deadline.saturating_duration_since(self.sent);
+        upload.client_deadline().unwrap_or_else(|| Instant::now() + span)
     }
 }
 
--- a/tests/late_answers.rs
+++ b/tests/late_answers.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use peers::long_responses::{Framing, Pace, FRAMINGS, LONG_RESPONSE_BYTES};
-use peers::uploads::{ReadStep, ReadingServer, ServerPlan, Upload, UploadFraming};
+use peers::uploads::{send_upload, ReadStep, ReadingServer, ServerPlan, Upload, UploadFraming};
 use peers::*;
 use serde_json::{json, Value};
 
@@ -91,7 +91,8 @@
 
 /// An upload with 600 ms left.
 fn upload(class: &'static str, id: &str, framing: UploadFraming, length: usize) -> Upload {
-    Upload { class, id: id.to_string(), remaining: Duration::from_millis(600), framing, length }
+    let remaining = Duration::from_millis(600);
+    Upload { class, id: id.to_string(), remaining, framing, length, answered_in: None }
 }
 
 /// Guards against a client that has written its whole upload waiting for seconds because its server reads it
@@ -165,3 +166,36 @@
     }
     assert!(!failing.requests().is_empty());
 }
+
+/// Guards against the long response to an upload being given up because its body begins after the client's time, where
+/// the server has read the upload slowly: the time of the attempt is not that of the client.
+#[test]
+fn a_long_response_to_an_upload_that_was_read_slowly_comes_whole() {
+    let mut plan = ServerPlan::reading(&[ReadStep::ReadPaced {
+        bytes: usize::MAX,
+        piece: 16_000,
+        interval: Duration::from_millis(10),
+    }]);
+    plan.pace.before_body = Duration::from_millis(700);
+    let server = ReadingServer::with_plan(plan);
+    let (_registry, node) = node_before(server.address);
+    let address = node.address;
+    std::thread::scope(|scope| {
+        for framing in FRAMINGS {
+            for upload_framing in [UploadFraming::Length, UploadFraming::Chunks(8000)] {
+                scope.spawn(move || {
+                    let id = format!("{framing:?}-{upload_framing:?}");
+                    let mut upload = upload("slip", &id, upload_framing, 600_000);
+                    upload.remaining = Duration::from_millis(900);
+                    upload.answered_in = Some(framing);
+                    let began = Instant::now();
+                    let end = send_upload(address, &upload, &[], None, ANSWER_SLACK);
+                    let (response, _) = end.answer.unwrap_or_else(|| panic!("{id}: no answer"));
+                    println!("{id}: {} after {:?}", response.status(), began.elapsed());
+                    let whole = response.status() == 200 && response.body == bytes(LONG_RESPONSE_BYTES);
+                    assert!(whole, "{id}: {} bytes after {}", response.body.len(), response.head);
+                });
+            }
+        }
+    });
+}
--- a/tests/peers/uploads.rs
+++ b/tests/peers/uploads.rs
@@ -206,6 +206,8 @@
     pub remaining: Duration,
     pub framing: UploadFraming,
     pub length: usize,
+    /// The framing of a long response, if it is to be answered by one.
+    pub answered_in: Option<Framing>,
 }
 
 impl Upload {
@@ -215,9 +217,10 @@
             UploadFraming::Length => format!("Content-Length: {}", self.length),
             UploadFraming::Chunks(_) | UploadFraming::OneChunk => "Transfer-Encoding: chunked".to_string(),
         };
-        let mut all = request(self.class, &self.id, self.remaining.as_millis() as u64)
-            .replace("Content-Length: 4\r\n\r\nwork", &format!("{framing}\r\n\r\n"))
-            .into_bytes();
+        let head = request(self.class, &self.id, self.remaining.as_millis() as u64);
+        let head = self.answered_in.map_or(head.clone(), |framing| framing.name_in(&head));
+        let mut all =
+            head.replace("Content-Length: 4\r\n\r\nwork", &format!("{framing}\r\n\r\n")).into_bytes();
         let body = bytes(self.length);
         let chunk_bytes = match self.framing {
             UploadFraming::Length => {
--- a/tests/upload_deadlines.rs
+++ b/tests/upload_deadlines.rs
@@ -47,7 +47,7 @@
     class: &'static str,
 ) -> Option<String> {
     let id = format!("{class}-{framing:?}-{length}");
-    let upload = Upload { class, id: id.clone(), remaining: REMAINING, framing, length };
+    let upload = Upload { class, id: id.clone(), remaining: REMAINING, framing, length, answered_in: None };
     let began = Instant::now();
     let end = send_upload(node, &upload, &[], Some(CLIENT_SEND_BUFFER_BYTES), LATE_ANSWER_WAIT);
     // One that is refused before it is written has no last byte.
@@ -156,6 +156,7 @@
         remaining: Duration::from_millis(remaining_ms),
         framing: UploadFraming::Length,
         length,
+        answered_in: None,
     };
     std::thread::scope(|scope| {
         for n in 0..FILLERS {
@@ -191,6 +192,7 @@
         remaining: Duration::from_millis(1500),
         framing: UploadFraming::Chunks(8000),
         length: BUFFERED_REQUEST_MAX_BYTES + 500,
+        answered_in: None,
     };
     std::thread::scope(|scope| {
         let address = node.address;
@@ -226,8 +228,14 @@
         node_config["limits"]["memory_mb"] = json!(memory_mb);
         let node = Node::ready(&node_config);
         let id = format!("{framing:?}, {remaining:?} left, {memory_mb} MB");
-        let upload =
-            Upload { class: "slip", id: "paced".to_string(), remaining, framing, length: UPLOAD_BYTES };
+        let upload = Upload {
+            class: "slip",
+            id: "paced".to_string(),
+            remaining,
+            framing,
+            length: UPLOAD_BYTES,
+            answered_in: None,
+        };
         let sent = send_upload(
             node.address,
             &upload,
@@ -265,6 +273,7 @@
         remaining: Duration::from_secs(3),
         framing: UploadFraming::Chunks(8000),
         length: BUFFERED_REQUEST_MAX_BYTES + 500,
+        answered_in: None,
     };
     let end = send_upload(node.address, &upload, &[], Some(CLIENT_SEND_BUFFER_BYTES), LATE_ANSWER_WAIT);
     assert_in_time("logged", &upload, &end);
--- a/tests/upload_soak.rs
+++ b/tests/upload_soak.rs
@@ -498,7 +498,7 @@
             _ => random.random_range(2_500_000..4_900_000),
         };
         let (class, framing) = (pick(random, &["pay", "slip"]), pick(random, &framings));
-        Upload { class, id: id.to_string(), remaining, framing, length }
+        Upload { class, id: id.to_string(), remaining, framing, length, answered_in: None }
     }
 
     /// How the client writes, and whether it leaves.
