The close behind an upload that was not read whole is announced

What callers saw: a client whose upload was refused, or whose server closed in its middle, sent its next request on the connection; the node closed it without an answer.

Cause: hyper closes a connection whose request body was not read to its end. The node announces that where the upload has not finished, but one whose body is dropped, as the request ends, counts as finished.

Change: an aborted upload's response announces the close too.

--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -378,8 +378,8 @@
                     }
                     process_request(node, asked, &stream, arrived_at, remaining).await
                 };
-                if upload.is_some_and(|u| u.finished_at().is_none()) {
-                    // The rest of the upload is not read.
+                if upload.is_some_and(|u| u.finished_at().is_none() || u.is_aborted()) {
+                    // The rest of the upload is not read, so hyper closes the connection behind the response.
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 let (end, in_progress) = (end_for_status(response.status()), in_progress.take());
--- a/tests/upload_deadlines.rs
+++ b/tests/upload_deadlines.rs
@@ -282,3 +282,34 @@
     wait_until("the refusal is logged", || refusal().is_some());
     assert!(refusal().is_some_and(|words| words.contains("rest Received")), "{:?}", refusal());
 }
+
+/// Guards against a connection being closed without notice, where its client sends the next request, because the upload
+/// before it was answered without having been read to its end.
+#[test]
+fn the_close_behind_an_upload_that_was_not_read_whole_is_announced() {
+    let server = ReadingServer::new(&[ReadStep::Read(10_000), ReadStep::Close]);
+    for hosts in [vec![], vec![host("s0", server.address, "active", 1)]] {
+        let registry = Registry::new(&hosts);
+        let node = Node::ready(&node_config(&registry));
+        for framing in FRAMINGS {
+            let mut upload = Upload {
+                class: "slip",
+                id: format!("unread-{framing:?}-{}", hosts.len()),
+                remaining: Duration::from_millis(300),
+                framing,
+                length: 3_000_000,
+                answered_in: None,
+            };
+            let stream = connect(node.address, None).expect("the node listens");
+            let end = send_on(&stream, &upload.encode(), &[], LATE_ANSWER_WAIT);
+            let (answer, _) = end.answer.expect("an answer");
+            println!("{}: {}", upload.id, answer.head);
+            if answer.header("connection") == Some("close") {
+                continue;
+            }
+            (upload.id, upload.length) = (format!("{}-next", upload.id), 1000);
+            let next = send_on(&stream, &upload.encode(), &[], LATE_ANSWER_WAIT);
+            assert!(next.answer.is_some(), "{}: closed without notice", upload.id);
+        }
+    }
+}
