--- a/tests/late_answers.rs
+++ b/tests/late_answers.rs
@@ -178,7 +178,10 @@
     }]);
     plan.pace.before_body = Duration::from_millis(700);
     let server = ReadingServer::with_plan(plan);
-    let (_registry, node) = node_before(server.address);
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let mut node_config = config(registry.address);
+    node_config["settings"]["Limits"]["Probes"] = Value::from(false);
+    let node = Node::ready(&node_config);
     let address = node.address;
     std::thread::scope(|scope| {
         for framing in FRAMINGS {
--- a/tests/upload_deadlines.rs
+++ b/tests/upload_deadlines.rs
@@ -7,6 +7,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
+use peers::faults::Faults;
 use peers::uploads::*;
 use peers::*;
 use serde_json::{json, Value};
@@ -313,3 +314,29 @@
         }
     }
 }
+
+/// Guards against a failed look at the client's socket counting as proof that the client has more to write.
+#[test]
+fn an_upload_is_answered_in_time_while_looks_at_its_socket_fail() {
+    const LOOKS_FAIL: &str = "getsockopt:ENOBUFS:0.3;peek:EINTR:0.3;peek:ENOMEM:0.3;recv:ENOMEM:0.02";
+    let server = ReadingServer::new(&[ReadStep::Read(10_000), ReadStep::Hold]);
+    let registry = registry_of(server.address);
+    let faults = Faults::new(LOOKS_FAIL, 58);
+    let mut node_config = node_config(&registry);
+    node_config["management"] = json!("127.0.0.1:0");
+    let node = listener_node(&node_config, None, &faults);
+    let lengths = [500, 40_000, 150_000].map(|count| BUFFERED_REQUEST_MAX_BYTES + count);
+    let late: Vec<_> = std::thread::scope(|scope| {
+        let send = |length, framing| {
+            let address = node.address;
+            scope.spawn(move || late_answer(address, length, framing, "slip"))
+        };
+        let threads: Vec<_> = FRAMINGS
+            .into_iter()
+            .flat_map(|framing| lengths.map(|length| (length, framing)))
+            .map(|(length, framing)| send(length, framing))
+            .collect();
+        threads.into_iter().filter_map(|thread| thread.join().expect("no panic")).collect()
+    });
+    assert!(late.is_empty(), "{} late: {late:#?}", late.len());
+}
--- a/tests/upload_soak.rs
+++ b/tests/upload_soak.rs
@@ -22,7 +22,7 @@
 use serde_json::{json, Value};
 
 /// The default seeds.
-const SEEDS: Range<u64> = 0..8;
+const SEEDS: Range<u64> = 0..16;
 /// The number of scenarios that run at once.
 const CONCURRENCY: usize = 8;
 /// The time from the start of a run to the first SIGTERM.
