Both soak tests play their seeds by one piece of code

Cause: upload_soak.rs had copied the choice of seeds and the loop over them from fault_soak.rs.

Change: peers/soak.rs has both; seeds, concurrency and checks are as before. A failure still names its seed and its plan or scenario.

--- a/tests/fault_soak.rs
+++ b/tests/fault_soak.rs
@@ -6,14 +6,13 @@
 
 use std::net::TcpStream;
 use std::ops::Range;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use peers::crowd::{Behaviour, Crowd};
 use peers::faults::Faults;
 use peers::host_delay::HostDelay;
 use peers::load::{Load, Report, Servers};
+use peers::soak::play_seeds;
 use peers::{config, ledger_file, unused_path, Node, Registry};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -259,35 +258,10 @@
     }
 }
 
-/// The seeds to run.
-fn seeds() -> Range<u64> {
-    let Ok(named) = std::env::var("MAGPIETALLY_SOAK_SEEDS") else { return SEEDS };
-    let (first, end) = named.split_once("..").expect("FIRST..END");
-    first.parse().expect("a number")..end.parse().expect("a number")
-}
-
 #[test]
 fn nothing_is_lost_under_random_faults_signals_and_ends() {
-    let seeds = seeds();
-    let next = AtomicU64::new(seeds.start);
-    let failures = Mutex::new(Vec::new());
-    std::thread::scope(|scope| {
-        for _ in 0..CONCURRENCY {
-            scope.spawn(|| loop {
-                let seed = next.fetch_add(1, Ordering::SeqCst);
-                if !seeds.contains(&seed) {
-                    return;
-                }
-                let scenario = Scenario::new(seed);
-                if let Err(words) = scenario.run() {
-                    failures
-                        .lock()
-                        .expect("no panic")
-                        .push(format!("seed {seed}, {}: {words}", scenario.plan));
-                }
-            });
-        }
+    play_seeds(SEEDS, CONCURRENCY, |seed| {
+        let scenario = Scenario::new(seed);
+        scenario.run().map_err(|words| format!("{}: {words}", scenario.plan))
     });
-    let failures = failures.into_inner().expect("no panic");
-    assert!(failures.is_empty(), "{} of {} seeds: {failures:#?}", failures.len(), seeds.count());
 }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -13,6 +13,7 @@
 pub mod queue;
 mod registry;
 mod servers;
+pub mod soak;
 pub mod three_nodes;
 pub mod uploads;
 
--- a/tests/upload_soak.rs
+++ b/tests/upload_soak.rs
@@ -7,14 +7,13 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::ops::Range;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use peers::crowd::{Behaviour, Crowd};
 use peers::faults::Faults;
 use peers::host_delay::HostDelay;
 use peers::long_responses::{Pace, FRAMINGS, LONG_RESPONSE_BYTES};
+use peers::soak::play_seeds;
 use peers::uploads::*;
 use peers::{bytes, config, host, listener_node, request, Node, Registry};
 use rand::{RngExt, SeedableRng};
@@ -523,36 +522,12 @@
     }
 }
 
-/// The seeds to run.
-fn seeds() -> Range<u64> {
-    let Ok(named) = std::env::var("MAGPIETALLY_SOAK_SEEDS") else { return SEEDS };
-    let (first, end) = named.split_once("..").expect("FIRST..END");
-    first.parse().expect("a number")..end.parse().expect("a number")
-}
-
 #[test]
 fn uploads_and_long_responses_of_mixed_peers_get_their_final_answers() {
-    let seeds = seeds();
-    let next = AtomicU64::new(seeds.start);
-    let failures = Mutex::new(Vec::new());
-    std::thread::scope(|scope| {
-        for _ in 0..CONCURRENCY {
-            scope.spawn(|| loop {
-                let seed = next.fetch_add(1, Ordering::SeqCst);
-                if !seeds.contains(&seed) {
-                    return;
-                }
-                let scenario = Scenario::new(seed);
-                match scenario.run() {
-                    Ok(summary) => println!("seed {seed}: {summary:?}"),
-                    Err(words) => {
-                        let failure = format!("seed {seed}: {words}\n{scenario:#?}");
-                        failures.lock().expect("no panic").push(failure);
-                    }
-                }
-            });
-        }
+    play_seeds(SEEDS, CONCURRENCY, |seed| {
+        let scenario = Scenario::new(seed);
+        let summary = scenario.run().map_err(|words| format!("{words}\n{scenario:#?}"))?;
+        println!("seed {seed}: {summary:?}");
+        Ok(())
     });
-    let failures = failures.into_inner().expect("no panic");
-    assert!(failures.is_empty(), "{} of {} seeds:\n{}", failures.len(), seeds.count(), failures.join("\n"));
 }
